--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,289 @@
+"""The codec against byte examples, and the adapter against bad input."""
+
+from __future__ import annotations
+
+import io
+import json
+import struct
+import subprocess
+import sys
+
+import pytest
+
+from woadyard import interface, wire
+from woadyard.adapter import Host, serve
+
+NOW = 0x805C5A
+
+SETTINGS = {
+    "me": 0,
+    "instances": 2,
+    "classes": [
+        {"aim-us": 100_000, "deadline-us": 400_000, "repeat": "retryable", "points": 1.0},
+        {
+            "aim-us": 100_000,
+            "deadline-us": 400_000,
+            "repeat": "dedup",
+            "dedup-scope": "cell",
+            "repeat-window-us": 5_000_000,
+        },
+    ],
+    "ceilings": {"max-attempts": 3, "cancel": True, "second-copies": True, "unheard-of": 1},
+    "invariants": {"cold-share": 0.2, "cold-us": 10_000_000, "tip-multiple": 3.0},
+    "unknown-key": [1, 2],
+}
+
+
+def record(hex_text: str) -> bytes:
+    raw = bytes.fromhex(hex_text.replace(" ", ""))
+    return raw + bytes(wire.EVENT_SIZE - len(raw))
+
+
+def frame(*records: bytes, tail: bytes = b"", now: int = NOW) -> bytes:
+    body = struct.pack(">QI", now, len(records)) + b"".join(records) + tail
+    return struct.pack(">I", len(body)) + body
+
+
+def body(*records: bytes, tail: bytes = b"", now: int = NOW) -> memoryview:
+    return memoryview(frame(*records, tail=tail, now=now))[4:]
+
+
+def init(instance: int, at: int = 0, settings: bytes | None = None) -> tuple[bytes, bytes]:
+    raw = json.dumps(SETTINGS).encode() if settings is None else settings
+    head = struct.pack(">BIQII", 0, instance, 7, at, len(raw))
+    return head + bytes(wire.EVENT_SIZE - len(head)), raw
+
+
+MANIFEST = "0a 0000 00000000 00000002"
+CACHED = "01 00000003 00000029 03 0000"
+ENTRIES = bytes.fromhex(
+    "0000000000000000 3f800000 03124a07 0000 00 01 00"
+    "00000000005d1420 3fc00000 2c9011f2 0000 00 01 00".replace(" ", "")
+)
+REQ = "02 00000003 000e37b15d3a91c4 00 0000 91f03b7c55d20a64 00000000008405da 00002ee0 01"
+RETURNED_OK = "04 00000003 000e37b15d3a91c4 00 03124a07 0000 00004844 01 00"
+RID = 0x000E37B15D3A91C4
+
+
+def started_host(now: int = NOW) -> Host:
+    host = Host()
+    first, raw = init(3)
+    shift = struct.pack(">I", len(raw)).hex()
+    manifest = record(f"0a 0000 {shift} 00000002")
+    host.batch(body(first, manifest, record(CACHED), tail=raw + ENTRIES, now=now))
+    return host
+
+
+def replies(raw: bytes) -> list[bytes]:
+    length, count = struct.unpack_from(">II", raw)
+    assert length == len(raw) - 4
+    return [raw[8 + 24 * i : 32 + 24 * i] for i in range(count)]
+
+
+def test_empty_batch_and_reply() -> None:
+    source = io.BytesIO(bytes.fromhex("0000000c0000000000805c5a00000000"))
+    sink = io.BytesIO()
+    serve(source, sink)
+    assert sink.getvalue() == bytes.fromhex("0000000400000000")
+
+
+def test_reply_example_byte_for_byte() -> None:
+    reply = wire.Reply()
+    reply.add(3, [interface.Send(RID, 0x03124A07, 0x13880), interface.Timer(0x4D, 0x7A120)])
+    reply.add(5, [interface.Log("two servers known")])
+    expected = (
+        "0000005d 00000003"
+        "40 00000003 000e37b15d3a91c4 03124a07 00013880 000000"
+        "43 00000003 000000000000004d 0007a120 00000000000000"
+        "42 00000005 00000000 00000011 0000000000000000000000"
+        "74776f2073657276657273206b6e6f776e"
+    )
+    assert reply.encode() == bytes.fromhex(expected.replace(" ", ""))
+
+
+@pytest.mark.parametrize(
+    ("action", "expected"),
+    [
+        (interface.Refuse(RID, 9), "48 00000003 000e37b15d3a91c4 00000009"),
+        (interface.Fail(RID), "46 00000003 000e37b15d3a91c4"),
+        (interface.Cancel(RID, 2), "47 00000003 000e37b15d3a91c4 02"),
+        (interface.Probe(0x03124A07), "41 00000003 03124a07"),
+        (interface.Watch(True), "4a 00000003 01"),
+        (interface.Fetch(), "44 00000003"),
+        (interface.Tell(None, b"hi 7"), "49 00000003 ffffffff 00000000 00000004"),
+        (interface.Tell(6, b""), "49 00000003 00000006 00000000 00000000"),
+    ],
+)
+def test_each_action_has_its_record(action: interface.Action, expected: str) -> None:
+    reply = wire.Reply()
+    reply.add(3, [action])
+    raw = bytes.fromhex(expected.replace(" ", ""))
+    assert replies(reply.encode())[0] == raw + bytes(24 - len(raw))
+
+
+def test_entries_example() -> None:
+    first, second = wire.read_entries(memoryview(ENTRIES), 0, 2)
+    assert first == interface.Entry(0x03124A07, interface.READY, 0, 1.0, 0, 0, 0)
+    assert second == interface.Entry(0x2C9011F2, interface.READY, 0x5D1420, 1.5, 0, 0, 0)
+
+
+def test_request_is_sent_and_ends_with_its_first_ok() -> None:
+    host = started_host(now=NOW + 20_000_000)
+    sent = replies(host.batch(body(record(REQ), now=NOW)))
+    assert [r[0] for r in sent] == [64]
+    assert sent[0][5:13] == RID.to_bytes(8, "big")
+    assert RID in host.instances[3].requests
+    host.batch(body(record(RETURNED_OK)))
+    assert not host.instances[3].requests
+
+
+def test_late_events_for_requests_not_held_are_passed_over() -> None:
+    host = started_host()
+    gone = record("05 00000003 000000000000004d")
+    fired = record("06 00000003 000000000000004d")
+    assert replies(host.batch(body(record(RETURNED_OK), gone, fired))) == []
+
+
+def test_list_numbers_are_reused_within_a_batch() -> None:
+    host = Host()
+    one, raw = init(1)
+    two, _ = init(2)
+    base = len(raw)
+    lists = [struct.pack(">BHII", 10, 0, base + 21 * k, 1) for k in range(2)]
+    cached = [struct.pack(">BIIBH", 1, i, 1, 3, 0) for i in (1, 2)]
+    padded = [part + bytes(48 - len(part)) for part in (*lists, *cached)]
+    records = (one, padded[0], padded[2], two, padded[1], padded[3])
+    host.batch(body(*records, tail=raw + ENTRIES))
+    assert list(host.instances[1].endpoints) == [0x03124A07]
+    assert list(host.instances[2].endpoints) == [0x2C9011F2]
+
+
+def test_stop_and_start_in_one_batch_leaves_nothing_behind() -> None:
+    host = started_host()
+    host.batch(body(record(REQ)))
+    again, raw = init(3)
+    host.batch(body(record("09 00000003"), again, tail=raw))
+    assert not host.instances[3].requests
+    assert not host.instances[3].endpoints
+
+
+def test_exception_in_the_module_is_the_wires_internal_error(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    host = started_host()
+
+    def broken(*args: object) -> list[interface.Action]:
+        raise RuntimeError("no such luck")
+
+    monkeypatch.setattr(host.instances[3], "request", broken)
+    raw = host.batch(body(record(REQ)))
+    assert replies(raw)[0][0] == 69
+    assert raw.endswith(b"RuntimeError: no such luck")
+
+
+def run_adapter(data: bytes) -> subprocess.CompletedProcess[bytes]:
+    return subprocess.run(
+        [sys.executable, "-m", "woadyard.adapter"], input=data, capture_output=True, timeout=60
+    )
+
+
+STARTED, STARTED_RAW = init(3)
+UNREADABLE, UNREADABLE_RAW = init(3, settings=b"{not json")
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x00\x00",
+        bytes.fromhex("00000fff0000"),
+        bytes.fromhex("00000002abcd"),
+        struct.pack(">IQI", 12, NOW, 5),
+        frame(record("63 00000003")),
+        frame(UNREADABLE, tail=UNREADABLE_RAW),
+        frame(record("0a 0000 00000000 00000009")),
+        frame(record("0a 0000 00000000 00000001"), tail=ENTRIES[:18] + b"\x00\x09\x00"),
+        frame(STARTED, record("01 00000003 00000029 07 0000"), tail=STARTED_RAW),
+        frame(STARTED, record("01 00000003 00000029 03 0005"), tail=STARTED_RAW),
+        frame(STARTED, record("04 00000003 000e37b15d3a91c4 00 03124a07 0063"), tail=STARTED_RAW),
+        frame(STARTED, record("08 00000003 0001 00000000 0000ffff"), tail=STARTED_RAW),
+    ],
+    ids=[
+        "length",
+        "truncated",
+        "short",
+        "count",
+        "code",
+        "settings",
+        "tail",
+        "phase",
+        "mode",
+        "unsent",
+        "outcome",
+        "offset",
+    ],
+)
+def test_malformed_input_ends_in_one_plain_line(data: bytes) -> None:
+    done = run_adapter(data)
+    assert done.returncode == 1
+    assert done.stdout == b""
+    assert done.stderr.startswith(b"woadyard.adapter: ")
+    assert done.stderr.count(b"\n") == 1
+
+
+def test_end_of_input_exits_zero() -> None:
+    assert run_adapter(b"").returncode == 0
+
+
+FULL_SETTINGS = {
+    "classes": [
+        {"aim-us": 5, "deadline-us": 9, "repeat": "fragile", "sequential": True, "aim-stretch": 1.5},
+        {"aim-us": 5, "deadline-us": 9, "repeat": "retryable"},
+    ],
+    "invariants": {"key-rest-us": 50_000, "full-unproven": True},
+    "goal": {"whole": 0.2, "worst-window": 0.3, "punctual": 0.4, "miss-allowed": 0.02, "worst-tenant": 0.1},
+    "prices": {"late-fail": 0.08, "peer": 0.01, "discovery": 0.02, "handshake": 0.03},
+    "ceilings": {"cpu-us-per-s": 800_000, "cpu-us-per-request": 10.0},
+    "family-info": {"warm-keys": True, "passes-deadline": True},
+    "load-report": {"fields": ["rps", "err_rps", "avg_ms", "waiting"], "how": "piggyback"},
+}
+
+
+def test_every_setting_that_a_decision_can_use_arrives() -> None:
+    read = wire.read_settings(json.dumps(FULL_SETTINGS).encode())
+    first, second = read.classes
+    assert (first.sequential, first.aim_stretch, second.sequential, second.aim_stretch) == (
+        True,
+        1.5,
+        False,
+        0,
+    )
+    assert (read.key_rest_us, read.full_unproven) == (50_000, True)
+    assert read.goal == interface.Goal(0.2, 0.3, 0.0, 0.1, 0.4, 0.02)
+    assert (read.late_fail_price, read.peer_price, read.discovery_price) == (0.08, 0.01, 0.02)
+    assert (read.cpu_us_per_s, read.cpu_us_per_request) == (800_000, 10.0)
+    assert read.warm_keys and read.passes_deadline
+    assert read.report_fields == ("served_rate", "error_rate", "latency_ms", "waiting")
+
+
+def test_absent_settings_get_the_careful_default() -> None:
+    read = wire.read_settings(b'{"classes": [{"aim-us": 5, "deadline-us": 9, "repeat": "fragile"}]}')
+    assert (read.max_attempts, read.second_copies, read.can_cancel, read.can_probe) == (
+        1,
+        False,
+        False,
+        False,
+    )
+    assert not read.classes[0].sequential and read.goal.punctual == 0.0
+
+
+@pytest.mark.parametrize("broken", [{"classes": []}, {"instances": 0}, {"cold_us": -1}])
+def test_settings_that_cannot_be_meant_name_their_field(broken: dict[str, object]) -> None:
+    fields: dict[str, object] = {"classes": (interface.RequestClass(),), **broken}
+    with pytest.raises(ValueError, match=next(iter(broken))):
+        interface.Settings(**fields)  # type: ignore[arg-type]
+
+
+def test_an_endpoints_idle_connections_are_closed_on_the_wire() -> None:
+    reply = wire.Reply()
+    reply.add(3, [interface.Close(0x03124A07)])
+    assert replies(reply.encode())[0][:9] == bytes.fromhex("4b0000000303124a07")
--- /dev/null
+++ b/woadyard/policy.py
@@ -0,0 +1,1023 @@
+"""Every decision of woadyard: one `Balancer` per sidecar, pure and alone.
+
+Interface: woadyard/interface.py has the settings, events and actions.
+
+No I/O, no clock, no threads: each method takes the time (µs) and one event
+and returns actions. The ordinary path is two-choice with asymmetric ties:
+one draw from a left group, one from a right group of a shared order, the
+lower own count of calls in flight wins, ties go left.
+"""
+
+from __future__ import annotations
+
+import random
+from bisect import bisect_left, insort
+from collections import deque
+from collections.abc import Sequence
+from itertools import pairwise
+from math import ceil, exp, log, sqrt
+
+from woadyard.interface import (  # isort: skip
+    CANCELLED, ERROR, FULL, KEYED, LIST_DELTA, LIST_FAILED, NEVER_RAN, NO_CONNECT, OK, READY, RESET,
+    SAFE, SCOPE_ALL, SCOPE_ZONE, TIMEOUT, WAITING, Action, Arrival, Cancel, Close, Entry, Fail,
+    Outcome, Probed, Refuse, RequestClass, Send, Settings, Timer, Watch,
+)  # fmt: skip
+
+# --- Constants, each with its reason -------------------------------------
+
+# Each endpoint should be drawn by at least this many copies, so that copies
+# with unequal traffic even out; sets the arc where copies are many.
+COVERAGE = 4
+# Endpoints a group spans at least: one leaves no draw. More is no gain: a copy
+# with little traffic would hear of each too seldom to learn of trouble.
+GROUP_MIN = 2
+# A longer group is sampled first: bounds the work of a pick on the whole ring.
+DRAW_MAX = 32
+# What an endpoint holds that tells nothing; more is nonsense.
+MAX_HELD = 1e6
+# Rounding error of a position on the ring.
+EDGE = 1e-6
+# Memory of the copy's own send rate, as a multiple of the longest aim:
+# long enough to average, short enough to follow a ramp.
+RATE_MEMORY = 1.0
+# Memory of an endpoint's service, in samples at most and as a multiple of the
+# longest aim at least: a few samples tell speeds of 3:1 apart, and an endpoint
+# seldom drawn is judged afresh.
+LEARN_SAMPLES = 16
+LEARN_MEMORY = 2.0
+LEARN_GAIN_MAX = 0.5
+# What one failure leaves of an endpoint's health, by how surely it tells of a
+# broken endpoint; fullness tells of load more than of a fault.
+BLAME_ERROR, BLAME_FULL, BLAME_TIMEOUT, BLAME_NO_CONNECT, BLAME_RESET = 0.4, 0.7, 0.2, 0.5, 0.2
+# A full endpoint is left alone for so many usual latencies: one kept full by
+# everybody's next try would turn slow.
+CROWDED_FOR = 1.0
+# Power of the blame that the other classes and tenants take for a failure of one.
+BLAME_OTHERS = 0.5
+# One answer repairs this share of the damage; time repairs it with a memory
+# of this many aims, doubled by each failure in a row up to the cap.
+REPAIR = 0.2
+HEAL_MEMORY = 1.5
+HEAL_DOUBLINGS = 4
+# And so many sends to the endpoint at least: where a copy sends little, time alone
+# would have it try a bad endpoint with every other request.
+HEAL_SENDS = 3.0
+# Health never falls below this: the trial by which an endpoint returns.
+HEALTH_MIN = 0.01
+# A endpoint that owes answers and gave none for mean + this many deviations
+# of the usual latency is taken for frozen; what is left of its weight then.
+STALL_DEVIATIONS = 4.0
+STALL_WEIGHT = 0.05
+# Gain of the copy's latency mean and deviation, as in TCP's timer.
+LATENCY_GAIN = 0.05
+# Part of the tip budget a copy allows itself: the rest covers copies that
+# carry more than their share and work heavier than the average.
+COLD_SAFETY = 0.5
+# Retry tokens earned by each first try, and the most that may be saved up:
+# retries can add this share to the traffic, never multiply it.
+RETRY_EARN = 0.2
+RETRY_CAP = 5.0
+# Pause before asking again for an endpoint when none may be drawn, as a share
+# of the class's aim.
+HOLD_SHARE = 0.02
+
+BLAME = {
+    ERROR: BLAME_ERROR,
+    FULL: BLAME_FULL,
+    TIMEOUT: BLAME_TIMEOUT,
+    NO_CONNECT: BLAME_NO_CONNECT,
+    RESET: BLAME_RESET,
+}
+
+# Admission: the share of admitted requests answered within their aim below
+# which fewer are let through. Chance and a small trouble must refuse nobody.
+ADMIT_GOOD = 0.85
+# Part of that which is still asked for when next to nothing is let through.
+# Guards against shedding for lateness that fewer requests do not mend.
+ADMIT_GOOD_PART = 0.5
+# Results seen within this multiple of what a request takes by now count as one
+# look, as a decision's result comes that late; so many are one look at least.
+ADMIT_MEMORY = 2.0
+ADMIT_SAMPLES = 5
+# One look of good results alone raises the share let through by this factor.
+ADMIT_RISE = 2.0
+# Requests held may grow to this multiple of what the same stream of answers
+# holds unloaded (Little's law), and by so many deviations of chance: a burst.
+HELD_OVER, HELD_CHANCE = 2.0, 1.5
+# Once more than this was held for a whole look, it is the bound until no more
+# was held for two: a burst passes, a standing queue does not.
+STANDING_OVER, STANDING_CHANCE = 1.3, 0.5
+# So many results at least make an unloaded time: fewer tell mostly chance.
+BASE_SAMPLES = 30
+# Looks over which the unloaded time is taken, and before which nothing is
+# bounded by it.
+CALM_LOOKS = 2
+# Good results save up as much as one bad one takes: heavy work refuses nobody.
+ADMIT_ROOM = ADMIT_RISE ** (ADMIT_GOOD / (1.0 - ADMIT_GOOD) / ADMIT_SAMPLES)
+# So many for each endpoint that falls to a copy are always let through, HELD_FEW at
+# least, once answers are slow: where copies are many, eight for each of them would be
+# a standing queue by itself. While answers are quick, small counts tell nothing.
+HELD_MIN, HELD_FEW = 8, 2
+# Rise per look of what a request is taken to take unloaded: slow, so that a
+# long queue does not soon pass for usual, but a changed service does in time.
+BASE_RISE = 0.01
+# Work asked for, in requests, over which its mix of worth is remembered.
+MIX_MEMORY = 100.0
+# The most worthy work may fill the bound on held requests by this much more
+# than the least worthy, so that the least gives way first.
+WORTHY_MORE = 0.5
+# The least worthy still gets this part of what all would get alike: a class
+# must not starve while others have some of everything.
+WORTHLESS_PART = 0.5
+# A tenant may save up its part of the allowance for this long, in aims.
+ALLOW_FOR = 2.0
+# Share let through however bad it looks: the trial that shows recovery.
+ADMIT_MIN = 0.1
+
+# A lost attempt makes the copy wary of connections that rested this part as long:
+# each halving on the way down would cost another loss.
+WARY_PART = 0.25
+# A shorter rest, in aims, kills no connection: who drops flows waits longer.
+REST_LEAST = 0.1
+# An attempt out for so many deviations past the mean looks lost: more than for a
+# stall, as heavy work alone must not cost new connections.
+WARY_DEVIATIONS = 6.0
+
+# A handshake costs at least this part of a request's worth, priced or not.
+HANDSHAKE_LEAST = 0.01
+
+TIMER_HOLD, TIMER_WATCH = range(2)
+TIMER_KINDS = 2
+
+
+class Endpoint:
+    """What this copy knows of one endpoint."""
+
+    __slots__ = (
+        "boot", "budget", "budget_at", "cell", "crowded", "health", "id", "inflight",
+        "key", "kinds", "links", "own", "quiet_since", "rating", "ready", "samples", "slowness",
+        "slowness_at", "told_at", "waiting", "zone",
+    )  # fmt: skip
+
+    def __init__(self, entry: Entry, kinds: int) -> None:
+        self.id = entry.endpoint
+        self.kinds = kinds  # of requests
+        self.key = ring_key(entry.cell, entry.endpoint)
+        self.cell = entry.cell
+        self.zone = entry.zone
+        self.boot = entry.boot
+        self.rating = entry.rating
+        self.ready = False
+        self.inflight = 0
+        self.links: list[int] = []  # idle connections: since when, the last used last
+        self.crowded = 0  # it was full: nothing is sent before this
+        self.budget = 0.0
+        self.budget_at = 0
+        self.own = False  # it stands on this copy's arc
+        self.quiet_since = 0
+        self.waiting, self.told_at = 0.0, 0  # requests that wait there, by an answer
+        self.renew()
+
+    def renew(self) -> None:
+        """What is learned of one process."""
+        self.slowness = 1.0  # observed latency over the peers' mean
+        self.slowness_at = 0
+        self.samples = 0
+        # By class and tenant: health, when that was, failures in a row (halved by an answer).
+        self.health = [(1.0, 0, 0.0)] * self.kinds
+
+
+# Endpoints of a group, each with the share of it that lies inside.
+Group = list[tuple[Endpoint, float]]
+Ring = list[tuple[tuple[int, int, int], Endpoint]]
+
+
+class Latency:
+    """Mean and mean deviation of served attempts, µs."""
+
+    __slots__ = ("deviation", "mean", "samples")
+
+    def __init__(self) -> None:
+        self.mean = 0.0
+        self.deviation = 0.0
+        self.samples = 0
+
+    def add(self, value: float) -> None:
+        self.samples += 1
+        gain = max(LATENCY_GAIN, 1.0 / self.samples)
+        error = value - self.mean
+        self.mean += gain * error
+        if self.samples > 1:
+            self.deviation += gain * (abs(error) - self.deviation)
+
+    def high(self, deviations: float) -> float:
+        return self.mean + deviations * self.deviation
+
+
+class Attempt:
+    __slots__ = ("cell", "endpoint", "never_ran", "out", "rested", "sent", "wary", "zone")
+
+    def __init__(self, endpoint: Endpoint, now: int) -> None:
+        self.endpoint = endpoint
+        self.cell = endpoint.cell
+        self.zone = endpoint.zone
+        self.sent = now
+        self.rested = -1  # how long its connection was idle; a new one was not
+        self.out = True
+        self.never_ran = False
+        self.wary = False  # it spoke for or against connections dying at rest
+
+
+class Request:
+    __slots__ = (
+        "arrived", "attempts", "cls", "expires", "id", "key", "kind", "sort",
+        "streaming", "tenant",
+    )  # fmt: skip
+
+    def __init__(self, now: int, event: Arrival, cls: RequestClass, tenants: int) -> None:
+        self.id = event.request
+        self.arrived = now
+        self.kind = event.cls
+        self.sort = event.cls * tenants + min(event.tenant, tenants - 1)
+        self.cls = cls
+        self.tenant = event.tenant
+        self.key = event.key if cls.sequential else 0
+        self.expires = event.expires
+        self.attempts: list[Attempt] = []
+        self.streaming = False
+
+    def outstanding(self) -> bool:
+        return any(attempt.out for attempt in self.attempts)
+
+    def first_maybe(self) -> Attempt | None:
+        """The earliest attempt that may have run, or may be running."""
+        for attempt in self.attempts:
+            if not attempt.never_ran:
+                return attempt
+        return None
+
+
+class Turn:
+    """The requests of one key that run one at a time, in the order taken."""
+
+    __slots__ = ("line", "out", "rest")
+
+    def __init__(self) -> None:
+        self.line: deque[Request] = deque()  # not over; the first has the turn
+        self.out = 0  # attempts without an outcome of any request, over or not
+        self.rest = 0  # nothing of the next request is sent before this
+
+
+def mix(value: int) -> int:
+    """A fixed 64-bit mixing (splitmix64), the same in every copy."""
+    value = (value + 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
+    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
+    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & 0xFFFFFFFFFFFFFFFF
+    return value ^ (value >> 31)
+
+
+def ring_key(cell: int, endpoint: int) -> tuple[int, int, int]:
+    """The shared order: whole cells side by side, so that a repeat bound to
+    a cell finds warm connections; both parts mixed, as ids tell nothing."""
+    return mix(cell), mix(endpoint), endpoint
+
+
+class Rate:
+    """Events per µs with exponential forgetting, unbiased from the start."""
+
+    __slots__ = ("at", "began", "memory", "sum")
+
+    def __init__(self, memory_us: float, now: int) -> None:
+        self.memory = memory_us
+        self.sum = 0.0
+        self.at = self.began = now
+
+    def add(self, now: int, amount: float = 1.0) -> None:
+        if now > self.at:
+            self.sum *= exp((self.at - now) / self.memory)
+            self.at = now
+        self.sum += amount
+
+    def get(self, now: int) -> float:
+        seen = 1.0 - exp((self.began - now) / self.memory)
+        if seen < 0.02:  # too short a look to tell a rate from chance
+            seen = 0.02
+        return self.sum * exp((self.at - now) / self.memory) / (self.memory * seen)
+
+
+class Admission:
+    """Load shedding at the entry, from the results of own requests alone.
+
+    Guards against congestion collapse: queues so long that every answer is
+    late, and clients' further tries that keep them so. Once the share of
+    answers in time falls, fewer are let through, and recovery doubles up.
+    """
+
+    __slots__ = (
+        "at", "base", "began", "bounded", "busy_at", "calm", "calm_at", "count", "least", "results",
+        "settled", "share", "standing", "took",
+    )  # fmt: skip
+
+    def __init__(self, aim_us: float) -> None:
+        self.took = aim_us  # what a request takes by now
+        self.calm = aim_us  # the same over more looks, for less noise
+        self.base = aim_us  # what it takes unloaded: the least that calm was
+        self.count = 0
+        self.results = 0.0  # within the present look
+        self.began = self.at = 0
+        self.settled = False
+        self.calm_at = self.busy_at = 0  # when few were last held, and many
+        self.standing = False
+        self.least = float(HELD_MIN)  # so many may always be held
+        self.bounded = -1  # when the bound on held requests last refused one
+        self.share = 1.0
+
+    def note(self, now: int, took: int, good: bool, answered: bool) -> None:
+        """One admitted request's result; the steps balance at ADMIT_GOOD,
+        at less the more is shed."""
+        memory = ADMIT_MEMORY * self.took
+        keep = exp((self.at - now) / memory)
+        self.results = self.results * keep + 1.0
+        self.at = now
+        self.count += 1
+        look = max(self.results, ADMIT_SAMPLES)
+        self.took += (max(took, 1) - self.took) / min(self.count, look)
+        self.calm += (max(took, 1) - self.calm) / min(self.count, max(BASE_SAMPLES, CALM_LOOKS * look))
+        if not self.began:
+            self.began = now - took
+        # The first answers are the quickest ones: they say only where to begin.
+        self.settled |= self.count >= BASE_SAMPLES and now - self.began > CALM_LOOKS * memory
+        self.base = min(self.base * (1.0 + BASE_RISE / look), self.calm) if self.settled else self.calm
+        step = log(ADMIT_RISE) / look
+        if not good and now - took <= self.bounded:
+            return  # taken before the bound last acted, which has answered it
+        if not good:
+            asked = ADMIT_GOOD * (ADMIT_GOOD_PART + (1.0 - ADMIT_GOOD_PART) * min(1.0, self.share))
+            step *= -asked / (1.0 - asked)
+            if not answered:  # no mere heavy work: the room saved up is gone
+                self.share = min(1.0, self.share)
+        self.share = min(ADMIT_ROOM, max(ADMIT_MIN, self.share * exp(step)))
+
+    def admits(self, now: int, held: int, place: tuple[float, float], chance: float) -> bool:
+        """Whether to take a request: the least worthy work gives way first."""
+        less, more = place
+        alike = max(1e-9, 1.0 - less - more)
+        share = min(1.0, self.share)
+        part = max(WORTHLESS_PART * share, min(1.0, (share - more) / alike))
+        return chance < part and not self._full(now, held / (1.0 + WORTHY_MORE * less))
+
+    def _full(self, now: int, held: float) -> bool:
+        """Guards against choked endpoints: they queue for seconds before an
+        answer is late, and the quick answers alone tell nothing of it."""
+        memory = ADMIT_MEMORY * self.took
+        answers = self.results * exp((self.at - now) / memory) / memory
+        usual = answers * self.base
+        tight = STANDING_OVER * usual + STANDING_CHANCE * sqrt(usual)
+        loose = HELD_OVER * usual + HELD_CHANCE * sqrt(usual)
+        if held <= tight:
+            self.calm_at = now
+        else:
+            self.busy_at = now
+        # A queue stands once it lasted for a look; it is over once none was
+        # seen for two.
+        self.standing |= self.settled and now - self.calm_at > memory
+        self.standing &= now - self.busy_at < 2.0 * memory
+        least = self.least if self.calm > HELD_OVER * self.base else HELD_MIN
+        if not self.settled or held <= max(least, tight if self.standing else loose):
+            return False
+        self.bounded = now
+        return True
+
+
+class Worth:
+    """What a request is worth against the others asked for lately.
+
+    Kinds are class and whether the tenant is past its part of its allowance;
+    `place` says which part of the work asked for is worth less, or more.
+    """
+
+    __slots__ = ("kinds", "meters", "mix", "settings", "span")
+
+    def __init__(self, settings: Settings, aim_us: float) -> None:
+        self.settings = settings
+        self.span = ALLOW_FOR * aim_us
+        worths = [c.worth for c in settings.classes]
+        self.kinds = worths + [w * settings.over_share_worth for w in worths]
+        self.mix = [0.0] * len(self.kinds)
+        self.meters = [(0.0, 0)] * len(settings.tenants)
+
+    def place(self, now: int, event: Arrival) -> tuple[float, float]:
+        """The parts of the work lately asked for that are worth less and more."""
+        kind = event.cls + len(self.kinds) // 2 * self._over(now, event.tenant)
+        keep = 1.0 - 1.0 / MIX_MEMORY
+        self.mix = [part * keep for part in self.mix]
+        self.mix[kind] += event.work_us or 1.0
+        worth, total = self.kinds[kind], sum(self.mix)
+        less = sum(part for part, other in zip(self.mix, self.kinds, strict=True) if other < worth)
+        more = sum(part for part, other in zip(self.mix, self.kinds, strict=True) if other > worth)
+        return less / total, more / total
+
+    def _over(self, now: int, tenant: int) -> bool:
+        """Guards the others' share against a tenant that asks for more than
+        its own: each copy meters an equal part of the allowance."""
+        if tenant >= len(self.meters) or not self.settings.tenants[tenant]:
+            return False
+        rate = self.settings.tenants[tenant] / self.settings.instances / 1e6
+        saved, at = self.meters[tenant]
+        saved = min(1.0 + rate * self.span, saved + rate * (now - at))
+        over = saved < 1.0
+        self.meters[tenant] = (saved if over else saved - 1.0, now)
+        return over
+
+
+class Balancer:
+    def __init__(self, seed: int, settings: Settings) -> None:
+        self.s = settings
+        self.rng = random.Random(seed)
+        self.out: list[Action] = []
+        self.endpoints: dict[int, Endpoint] = {}
+        self.ring: Ring = []
+        self.groups: list[Group] = []
+        self.arc_size, self.depth = 1.0, 1
+        self.requests: dict[int, Request] = {}
+        self.ended: dict[int, Request] = {}  # over, but with attempts still out
+        self.turns: dict[int, Turn] = {}
+        self.moved: list[int] = []  # keys that may have a next to go
+        self.resting: deque[tuple[int, int]] = deque()  # until when, and the key
+        self.reused: deque[Attempt] = deque()  # sent on connections that had rested
+        self.kept = (0, 0)  # when the last one answered was sent, and its rest
+        self.wary_of, self.wary_for = 0.0, 0.0  # rests from this on, for so many sends
+        self.heal_sends = 0.0  # time in which an endpoint is sent HEAL_SENDS
+        self.proofs = NEVER_RAN - {FULL} if settings.full_unproven else NEVER_RAN
+        self.retry_tokens = RETRY_CAP / 2
+        self.rate_memory = RATE_MEMORY * max(c.aim_us for c in settings.classes)
+        self.sends = self.served = Rate(self.rate_memory, 0)
+        self.longest_aim = max(c.aim_us for c in settings.classes)
+        self.latencies = [Latency() for _ in settings.classes]
+        self.latency = Latency()
+        fields = settings.report_fields
+        self.waiting_at = fields.index(WAITING) if WAITING in fields else len(fields)
+        self.admission = Admission(self.longest_aim)
+        # Guards punctuality where it counts: with tails that fall off evenly, a share
+        # of 1 - ADMIT_GOOD past this part of the aim is as many misses as are allowed.
+        self.good_part, goal = 1.0, settings.goal
+        if goal.punctual > 0.0 and 0.0 < goal.miss_allowed < 1.0:
+            self.good_part = min(1.0, log(1.0 - ADMIT_GOOD) / log(goal.miss_allowed))
+        self.worth = Worth(settings, self.longest_aim)
+
+    def _taken(self, now: int) -> list[Action]:
+        while self.moved:
+            self._settle_turn(now, self.moved.pop())
+        out, self.out = self.out, []
+        return out
+
+    # --- Membership and groups --------------------------------------------
+
+    def start(self, now: int) -> list[Action]:
+        self.sends, self.served = Rate(self.rate_memory, now), Rate(self.rate_memory, now)
+        if self.s.asks_discovery:
+            # Copies started together must not ask together.
+            spread = self.rng.random() * self.s.ask_within_us / 4
+            self._timer(TIMER_WATCH, 0, int(spread))
+        return self._taken(now)
+
+    def members(self, now: int, mode: int, entries: Sequence[Entry]) -> list[Action]:
+        if mode == LIST_FAILED:
+            # Guards against a lost subscription: ask again, spread out.
+            if self.s.asks_discovery:
+                spread = (0.5 + self.rng.random()) * self.s.ask_within_us / 4
+                self._timer(TIMER_WATCH, 0, int(spread))
+            return self._taken(now)
+        changed = False
+        if mode != LIST_DELTA:
+            named = {entry.endpoint for entry in entries}
+            for endpoint in list(self.endpoints.values()):
+                if endpoint.id not in named:
+                    changed |= self._remove(endpoint)
+        for entry in entries:
+            changed |= self._apply(now, entry)
+        if changed:
+            self._cut()
+        return self._taken(now)
+
+    def _apply(self, now: int, entry: Entry) -> bool:
+        endpoint = self.endpoints.get(entry.endpoint)
+        if entry.phase != READY:
+            return self._remove(endpoint) if endpoint else False
+        if endpoint is None:
+            endpoint = self.endpoints[entry.endpoint] = Endpoint(
+                entry, len(self.s.classes) * max(1, len(self.s.tenants))
+            )
+        endpoint.rating = entry.rating if entry.rating > 0 else 1.0
+        if entry.boot != endpoint.boot or not endpoint.ready:
+            if entry.boot != endpoint.boot:
+                endpoint.renew()  # a new process: nothing seen of the old one holds
+            endpoint.boot = entry.boot
+            # A cold endpoint's budget starts part-filled at random, so that
+            # the copies' first sends to it do not coincide.
+            endpoint.budget = self.rng.random()
+            endpoint.budget_at = now
+        if endpoint.ready:
+            return False
+        endpoint.ready = True
+        insort(self.ring, (endpoint.key, endpoint), key=lambda pair: pair[0])
+        return True
+
+    def _remove(self, endpoint: Endpoint) -> bool:
+        """Guards drains: an endpoint told draining or gone leaves at once."""
+        if not endpoint.inflight:
+            self.endpoints.pop(endpoint.id, None)
+        if not endpoint.ready:
+            return False
+        endpoint.ready = False
+        at = bisect_left(self.ring, endpoint.key, key=lambda pair: pair[0])
+        del self.ring[at]
+        return True
+
+    def _cut(self) -> None:
+        """Own arc of the shared ring from the copy's own offset; left, right.
+
+        Guards against copies piling their ties on one shared left group, and
+        against endpoints that fewer copies can reach: copies start evenly
+        spaced and each group is a whole number of spacings long, so that
+        every point of the ring lies in the left groups of equally many
+        copies, and in the right groups too. An endpoint that an edge cuts
+        stands in the group with the share that lies inside.
+        """
+        self.admission.least = min(HELD_MIN, max(HELD_FEW, HELD_MIN * len(self.ring) / self.s.instances))
+        near = self.ring
+        if self.s.zones > 1 and self.s.cross_zone_price > 0.0:
+            near = [pair for pair in self.ring if pair[1].zone == self.s.zone]
+        if len(near) < len(self.ring) and len(near) >= GROUP_MIN:
+            far = [pair for pair in self.ring if pair[1].zone != self.s.zone]
+            copies = max(1.0, self.s.instances / self.s.zones)
+            self.groups = [self._arc(near, copies), self._arc(far, copies)]
+            self.arc_size, self.depth = float(sum(map(len, self.groups))), COVERAGE
+            self._own()
+            return
+        size, copies = len(self.ring), self.s.instances
+        step = size / copies
+        count, start = 2, self.s.me * step
+        depth = min(copies, max(COVERAGE, ceil(count * GROUP_MIN / step))) if size else 0
+        parts = [depth * k / count for k in range(count + 1)]
+        if depth >= count:  # whole spacings, all groups alike
+            parts = [float(round(part)) for part in parts]
+        self.groups = [self._span(self.ring, start + a * step, start + b * step) for a, b in pairwise(parts)]
+        self.arc_size, self.depth = max(1.0, depth * step), max(1, depth)
+        self._own()
+
+    def _arc(self, ring: Ring, copies: float) -> Group:
+        """One group on a part of the ring, from the copy's own offset there."""
+        step = len(ring) / copies
+        start = self.s.me * step
+        return self._span(ring, start, start + min(len(ring), max(GROUP_MIN, COVERAGE / 2 * step)))
+
+    def _own(self) -> None:
+        own = {one.id for group in self.groups for one, _ in group}
+        for endpoint in self.endpoints.values():
+            endpoint.own = endpoint.id in own
+
+    def _span(self, ring: Ring, start: float, end: float) -> Group:
+        size, group = len(ring), []
+        for at in range(int(start), ceil(end - EDGE)):
+            share = min(end, at + 1) - max(start, at)
+            if share > EDGE:
+                group.append((ring[at % size][1], share))
+        return group
+
+    # --- Pick ----------------------------------------------------------------
+
+    def _pick(self, now: int, request: Request) -> Endpoint | None:
+        maybe = request.first_maybe()
+        if maybe is not None and request.cls.effect == KEYED and request.cls.scope != SCOPE_ALL:
+            return self._choose_among(now, request, [s for _, s in self.ring if self._in_scope(request, s)])
+        found = self._choose(now, request, self.groups)
+        if found is None and self.arc_size < len(self.ring):
+            # The whole arc is unusable: fall back on the ring.
+            found = self._choose_among(now, request, [s for _, s in self.ring])
+        return found
+
+    def _choose_among(self, now: int, request: Request, some: list[Endpoint]) -> Endpoint | None:
+        cut = (len(some) + 1) // 2
+        groups = [(s, 1.0) for s in some[:cut]], [(s, 1.0) for s in some[cut:]]
+        return self._choose(now, request, groups)
+
+    def _choose(self, now: int, request: Request, groups: Sequence[Group]) -> Endpoint | None:
+        """The design's rule: one draw from each group, fewer own calls in
+        flight wins, ties go left; a group without an eligible endpoint yields."""
+        drawn = [one for one in (self._draw(now, request, group) for group in groups) if one is not None]
+        best = min(drawn, key=lambda one: one.inflight, default=None)
+        for other in drawn:
+            if best and other.inflight == best.inflight and other is not best:
+                worse = self._weight(now, other, request.sort) / self._weight(now, best, request.sort) - 1.0
+                if worse > self.rng.random():
+                    best = other
+        return best
+
+    def _draw(self, now: int, request: Request, group: Group) -> Endpoint | None:
+        """One draw by weight among the eligible endpoints of a group."""
+        if len(group) > DRAW_MAX:
+            group = self.rng.sample(group, DRAW_MAX)
+        total, marks = 0.0, []
+        for endpoint, share in group:
+            if self._eligible(now, request, endpoint):
+                total += share * self._weight(now, endpoint, request.sort)
+                marks.append((total, endpoint))
+        mark = self.rng.random() * total
+        return next((endpoint for upto, endpoint in marks if mark <= upto), None)
+
+    def _eligible(self, now: int, request: Request, endpoint: Endpoint) -> bool:
+        if any(attempt.endpoint is endpoint for attempt in request.attempts):
+            return False
+        if now < endpoint.crowded:
+            return False
+        return not self._is_cold(now, endpoint) or self._cold_budget(now, endpoint) >= 1.0
+
+    def _weight(self, now: int, endpoint: Endpoint, kind: int) -> float:
+        """How likely an endpoint is drawn: size, warmth, learned speed, health."""
+        weight = endpoint.rating * self._warmth(now, endpoint) / endpoint.slowness
+        if endpoint.health[kind][0] < 1.0:
+            weight *= self._health(now, endpoint, kind)
+        if endpoint.inflight and self._stalled(now, endpoint):
+            weight *= STALL_WEIGHT
+        if endpoint.waiting > 0.0:
+            weight /= 1.0 + endpoint.waiting * exp((endpoint.told_at - now) / self.longest_aim)
+        return weight
+
+    # --- Health ------------------------------------------------------------------
+
+    def _stalled(self, now: int, endpoint: Endpoint) -> bool:
+        """Guards against frozen and hung endpoints: calls out, no answers."""
+        return self._overdue(now - endpoint.quiet_since)
+
+    def _overdue(self, waited: int, deviations: float = STALL_DEVIATIONS) -> bool:
+        """Whether this is too long for the work and the queues now usual."""
+        known = self.latency.samples >= LEARN_SAMPLES
+        return waited > (self.latency.high(deviations) if known else self.longest_aim)
+
+    def _health(self, now: int, endpoint: Endpoint, kind: int) -> float:
+        """Health by now: damage heals with time, slower after repeated failures.
+
+        Weights only count against each other in a draw, so failures that
+        come from the tier behind and strike all alike eject nobody.
+        """
+        health, at, failures = endpoint.health[kind]
+        memory = max(HEAL_MEMORY * self.longest_aim, self.heal_sends) * 2.0 ** min(failures, HEAL_DOUBLINGS)
+        return max(HEALTH_MIN, 1.0 - (1.0 - health) * exp((at - now) / memory))
+
+    def _blame(self, now: int, endpoint: Endpoint, outcome: int, kind: int) -> None:
+        """Guards against endpoints that fail fast, drain their count and so
+        keep winning: a failure makes them unlikely to be drawn. Other classes
+        and tenants are suspected too, but less: it may fail these alone."""
+        if outcome == FULL and FULL not in self.proofs:
+            outcome = TIMEOUT  # it may cost the request, and be no load but a fault
+        for other, (_, _, failures) in enumerate(endpoint.health):
+            self.heal_sends = HEAL_SENDS * self.arc_size / max(self.sends.get(now), 0.1 / self.longest_aim)
+            blame = BLAME[outcome] if other == kind else BLAME[outcome] ** BLAME_OTHERS
+            health = max(HEALTH_MIN, self._health(now, endpoint, other) * blame)
+            endpoint.health[other] = health, now, failures + (other == kind)
+        if outcome == FULL:
+            endpoint.crowded = now + int(CROWDED_FOR * self.latency.mean)
+
+    def _praise(self, now: int, endpoint: Endpoint, request: Request, delay_us: int) -> None:
+        """An answer: repair the health of its sort, learn the endpoint's speed from it."""
+        kind = request.sort
+        if endpoint.health[kind][0] < 1.0:
+            health = self._health(now, endpoint, kind)
+            health += REPAIR * (1.0 - health)
+            endpoint.health[kind] = 1.0 if health > 0.99 else health, now, endpoint.health[kind][2] / 2.0
+        self.served.add(now)
+        usual = self.latencies[request.kind]
+        usual.add(delay_us)
+        self.latency.add(delay_us)
+        ratio = delay_us / max(1.0, usual.mean)
+        age = (now - endpoint.slowness_at) / (LEARN_MEMORY * self.longest_aim)
+        endpoint.samples += 1
+        gain = max(1.0 / LEARN_SAMPLES, 1.0 / (endpoint.samples + 3), min(age, LEARN_GAIN_MAX))
+        if endpoint.samples == 1:
+            gain = 0.25
+        endpoint.slowness = max(0.1, endpoint.slowness + gain * (min(ratio, 8.0) - endpoint.slowness))
+        endpoint.slowness_at = now
+
+    # --- Slow start ------------------------------------------------------------
+
+    def _is_cold(self, now: int, endpoint: Endpoint) -> bool:
+        return endpoint.boot > 0 and now - endpoint.boot < self.s.cold_us
+
+    def _warmth(self, now: int, endpoint: Endpoint) -> float:
+        """Share of its capacity a starting endpoint is sure to have by now."""
+        if not self._is_cold(now, endpoint):
+            return 1.0
+        age = max(0, now - endpoint.boot) / self.s.cold_us
+        return self.s.cold_share + (1.0 - self.s.cold_share) * age
+
+    def _cold_budget(self, now: int, endpoint: Endpoint) -> float:
+        """Guards cold endpoints: this copy's part of what all may send.
+
+        What an average endpoint of its arc serves this copy, times the
+        multiple and the share warm so far. As each copy scales its own
+        traffic, the parts add up without agreement; what is sent in vain,
+        to full or choked endpoints, tells nothing of what one can bear.
+        """
+        usual = min(self.sends.get(now), self.served.get(now)) / self.arc_size
+        if not endpoint.own:
+            return 0.0  # only copies that have it on their arc share its budget
+        rate = usual * COLD_SAFETY * self.s.tip_multiple * self._warmth(now, endpoint)
+        # Guards against a start where all is cold: nothing sent, so nothing
+        # earned. One request an aim, from all copies together, is always due.
+        rate = max(rate, COLD_SAFETY / (self.depth * self.longest_aim))
+        elapsed, endpoint.budget_at = now - endpoint.budget_at, now
+        endpoint.budget += rate * elapsed
+        # Guards against copies that saved up while others were drawn and then all
+        # spend at once: what is not used within the span that tips is lost.
+        if endpoint.budget >= 1.0 + rate * self.s.tip_for_us:
+            endpoint.budget %= 1.0
+        return endpoint.budget
+
+    # --- Retries and the guard ---------------------------------------------------
+
+    def _in_scope(self, request: Request, endpoint: Endpoint) -> bool:
+        maybe = request.first_maybe()
+        if maybe is None or request.cls.scope == SCOPE_ALL:
+            return True
+        if request.cls.scope == SCOPE_ZONE:
+            return endpoint.zone == maybe.zone
+        return endpoint.cell == maybe.cell
+
+    def _may_repeat(self, now: int, request: Request) -> bool:
+        """Whether a further attempt is allowed at all, wherever it goes."""
+        if len(request.attempts) >= self.s.max_attempts or request.streaming:
+            return False
+        if now >= request.expires:
+            return False
+        if not self.s.second_copies and request.outstanding():
+            return False
+        maybe = request.first_maybe()
+        if maybe is None or request.cls.effect == SAFE:
+            return True
+        return request.cls.effect == KEYED and now - maybe.sent < request.cls.window_us
+
+    def _send(self, now: int, request: Request, endpoint: Endpoint) -> bool:
+        """The one guard: every send passes here and keeps the rules.
+
+        Attempts, second copies, repeat scope and window, drain, order, cold budget.
+        """
+        if not self._may_repeat(now, request) or not endpoint.ready or not self._has_turn(now, request):
+            return False
+        if request.cls.effect == KEYED and not self._in_scope(request, endpoint):
+            return False
+        if self._is_cold(now, endpoint):
+            if self._cold_budget(now, endpoint) < 1.0:
+                return False
+            endpoint.budget -= 1.0
+        request.attempts.append(attempt := Attempt(endpoint, now))
+        self._connect(now, attempt)
+        if not endpoint.inflight:
+            endpoint.quiet_since = now
+        endpoint.inflight += 1
+        if request.key:
+            self.turns[request.key].out += 1
+        self.sends.add(now)
+        self.out.append(Send(request.id, endpoint.id, request.expires - now))
+        return True
+
+    # --- Connections ------------------------------------------------------------------
+
+    def _connect(self, now: int, attempt: Attempt) -> None:
+        """Guards against idle connections that died unseen: after losses on
+        such as had rested, others that rested long are closed before use.
+        An attempt that is overdue counts before its time-out."""
+        while self.reused and (
+            not self.reused[0].out or self._overdue(now - self.reused[0].sent, WARY_DEVIATIONS)
+        ):
+            if (late := self.reused.popleft()).out:
+                self._wary(late, True)
+        links = attempt.endpoint.links
+        rest = now - links.pop() if links else 0
+        if self.wary_for >= 1.0 and rest >= self.wary_of:
+            self.wary_for -= 1.0
+            self.out.append(Close(attempt.endpoint.id))
+            links.clear()
+        elif rest and (not self.s.idle_us or rest < self.s.idle_us):
+            attempt.rested = rest
+        self.reused.append(attempt)
+
+    def _wary(self, attempt: Attempt, lost: bool) -> None:
+        """Evidence of connections that die at rest, counted in the new ones that
+        it pays for: as many as the request was worth for a loss on one that had
+        rested, one less for each answer on such. A loss on a new connection, or
+        an answer after all, takes a loss back: slowness has other causes."""
+        credit = 1.0 / max(self.s.handshake_price, HANDSHAKE_LEAST)
+        part = WARY_PART * attempt.rested
+        if lost and attempt.rested > REST_LEAST * self.longest_aim and not attempt.wary:
+            if self.kept[0] > attempt.sent and self.kept[1] >= part:
+                return  # one sent since, on a connection at rest alike, was answered
+            self.wary_of = part if self.wary_for < 1.0 else min(self.wary_of, part)
+            self.wary_for += credit
+        elif attempt.wary != lost:
+            self.wary_for = max(0.0, self.wary_for - credit)
+        elif not lost and attempt.rested > 0 and self.wary_for < 1.0:
+            self.wary_for = max(-credit / 2.0, self.wary_for - 1.0)
+        if not lost:
+            self.kept = (attempt.sent, attempt.rested)
+        attempt.wary = lost
+
+    # --- Order by key ---------------------------------------------------------------
+
+    def _has_turn(self, now: int, request: Request) -> bool:
+        """Guards order: first of those not over, nothing of others out, no rest.
+        One that was sent keeps its turn, for retries and copies too."""
+        if not request.key or request.attempts:
+            return True
+        turn = self.turns[request.key]
+        return turn.line[0] is request and not turn.out and now >= turn.rest
+
+    def _queue(self, now: int, request: Request) -> bool:
+        """Whether to take the request into its key's line. One that those before
+        it leave no time is refused at once, unsent: a key runs one at a time."""
+        while self.resting and self.resting[0][0] <= now:  # keys long quiet are forgotten
+            self.moved.append(self.resting.popleft()[1])
+        turn = self.turns.setdefault(request.key, Turn())
+        ahead = len(turn.line) * self.latencies[request.kind].mean
+        turn.line.append(request)
+        last = min(request.expires, request.arrived + request.cls.aim_us) - self._pause(request)
+        self._timer(TIMER_HOLD, request.id, max(0, last - now))
+        return ahead < request.cls.aim_us
+
+    def _settle_turn(self, now: int, key: int) -> None:
+        """Let the next of a key go; forget a key once all of it is over."""
+        turn = self.turns.get(key)
+        if turn is None or turn.out or (turn.line and turn.line[0].attempts):
+            return
+        wait = turn.rest - now
+        if not turn.line and wait > 0:
+            self.resting.append((turn.rest, key))
+        elif not turn.line:
+            del self.turns[key]
+        elif wait > 0:
+            self._timer(TIMER_HOLD, turn.line[0].id, wait)
+        else:
+            self._try(now, turn.line[0])
+
+    def _try(self, now: int, request: Request) -> None:
+        """Send the request somewhere, hold it within its aim, or end it."""
+        if not self._may_repeat(now, request):
+            self._end(now, request)
+            return
+        if waits := self._has_turn(now, request):
+            endpoint = self._pick(now, request)
+            if endpoint is not None and self._send(now, request, endpoint):
+                return
+        hold = self._pause(request)
+        if now + hold >= min(request.expires, request.arrived + request.cls.aim_us):
+            self._end(now, request)
+        elif waits:
+            self._timer(TIMER_HOLD, request.id, hold)
+
+    def _pause(self, request: Request) -> int:
+        return max(self.s.resolution_us, int(HOLD_SHARE * request.cls.aim_us))
+
+    # --- Request lifecycle ----------------------------------------------------------
+
+    def request(self, now: int, event: Arrival) -> list[Action]:
+        request = Request(now, event, self.s.classes[event.cls], max(1, len(self.s.tenants)))
+        self.requests[request.id] = request
+        self.retry_tokens = min(RETRY_CAP, self.retry_tokens + RETRY_EARN)
+        # Nothing was spent on a request yet where it enters; further down, a
+        # refusal would waste what the tiers above have done for it.
+        if self.s.stage == 0 and not self.admission.admits(
+            now, len(self.requests), self.worth.place(now, event), self.rng.random()
+        ):
+            self._end(now, request)
+        elif not request.key or self._queue(now, request):
+            self._try(now, request)
+        else:
+            self._end(now, request)
+        return self._taken(now)
+
+    def outcome(self, now: int, event: Outcome) -> list[Action]:
+        outcome = event.outcome
+        endpoint = self.endpoints.get(event.endpoint)
+        if endpoint is not None:
+            self._settle(endpoint)
+            endpoint.quiet_since = now
+        if endpoint is not None and event.report and self.waiting_at < len(event.report):
+            waiting = event.report[self.waiting_at]
+            if 0.0 <= waiting < MAX_HELD:
+                endpoint.waiting, endpoint.told_at = waiting, now
+        request = self.requests.get(event.request) or self.ended.get(event.request)
+        if endpoint is not None and outcome in BLAME:
+            self._blame(now, endpoint, outcome, request.sort if request else 0)
+        if request is None or event.copy >= len(request.attempts):
+            return self._taken(now)
+        if endpoint is not None and outcome == OK:
+            self._praise(now, endpoint, request, event.delay_us)
+        attempt = request.attempts[event.copy]
+        attempt.out = False
+        attempt.never_ran = outcome in self.proofs
+        if outcome in (OK, ERROR, FULL):
+            attempt.endpoint.links.append(now)
+            self._wary(attempt, False)
+        elif outcome == RESET:
+            self._wary(attempt, True)
+        if request.key and (turn := self.turns.get(request.key)):
+            turn.out -= 1
+            if outcome in (TIMEOUT, RESET, CANCELLED):
+                turn.rest = now + self.s.key_rest_us
+        if request.id not in self.requests:
+            if request.key:
+                self.moved.append(request.key)
+            if not request.outstanding():
+                del self.ended[request.id]
+        elif event.over or outcome == OK:
+            self._result(now, request, outcome)
+            self._forget(now, request)
+        elif not request.outstanding():
+            self._again(now, request, outcome)
+        return self._taken(now)
+
+    def _settle(self, endpoint: Endpoint) -> None:
+        """Any ending of an attempt lowers the count."""
+        endpoint.inflight = max(0, endpoint.inflight - 1)
+        if not endpoint.ready and not endpoint.inflight:
+            self.endpoints.pop(endpoint.id, None)
+
+    def _again(self, now: int, request: Request, outcome: int) -> None:
+        """Every attempt so far has failed: try again within the budget, which
+        guards the endpoints' work; an attempt that never ran took none."""
+        spent = 0.0 if outcome in self.proofs else 1.0
+        if self.retry_tokens < spent:
+            self._result(now, request, outcome)
+            self._end(now, request)
+            return
+        self.retry_tokens -= spent
+        if not self._may_repeat(now, request):
+            self._result(now, request, outcome)
+        self._try(now, request)
+
+    def _result(self, now: int, request: Request, outcome: int) -> None:
+        """Tell admission how a request ended. Errors and resets are left out:
+        they tell of broken endpoints, which fewer requests would not mend."""
+        if outcome not in (ERROR, RESET):
+            took = now - request.arrived
+            good = outcome == OK and took <= self.good_part * request.cls.aim_us
+            self.admission.note(now, took, good, outcome == OK)
+
+    def head(self, now: int, event: Outcome) -> list[Action]:
+        request = self.requests.get(event.request)
+        if request is not None:
+            request.streaming = True
+        return self._taken(now)
+
+    def gone(self, now: int, rid: int) -> list[Action]:
+        request = self.requests.get(rid)
+        if request is not None:
+            self._result(now, request, TIMEOUT)
+            self._forget(now, request)
+        return self._taken(now)
+
+    def timer(self, now: int, token: int) -> list[Action]:
+        value, kind = divmod(token, TIMER_KINDS)
+        if kind == TIMER_WATCH and self.s.asks_discovery:
+            self.out.append(Watch(True))
+            return self._taken(now)
+        request = self.requests.get(value)
+        if request is None or request.outstanding():
+            return self._taken(now)
+        self._try(now, request)
+        return self._taken(now)
+
+    def _timer(self, kind: int, value: int, delay_us: int) -> None:
+        self.out.append(Timer(value * TIMER_KINDS + kind, delay_us))
+
+    def probed(self, now: int, event: Probed) -> list[Action]:
+        return self._taken(now)
+
+    def mail(self, now: int, sender: int, payload: bytes) -> list[Action]:
+        return self._taken(now)
+
+    def _end(self, now: int, request: Request) -> None:
+        """The one place that gives final answers. A refusal promises that a
+        retry is harmless, so it is given only where that is sure."""
+        if request.streaming:
+            return
+        cls = request.cls
+        harmless = cls.effect == SAFE or (cls.effect == KEYED and cls.scope == SCOPE_ALL)
+        if harmless or request.first_maybe() is None:
+            self.out.append(Refuse(request.id, 0))
+        else:
+            self.out.append(Fail(request.id))
+        self._forget(now, request)
+
+    def _forget(self, now: int, request: Request) -> None:
+        """The request is over: nothing more is sent; stop what is still out."""
+        del self.requests[request.id]
+        if request.outstanding():
+            self.ended[request.id] = request
+        if request.key and (turn := self.turns.get(request.key)) and request in turn.line:
+            turn.line.remove(request)
+            self.moved.append(request.key)
+        if self.s.can_cancel and not request.streaming:
+            for copy, attempt in enumerate(request.attempts):
+                if attempt.out:
+                    self.out.append(Cancel(request.id, copy))
