--- /dev/null
+++ b/woadyard/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real sidecar round the decision module: sockets, timers and names, no decisions."""
