Tell a refused client when to come back

Seen: every refusal left without Retry-After, as policy._end made each Refuse with 0. The test over sockets fails without it.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -401,9 +401,10 @@
 
 def test_a_request_that_no_endpoint_takes_is_refused_in_time() -> None:
     async def main() -> None:
-        async with sidecar(known=False) as one:
+        async with sidecar(known=False, ceilings={"max-retry-after-us": 2_000_000}) as one:
             back = await one.ask(request(deadline_ms=100))
             assert back.start.split()[1] == "503"
+            assert back.headers["retry-after"] == "0.040", "a 50th of the aim, as the module waits itself"
             assert not one.driver.calls and not one.driver.balancer.requests
 
     run(main())
--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -1004,7 +1004,9 @@
         cls = request.cls
         harmless = cls.effect == SAFE or (cls.effect == KEYED and cls.scope == SCOPE_ALL)
         if harmless or request.first_maybe() is None:
-            self.out.append(Refuse(request.id, 0))
+            # The client may come back when this copy would itself ask again; longer
+            # advice had tries come back together, and too late to be in time.
+            self.out.append(Refuse(request.id, self._pause(request) if self.s.retry_after else 0))
         else:
             self.out.append(Fail(request.id))
         self._forget(now, request)
