--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -267,6 +267,7 @@
         b"{not json\n",
         b"[1]\n",
         b'{"generation": 43, "reset": true}\n',
+        b'{"generation": Infinity, "reset": true, "instances": []}\n',
         b'{"generation": 43, "reset": true, "instances": [{"instanceId": "s-3", "lifecycle": "odd"}]}\n',
         b'{"generation": 43, "reset": true, "instances": [{"instanceId": 3, "lifecycle": "ready"}]}\n',
     ],
@@ -287,6 +288,20 @@
     assert "bad line from discovery" in capsys.readouterr().err
 
 
+def test_endpoints_that_left_are_forgotten_after_the_grace() -> None:
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with sidecar(endpoint) as one:
+            one.told()
+            (place,) = one.driver.places.values()
+            assert place.left_at is not None, "kept for the grace"
+            place.left_at -= 500_000
+            one.told(whole=False)
+            assert not one.driver.places and not one.upstream.pools
+
+    run(main())
+
+
 # --- Outcomes ---------------------------------------------------------------------------
 
 
@@ -642,6 +657,25 @@
     run(main())
 
 
+def test_an_unreadable_hint_refuses_nobody() -> None:
+    async def main() -> None:
+        async with sidecar(Endpoint()) as one:
+            assert (await one.ask(request(headers="X-Cost-Hint: 12.5e3\r\n"))).body == b"ok"
+
+    run(main())
+
+
+def test_a_deadline_that_has_passed_sends_nothing() -> None:
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with sidecar(endpoint) as one:
+            back = await one.ask(request("pay", deadline_ms=0))
+            assert back.start.split()[1] in ("503", "504")
+            assert not endpoint.got and not one.driver.calls and not one.driver.balancer.requests
+
+    run(main())
+
+
 def test_ready_does_not_wait_for_discovery() -> None:
     async def main() -> None:
         async with sidecar(known=False) as one:
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -140,7 +140,7 @@
         told = json.loads(raw)
         try:
             version, whole, entries = int(told["generation"]), bool(told["reset"]), told["instances"]
-        except (KeyError, TypeError) as error:
+        except (KeyError, TypeError, OverflowError) as error:
             raise ValueError(f"no list: {error!r}") from None
         if not isinstance(entries, list):
             raise ValueError("instances is no list")
--- a/woadyard/net/driver.py
+++ b/woadyard/net/driver.py
@@ -199,6 +199,11 @@
         except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as error:
             raise ValueError(f"no entry: {error!r}") from None
         now = self.now()
+        # Guards memory where endpoints come and go: past the grace nothing may start there.
+        left = [(n, one.left_at) for n, one in self.places.items() if one.left_at is not None]
+        for number, left_at in left:
+            if now >= left_at + self.drain_grace_us:
+                del self.places[number]
         if mode != LIST_DELTA:  # a whole list replaces: what it leaves out is gone
             named = {entry.endpoint for entry, _ in read}
             for number, place in self.places.items():
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -41,6 +41,11 @@
     return int(raw)
 
 
+def hint(raw: bytes) -> int:
+    """A guess may be missing or unreadable; that is no reason to refuse."""
+    return int(raw) if raw.isdigit() and len(raw) <= 15 else 0
+
+
 def key_of(query: bytes) -> int:
     """The number of what a request is about; 0 = nothing named."""
     for part in query.split(b"&"):
@@ -166,7 +171,7 @@
             answer=self.answer,
             tenant=driver.names.tenants.get(tenant, 0),
             key=key_of(query),
-            work_us=number(headers, b"x-cost-hint") or 0,
+            work_us=hint(headers.get(b"x-cost-hint", b"")),
             repeated=headers.get(b"x-retry") == b"1",
         )
 
