Never close a caller's connection that has brought no request yet

Ruled out: exceptions (empty logs), restarts (none). At fault: Server.joined, which from 496 connections on closed any idle caller to keep the limit on sockets, also one just accepted whose first request was on its way; a client sends such a request anew only once. Now only connections at rest between requests give way, the longest at rest first, here and at SIGTERM; both sides share the sockets of the limit. The test over sockets fails without the mend.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -581,7 +581,7 @@
     async def main() -> None:
         first, second = Endpoint(), Endpoint()
         async with sidecar(first, second) as one:
-            one.upstream.most_links = 1
+            one.upstream.most = 1
             one.told(first.entry("s-0"))
             await one.ask(request())
             one.told(first.entry("s-0"), second.entry("s-1"))
@@ -676,6 +676,26 @@
     run(main())
 
 
+def test_at_the_limit_the_longest_at_rest_gives_way_never_a_new_one() -> None:
+    """A new connection that was closed to make room lost the request on its way."""
+
+    async def main() -> None:
+        async with sidecar(Endpoint()) as one:
+            one.server.most = 0
+            new = [await one.connect() for _ in range(8)]
+            for n, (reader, writer) in enumerate(new):
+                writer.write(request(rid=f"r{n}"))
+                assert (await read_message(reader)).body == b"ok"
+            _, extra = await one.connect()
+            assert await new[0][0].read() == b"", "the one that rested longest"
+            new[1][1].write(request(rid="again"))
+            assert (await read_message(new[1][0])).body == b"ok"
+            for _, writer in [*new, (None, extra)]:
+                writer.close()
+
+    run(main())
+
+
 def test_ready_does_not_wait_for_discovery() -> None:
     async def main() -> None:
         async with sidecar(known=False) as one:
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -77,8 +77,8 @@
 
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
-    # Half of the sockets for each side, less some for the listener and the loop.
-    most = max(8, min(config.sockets, SOCKETS_DEFAULT) // 2 - 16)
+    # Both sides share the sockets, less some for the listener, the watch and the loop.
+    most = max(16, min(config.sockets, SOCKETS_DEFAULT) - 32)
     settings = config.settings
     upstream = Upstream(loop, Driver.now, settings.idle_us, settings.connect_timeout_us, most)
     driver = Driver(loop, config.seed, settings, config.names, upstream, config.drain_grace_us)
@@ -90,6 +90,7 @@
     except ValueError as error:
         raise ConfigError(f"known: {error}") from None
     server = Server(driver, most)
+    upstream.others = lambda: len(server.callers)
     try:
         await server.listen(*config.listen)
     except OSError as error:
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -91,6 +91,7 @@
     def data_received(self, data: bytes) -> None:
         if self.over:
             return
+        self.server.resting.pop(self, None)
         self.fed += len(data)
         try:
             self.parser.feed_data(data)
@@ -213,6 +214,8 @@
         if not keep:
             self.over = True
             self.transport.close()
+        elif self.idle():
+            self.server.resting[self] = None
 
     def refuse(self, error: BadRequestError) -> None:
         """A plain 4xx, then the end. What is still coming is read and dropped for
@@ -241,8 +244,9 @@
     """The listener and its connections."""
 
     def __init__(self, driver: Driver, most: int = 512) -> None:
-        self.driver, self.most = driver, most
+        self.driver, self.most = driver, most  # sockets of both sides
         self.callers: set[Caller] = set()
+        self.resting: dict[Caller, None] = {}  # between requests, the longest first
         self.stopping = False
         self.listener: asyncio.Server | None = None
         self.last_joined = 0.0
@@ -254,13 +258,16 @@
         return int(self.listener.sockets[0].getsockname()[1])
 
     def joined(self, caller: Caller) -> None:
-        if len(self.callers) >= self.most:
-            self._close_idle(1)  # guards the limit on sockets
+        # Guards the limit on sockets. One that has brought no request yet is never
+        # closed: its first may be on its way, and a client sends it anew only once.
+        if len(self.callers) + len(self.driver.upstream.links) >= self.most and self.resting:
+            self._close(next(iter(self.resting)))
         self.callers.add(caller)
         self.last_joined = self.driver.loop.time()
 
     def left(self, caller: Caller) -> None:
         self.callers.discard(caller)
+        self.resting.pop(caller, None)
         if self.stopping and self.listener is None and not self.callers:
             self.on_end()
 
@@ -269,14 +276,16 @@
         if self.stopping:
             return
         self.stopping, self.on_end = True, on_end
-        self._close_idle()
+        for caller in list(self.resting):
+            self._close(caller)
         loop = self.driver.loop
         loop.call_later(ACCEPT_S, self._stop_listening, loop.time() + ACCEPT_S)
 
-    def _close_idle(self, most: int = MAX_U63) -> None:
-        for caller in [one for one in self.callers if one.idle()][:most]:
-            if caller.transport is not None:
-                caller.transport.close()
+    def _close(self, caller: Caller) -> None:
+        self.resting.pop(caller, None)
+        caller.over = True
+        if caller.transport is not None:
+            caller.transport.close()
 
     def _stop_listening(self, least: float) -> None:
         loop = self.driver.loop
@@ -287,6 +296,7 @@
         assert self.listener is not None
         self.listener.close()
         self.listener = None
-        self._close_idle()
+        for caller in [one for one in self.callers if one.idle()]:
+            self._close(caller)
         if not self.callers:
             self.on_end()
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -222,12 +222,13 @@
         now: Callable[[], int],
         idle_us: int,
         connect_us: int,
-        most_links: int,
+        most: int,
     ) -> None:
         self.loop, self.now = loop, now
         self.idle_s = IDLE_PART * (idle_us or IDLE_DEFAULT_US) / 1e6
         self.connect_s = (connect_us or CONNECT_DEFAULT_US) / 1e6
-        self.most_links = most_links
+        self.most = most  # sockets of both sides
+        self.others: Callable[[], int] = lambda: 0  # those of the callers
         self.pools: dict[int, Pool] = {}
         self.links: set[Link] = set()
         self.sweeping: asyncio.TimerHandle | None = None
@@ -261,9 +262,9 @@
         self._open(pool, attempt)
 
     def _open(self, pool: Pool, attempt: Attempt) -> None:
-        if len(self.links) >= self.most_links:
+        if len(self.links) + self.others() >= self.most:
             self._drop_oldest()
-        if len(self.links) >= self.most_links:
+        if len(self.links) + self.others() >= self.most:
             self.ended(attempt, NO_CONNECT, None, b"")
             return
         link = attempt.link = Link(self, pool, attempt)
