--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -71,8 +71,22 @@
     writer.write(answer())
 
 
+class Listener:
+    """Serves connections on a port that the system picks."""
+
+    port: int = 0
+
+    async def start(self) -> asyncio.Server:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        return server
+
+    async def _serve(self, reader: Reader, writer: Writer) -> None:
+        raise NotImplementedError
+
+
 @dataclass
-class Endpoint:
+class Endpoint(Listener):
     """Answers each request by its handler and keeps what it was sent."""
 
     handler: Handler = serve_ok
@@ -80,12 +94,6 @@
     opened: int = 0
     closed: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(0))
     arrived: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(0))
-    port: int = 0
-
-    async def start(self) -> asyncio.Server:
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
-        return server
 
     async def _serve(self, reader: Reader, writer: Writer) -> None:
         self.opened += 1
@@ -106,16 +114,10 @@
 
 
 @dataclass
-class Registry:
+class Registry(Listener):
     """Discovery: one watch at a time, fed by the test."""
 
     asked: asyncio.Queue[tuple[str, Writer]] = field(default_factory=asyncio.Queue)
-    port: int = 0
-
-    async def start(self) -> asyncio.Server:
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
-        return server
 
     async def _serve(self, reader: Reader, writer: Writer) -> None:
         message = await read_message(reader)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -795,7 +795,9 @@
 )
 def test_a_bad_configuration_is_one_line_and_an_exit(tmp_path: Path, changes: dict[str, Any]) -> None:
     async def main() -> None:
-        process = await start(config(tmp_path, Registry(port=1), **changes))
+        registry = Registry()
+        registry.port = 1
+        process = await start(config(tmp_path, registry, **changes))
         out, errors = await process.communicate()
         assert process.returncode == 2 and out == b""
         assert errors.count(b"\n") == 1 and errors.startswith(b"laurelstep: ")
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -13,7 +13,7 @@
 
 import httptools
 
-from woadyard.interface import CANCELLED, ERROR, FULL, MOOT, NO_CONNECT, OK, RESET
+from woadyard.interface import ERROR, FULL, MOOT, NO_CONNECT, OK, RESET
 from woadyard.net.message import BODY_MAX, HEAD_MAX, Answer, Call, Headers, pass_on
 
 # Part of an endpoint's idle time for which a connection is kept: the rest guards
@@ -286,10 +286,6 @@
             link.attempt = None
             link.close()
 
-    def call_off(self, attempt: Attempt) -> None:
-        self.cancel(attempt)
-        self.ended(attempt, CANCELLED, None, b"")
-
     def gone(self, link: Link) -> None:
         self.links.discard(link)
 
