--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -1,4 +1,4 @@
-"""One real sidecar: reads its configuration, wires the parts, heeds SIGTERM."""
+"""One real sidecar: reads its configuration, wires the parts, heeds SIGTERM and SIGHUP."""
 
 from __future__ import annotations
 
@@ -22,6 +22,8 @@
 
 LIST_PATH = "/registry/instances"
 SOCKETS_DEFAULT = 1024
+# Descriptors for the listener, the watch, the loop and standard streams.
+SOCKETS_APART = 24
 
 
 class ConfigError(Exception):
@@ -71,45 +73,57 @@
             drain_grace_us=int(rules.get("drain-grace-us", 0)),
             known=known,
         )
-    except (OSError, ValueError, KeyError, TypeError, AttributeError, WireError) as error:
+    except (OSError, ValueError, KeyError, TypeError, AttributeError, RecursionError, WireError) as error:
         raise ConfigError(f"{path}: {type(error).__name__}: {error}") from None
 
 
-async def serve(config: Config) -> None:
+def reload(environ: dict[str, str], discovery: Discovery) -> None:
+    """SIGHUP: what the file now says of discovery holds, also against the
+    environment of the start; a file that can't be used changes nothing."""
+    try:
+        config = read_config({name: value for name, value in environ.items() if name != "LB_DISCOVERY"})
+    except ConfigError as error:
+        print(f"laurelstep: not reloaded: {error}", file=sys.stderr, flush=True)
+    else:
+        discovery.move(config.discovery)
+
+
+async def serve(config: Config, environ: dict[str, str]) -> None:
     loop = asyncio.get_running_loop()
-    # Both sides share the sockets, less some for the listener, the watch and the loop.
-    most = max(16, min(config.sockets, SOCKETS_DEFAULT) - 32)
+    # Each side has its half of the descriptors: a crowd of callers must not leave
+    # none for endpoints, nor the other way round.
+    most = max(16, min(config.sockets, SOCKETS_DEFAULT) - SOCKETS_APART) // 2
     settings = config.settings
     upstream = Upstream(loop, Driver.now, settings.idle_us, settings.connect_timeout_us, most)
     driver = Driver(loop, config.seed, settings, config.names, upstream, config.drain_grace_us)
-    driver.discovery = Discovery(
-        loop, config.discovery, LIST_PATH, not settings.asks_discovery, driver.listed
-    )
+    discovery = Discovery(loop, config.discovery, LIST_PATH, not settings.asks_discovery, driver.listed)
+    driver.discovery = discovery
     try:
         driver.start(config.known)
     except ValueError as error:
         raise ConfigError(f"known: {error}") from None
     server = Server(driver, most)
-    upstream.others = lambda: len(server.callers)
     try:
         await server.listen(*config.listen)
     except OSError as error:
         raise ConfigError(f"can't listen: {error}") from None
     ended = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, reload, environ, discovery)
     loop.add_signal_handler(signal.SIGTERM, server.stop, ended.set)
     loop.add_signal_handler(signal.SIGINT, server.stop, ended.set)
     await ended.wait()
-    driver.discovery.close()
+    discovery.close()
     upstream.close()
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     # What stands now stays: the collector need not walk it again.
-    gc.set_threshold(50_000, 20, 50)
+    gc.set_threshold(5_000, 10, 10)
     gc.freeze()
+    environ = dict(os.environ)
     try:
-        config = read_config(dict(os.environ))
-        uvloop.run(serve(config))
+        uvloop.run(serve(read_config(environ), environ))
     except ConfigError as error:
         print(f"laurelstep: {error}", file=sys.stderr)
         return 2
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -107,6 +107,13 @@
             self.stream = self._ask(target, watch=True)
             self.loop.call_later(self.silent_s, self._check, self.stream)
 
+    def move(self, address: str) -> None:
+        """Watch at another address, from now on and from the start: the versions
+        of its lists may be others."""
+        if not self.closed:
+            self.address, self.generation, self.retry_s = address, 0, RETRY_S
+            self.watch(True)
+
     def fetch(self) -> None:
         self._ask(self.path, watch=False)
 
--- a/woadyard/net/driver.py
+++ b/woadyard/net/driver.py
@@ -131,6 +131,7 @@
         self.discovery: Discovery | None = None
         self.places: dict[int, Place] = {}
         self.calls: dict[int, Call] = {}
+        self.names_open: set[bytes] = set()  # the ids of the requests that are open
         self.next_id = 0
         self.todo: deque[tuple[Callable[..., list[Action]], tuple[Any, ...], Call | None]] = deque()
         self.busy = False
@@ -266,6 +267,7 @@
         self.next_id += 1
         call.id = self.next_id
         self.calls[call.id] = call
+        self.names_open.add(call.name)
         call.timer = self.at(call.expires, self._expire, call)
         event = Arrival(call.id, call.cls, call.expires, call.tenant, call.key, call.work_us, call.repeated)
         self.tell(self.balancer.request, event, call=call)
@@ -291,6 +293,7 @@
 
     def _over(self, call: Call) -> None:
         call.open = False
+        self.names_open.discard(call.name)
         if call.timer is not None:
             call.timer.cancel()
             call.timer = None
@@ -299,6 +302,7 @@
     def _drop(self, call: Call) -> None:
         if not call.open and not any(attempt.out for attempt in call.attempts):
             self.calls.pop(call.id, None)
+            call.attempts.clear()  # each holds the call: the cycle ends here
 
     # --- Attempts ---------------------------------------------------------------------
 
--- a/woadyard/net/message.py
+++ b/woadyard/net/message.py
@@ -1,33 +1,102 @@
-"""What the HTTP sides share: limits, header rules and the messages themselves."""
+"""What the HTTP sides share: limits, header rules, one sweep, and the messages themselves."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Generic, TypeVar
 
 if TYPE_CHECKING:
-    from asyncio import TimerHandle
+    from asyncio import AbstractEventLoop, TimerHandle
 
     from woadyard.net.upstream import Attempt
 
 BODY_MAX = HEAD_MAX = 64 * 1024
-# What concerns one connection alone, or is set anew on each side.
-HOP_BY_HOP = frozenset(
-    (b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
-     b"expect", b"content-length", b"x-deadline-ms", b"proxy-authenticate", b"proxy-authorization")
+# All of one message with its framing; guards against chunks that are mostly framing.
+MESSAGE_MAX = HEAD_MAX + 2 * BODY_MAX
+# What an endpoint needs of a request, and a caller of an answer, beside what is
+# set anew on each side. Whatever else a socket brings ends here.
+REQUEST_HEADERS = frozenset(
+    (b"host", b"x-request-id", b"x-class", b"x-tenant", b"x-retry", b"x-cost-hint", b"x-extras",
+     b"idempotency-key", b"content-type", b"content-encoding")
 )  # fmt: skip
-Headers = list[tuple[bytes, bytes]]
+ANSWER_HEADERS = frozenset((b"content-type", b"content-encoding"))
+Headers = list[tuple[bytes, bytes]]  # names in lower case
 
 
-def pass_on(headers: Headers) -> bytes:
+def pass_on(headers: Headers, named: frozenset[bytes]) -> bytes:
     """The lines of the headers that travel end to end."""
-    named: set[bytes] = set()
-    for name, value in headers:
-        if name.lower() == b"connection":
-            named.update(token.strip().lower() for token in value.split(b","))
-    kept = (pair for pair in headers if pair[0].lower() not in HOP_BY_HOP)
-    return b"".join(b"%b: %b\r\n" % (n, v) for n, v in kept if n.lower() not in named)
+    return b"".join(b"%b: %b\r\n" % pair for pair in headers if pair[0] in named)
+
+
+def single(headers: Headers, once: frozenset[bytes]) -> dict[bytes, bytes]:
+    """The headers by name; ValueError if one that may stand only once is repeated."""
+    fields = dict(headers)
+    if len(fields) < len(headers):
+        names = [name for name, _ in headers]
+        if any(names.count(name) > 1 for name in once):
+            raise ValueError("a header is repeated")
+    return fields
+
+
+def body_length(fields: dict[bytes, bytes]) -> int | None:
+    """The length that a head declares, -1 for chunks, None for neither.
+
+    Guards against two readings of one message, which hide another in its body:
+    ValueError for both framings, other codings, and what is no length.
+    """
+    length, coding = fields.get(b"content-length"), fields.get(b"transfer-encoding")
+    if coding is not None:
+        if length is not None or coding.strip().lower() != b"chunked":
+            raise ValueError("the framing is unclear")
+        return -1
+    if length is None:
+        return None
+    if not length.isdigit():
+        raise ValueError("the length is no number")
+    return int(length)
+
+
+T = TypeVar("T")
+
+
+class Sweep(Generic[T]):
+    """What waits, the longest first; one timer ends each that waits too long."""
+
+    def __init__(self, loop: AbstractEventLoop, seconds: float, expire: Callable[[T], None]) -> None:
+        self.loop, self.seconds, self.expire = loop, seconds, expire
+        self.since: dict[T, float] = {}
+        self.timer: TimerHandle | None = None
+
+    def add(self, one: T) -> None:
+        """Its wait starts now, unless it waits already."""
+        if one not in self.since:
+            self.since[one] = self.loop.time()
+            self._arm()
+
+    def discard(self, one: T) -> None:
+        self.since.pop(one, None)
+
+    def oldest(self) -> T | None:
+        return next(iter(self.since), None)
+
+    def _arm(self) -> None:
+        if self.timer is None and (oldest := self.oldest()) is not None:
+            self.timer = self.loop.call_at(self.since[oldest] + self.seconds, self.run)
+
+    def run(self) -> None:
+        self.timer = None
+        limit = self.loop.time() - self.seconds
+        while (oldest := self.oldest()) is not None and self.since[oldest] <= limit:
+            del self.since[oldest]
+            self.expire(oldest)
+        self._arm()
+
+    def close(self) -> None:
+        self.since.clear()
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
 
 
 @dataclass(slots=True)
@@ -39,7 +108,7 @@
     body: bytes = b""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Call:
     """One request of a caller, taken and not yet forgotten."""
 
@@ -49,6 +118,7 @@
     head: bytes  # header lines to pass on
     body: bytes
     answer: Callable[[Answer], None]
+    name: bytes = b""  # its X-Request-Id
     tenant: int = 0
     key: int = 0
     work_us: int = 0
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -8,17 +8,33 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections.abc import Callable
 from typing import cast
 
 import httptools
 
 from woadyard.interface import ERROR, FULL, MOOT, NO_CONNECT, OK, RESET
-from woadyard.net.message import BODY_MAX, HEAD_MAX, Answer, Call, Headers, pass_on
+from woadyard.net.message import (
+    ANSWER_HEADERS,
+    BODY_MAX,
+    HEAD_MAX,
+    MESSAGE_MAX,
+    Answer,
+    Call,
+    Headers,
+    Sweep,
+    body_length,
+    pass_on,
+    single,
+)
 
 # Part of an endpoint's idle time for which a connection is kept: the rest guards
 # against a request that crosses the endpoint's own close.
 IDLE_PART = 0.8
+# An answer that has begun must be whole so much later: guards against one that never
+# ends, which would cost the request all the time that its client has.
+ANSWER_S = 0.5
 # Where the settings name none.
 IDLE_DEFAULT_US, CONNECT_DEFAULT_US = 10_000_000, 1_000_000
 
@@ -59,6 +75,33 @@
         self.free()
 
 
+class SpoiltError(Exception):
+    """An answer that is none of this protocol."""
+
+
+ONCE = frozenset((b"content-length", b"transfer-encoding"))
+
+
+def checked(headers: Headers) -> dict[bytes, bytes]:
+    """The fields of an answer's head, if its end can be told and lies within the
+    limit: judged by what it declares, before any of the body is read."""
+    try:
+        fields = single(headers, ONCE)
+        length = body_length(fields)
+    except ValueError as error:
+        raise SpoiltError(str(error)) from None
+    if length is None or length > BODY_MAX:
+        raise SpoiltError("no length, or too large")
+    return fields
+
+
+def has_news(fd: int) -> bool:
+    """Whether bytes or an end wait unread on a connection."""
+    poll = select.poll()
+    poll.register(fd, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class Link(asyncio.Protocol):
     """One connection, carrying one attempt at a time."""
 
@@ -67,17 +110,17 @@
         self.attempt: Attempt | None = attempt
         self.transport: asyncio.Transport | None = None
         self.opening: asyncio.Task[None] | None = None
-        self.idle_since = 0.0
+        self.fd = -1
         self.unwritten = True  # the request's last byte is not yet with the system
         self.parser = httptools.HttpResponseParser(self)
         self._begin()
 
     def _begin(self) -> None:
         self.headers: Headers = []
+        self.fields: dict[bytes, bytes] | None = None  # of the final answer's head
         self.body: list[bytes] = []
-        self.size = self.fed = 0
-        self.load = b""
-        self.not_run = self.whole = self.keep = False
+        self.size = self.fed = self.status = 0
+        self.whole = self.keep = False
 
     # --- Connection -----------------------------------------------------------
 
@@ -86,14 +129,17 @@
         try:
             async with asyncio.timeout(seconds):
                 await loop.create_connection(lambda: self, self.pool.host, self.pool.port)
-        except (OSError, TimeoutError, asyncio.CancelledError):
+        except (OSError, TimeoutError):
             # Once it has come up, `connection_lost` knows whether the request left.
             if self.transport is None:
                 self.owner.gone(self)
                 self._end(NO_CONNECT)
+        finally:
+            self.opening = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.fd = self.transport.get_extra_info("socket").fileno()
         self.transport.set_write_buffer_limits(high=0)  # `pause_writing` tells of unwritten bytes
         if self.attempt is None:  # called off while it came up
             self.transport.abort()
@@ -122,6 +168,12 @@
         if transport.is_closing():
             self.unwritten = True  # the first write failed: nothing left
 
+    def fit(self) -> bool:
+        """Whether a resting connection may carry a request. Guards against bytes that
+        came behind an earlier answer and would answer the next request, and against
+        an end not yet read."""
+        return self.transport is not None and not self.transport.is_closing() and not has_news(self.fd)
+
     def rest(self) -> None:
         """The connection carries nothing now: keep it for the next attempt."""
         if self.pool.closed or self.transport is None or self.transport.is_closing():
@@ -129,25 +181,32 @@
             return
         self._begin()
         self.pool.idle.append(self)
-        self.idle_since = self.owner.loop.time()
-        self.owner.arm(self.idle_since)
+        self.owner.resting.add(self)
 
     def close(self) -> None:
         if self.transport is not None:
             self.transport.abort()
         elif self.opening is not None:
+            # A task that never ran has no chance to tell of its end.
             self.opening.cancel()
+            self.owner.gone(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        if self in self.pool.idle:
-            self.pool.idle.remove(self)
         self.owner.gone(self)
         self._end(NO_CONNECT if self.unwritten else RESET)
+        del self.parser  # it holds this object's methods: the cycle ends here
 
     def _end(self, outcome: int, answer: Answer | None = None) -> None:
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
-            self.owner.ended(attempt, outcome, answer, self.load)
+            attempt.link = None
+            self.owner.ended(attempt, outcome, answer, (self.fields or {}).get(b"x-load", b""))
+
+    def spoil(self) -> None:
+        """No answer of this protocol: the request may have run, and the connection is of
+        no more use. That it came says that the connection did not die, so no reset."""
+        self.close()
+        self._end(ERROR)
 
     # --- Answers ------------------------------------------------------------------
 
@@ -156,51 +215,62 @@
             self.close()
             return
         self.fed += len(data)
+        spoilt = self.fed > MESSAGE_MAX
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.fed = HEAD_MAX + 2 * BODY_MAX + 1
+            spoilt, self.keep = True, False
         if self.whole:
             self._finish()
-        elif self.size > BODY_MAX or self.fed > HEAD_MAX + 2 * BODY_MAX:
-            self.close()  # no answer of this protocol: it ends as a reset
-            self._end(RESET)
+        elif spoilt or (self.fields is None and self.fed > HEAD_MAX):
+            self.spoil()
+        else:
+            self.owner.answering.add(self)
+
+    def on_message_begin(self) -> None:
+        if self.whole:
+            self.keep = False  # something stands behind the answer
+        else:
+            self.headers.clear()  # an interim answer's say nothing of the real one
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        lower = name.lower()
-        if lower == b"x-load":
-            self.load = value
-        elif lower == b"x-not-run":
-            self.not_run = value.strip() == b"1"
-        self.headers.append((name, value))
+        if self.fields is None:
+            self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        if not self.whole and self.parser.get_status_code() >= 200:
+            self.status = self.parser.get_status_code()
+            self.fields = checked(self.headers)
 
     def on_body(self, data: bytes) -> None:
-        self.size += len(data)
-        self.body.append(data)
+        if not self.whole:
+            self.size += len(data)
+            self.body.append(data)
+            if self.size > BODY_MAX:
+                raise SpoiltError("too large")
 
     def on_message_complete(self) -> None:
-        if self.parser.get_status_code() < 200:  # an interim answer; the real one follows
-            self.headers.clear()
-        else:
+        if self.fields is not None and not self.whole:
             self.whole, self.keep = True, self.parser.should_keep_alive()
 
     def _finish(self) -> None:
-        status = self.parser.get_status_code()
+        fields, status = self.fields or {}, self.status
         outcome, answer = ERROR, None
         if status == 200:
             outcome = OK
-            answer = Answer(200, pass_on(self.headers), b"".join(self.body))
-        elif status in (503, 504) and self.not_run:
+            answer = Answer(200, pass_on(self.headers, ANSWER_HEADERS), b"".join(self.body))
+        elif status in (503, 504) and fields.get(b"x-not-run", b"").strip() == b"1":
             outcome = FULL
-        attempt, load = self.attempt, self.load
-        self.attempt = None
+        attempt, self.attempt = self.attempt, None
+        self.owner.answering.discard(self)
         # A request not yet read whole leaves the connection unfit for the next.
         if self.keep and not self.unwritten:
             self.rest()
         else:
             self.close()
         if attempt is not None:
-            self.owner.ended(attempt, outcome, answer, load)
+            attempt.link = None
+            self.owner.ended(attempt, outcome, answer, fields.get(b"x-load", b""))
 
 
 def request_bytes(attempt: Attempt, now: int) -> bytes:
@@ -225,13 +295,13 @@
         most: int,
     ) -> None:
         self.loop, self.now = loop, now
-        self.idle_s = IDLE_PART * (idle_us or IDLE_DEFAULT_US) / 1e6
         self.connect_s = (connect_us or CONNECT_DEFAULT_US) / 1e6
-        self.most = most  # sockets of both sides
-        self.others: Callable[[], int] = lambda: 0  # those of the callers
+        self.most = most  # connections to endpoints
         self.pools: dict[int, Pool] = {}
         self.links: set[Link] = set()
-        self.sweeping: asyncio.TimerHandle | None = None
+        idle_s = IDLE_PART * (idle_us or IDLE_DEFAULT_US) / 1e6
+        self.resting: Sweep[Link] = Sweep(loop, idle_s, Link.close)
+        self.answering: Sweep[Link] = Sweep(loop, ANSWER_S, Link.spoil)  # begun, not yet whole
         self.ended: Ended = lambda *_: None
         self.may_start: Callable[[Attempt, int], bool] = lambda *_: True
 
@@ -255,30 +325,26 @@
             return
         while pool.idle:
             link = pool.idle.pop()
-            if link.transport is not None and not link.transport.is_closing():
+            self.resting.discard(link)
+            if link.fit():
                 link.attempt, attempt.link = attempt, link
                 link.write()
                 return
+            link.close()
         self._open(pool, attempt)
 
     def _open(self, pool: Pool, attempt: Attempt) -> None:
-        if len(self.links) + self.others() >= self.most:
-            self._drop_oldest()
-        if len(self.links) + self.others() >= self.most:
-            self.ended(attempt, NO_CONNECT, None, b"")
+        if len(self.links) >= self.most and (oldest := self.resting.oldest()) is not None:
+            oldest.close()
+            self.gone(oldest)
+        if len(self.links) >= self.most:
+            # Guards the limit on descriptors; no fault of the endpoint.
+            self.ended(attempt, MOOT, None, b"")
             return
         link = attempt.link = Link(self, pool, attempt)
         self.links.add(link)
         link.opening = self.loop.create_task(link.open())
 
-    def _drop_oldest(self) -> None:
-        resting = [pool.idle[0] for pool in self.pools.values() if pool.idle]
-        if resting:
-            oldest = min(resting, key=lambda link: link.idle_since)
-            oldest.pool.idle.remove(oldest)
-            oldest.close()
-            self.gone(oldest)
-
     def cancel(self, attempt: Attempt) -> None:
         """Stop waiting for an attempt: the endpoint sees its connection close."""
         link, attempt.link = attempt.link, None
@@ -288,25 +354,10 @@
 
     def gone(self, link: Link) -> None:
         self.links.discard(link)
-
-    # --- Idle connections -----------------------------------------------------------
-
-    def arm(self, since: float) -> None:
-        if self.sweeping is None:
-            self.sweeping = self.loop.call_at(since + self.idle_s, self._sweep)
-
-    def _sweep(self) -> None:
-        """Drop what rested too long; one timer serves all connections."""
-        self.sweeping = None
-        limit = self.loop.time() - self.idle_s
-        oldest = None
-        for pool in self.pools.values():
-            while pool.idle and pool.idle[0].idle_since <= limit:
-                pool.idle.pop(0).close()
-            if pool.idle and (oldest is None or pool.idle[0].idle_since < oldest):
-                oldest = pool.idle[0].idle_since
-        if oldest is not None:
-            self.arm(oldest)
+        self.resting.discard(link)
+        self.answering.discard(link)
+        if link in link.pool.idle:
+            link.pool.idle.remove(link)
 
     def close(self) -> None:
         for link in list(self.links):
