Start slowly, settle late, leave quick answers unbounded; keep no idle connections past use

Causes: Admission.note took what was turned away for an answer's time; it settled after two looks, when only the quick answers of the start were in (0.39 s at n1, 0.50 s at n0); the tight bound fed on what it refused; nothing bounded a copy before it had settled (124 held in its first second); Endpoint.crowded lasted 0 s before the first answer; idle connections were kept 24 s, by a stopping sidecar too; a new process inherited links and waits.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -143,8 +143,10 @@
     endpoint = balancer.endpoints[100]
     endpoint.health[0] = (0.01, 0, 5.0)
     endpoint.slowness, endpoint.samples = 4.0, 9
+    endpoint.links, endpoint.crowded, endpoint.waiting = [1, 2], 9 * SECOND, 7.0
     balancer.members(SECOND, LIST_DELTA, [replace(fleet(1)[0], boot=SECOND)])
     assert (endpoint.health, endpoint.slowness, endpoint.samples) == ([(1.0, 0, 0.0)], 1.0, 0)
+    assert (endpoint.links, endpoint.crowded, endpoint.waiting) == ([], 0, 0.0)
 
 
 def test_a_burst_may_be_held_but_not_a_queue_that_stands() -> None:
@@ -154,16 +156,55 @@
         driver = Driver(started(settings=replace(SETTINGS, classes=(PATIENT,))))
         assert all(driver.serve(k * 20 * MS, 400 * MS) for k in range(300))
         admission = driver.balancer.admission
-        for k in range(10):
-            admission._full(6_400 * MS + k * 100 * MS, held_before)
-        bounds.append(next(held for held in range(8, 200) if admission._full(7_400 * MS, held)))
+        for k in range(200):
+            admission.note(7 * SECOND + k * 20 * MS, 700 * MS, True, True)
+            admission._full(7 * SECOND + k * 20 * MS, held_before)
+        bounds.append(next(held for held in range(8, 200) if admission._full(11 * SECOND, held)))
     assert bounds[1] < 0.8 * bounds[0]
 
 
+def test_a_full_hand_is_no_queue_while_answers_are_quick() -> None:
+    """A bound by the stream of answers lowers that stream: 60 % were shed, all others in time."""
+    driver = Driver(started(settings=replace(SETTINGS, classes=(PATIENT,))))
+    assert all(driver.serve(k * 20 * MS, 400 * MS) for k in range(300))
+    admission = driver.balancer.admission
+    for k in range(100):
+        admission.note(6_400 * MS + k * 20 * MS, 400 * MS, True, True)
+        assert not admission._full(6_400 * MS + k * 20 * MS, 30)
+
+
+def test_what_is_turned_away_at_once_sets_no_time() -> None:
+    """A sidecar that came back found every table of connections full, took the 2 ms
+    until it knew for the unloaded time, and shed nearly all from then on."""
+    driver = Driver(started())
+    for k in range(40):
+        driver.balancer.admission.note(k * 50 * MS, 2 * MS, False, False)
+    assert driver.balancer.admission.base > 10 * MS
+
+
+def test_a_copy_that_starts_holds_few_at_first_and_more_with_each_answer() -> None:
+    driver = Driver(started(settings=replace(SETTINGS, classes=(PATIENT,)), instances=10))
+    held = [driver.ask(k * MS) for k in range(100)]
+    out = [(rid, sent[0].endpoint) for rid, actions in held if (sent := sends(actions))]
+    assert 16 <= len(out) < 40, "a rush on a copy just back would choke the endpoints"
+    for rid, endpoint in out[:10]:
+        driver.balancer.outcome(500 * MS, Outcome(rid, 0, endpoint, OK, 400 * MS, over=True))
+    more = [driver.ask(501 * MS + k) for k in range(100)]
+    assert sum(bool(sends(actions)) for _, actions in more) >= 20
+
+
+def test_a_full_endpoint_is_left_alone_before_any_answer_too() -> None:
+    driver = Driver(started())
+    rid, actions = driver.ask(SECOND)
+    (sent,) = sends(actions)
+    driver.balancer.outcome(SECOND + MS, Outcome(rid, 0, sent.endpoint, FULL, MS))
+    assert driver.balancer.endpoints[sent.endpoint].crowded > SECOND + 10 * MS
+
+
 def test_a_cold_endpoint_off_the_own_arc_gets_nothing() -> None:
     """In a mass deploy every copy fell back on the whole ring with budgets meant
     for its own arc, which may add up to far more than a cold endpoint bears."""
-    balancer = Balancer(1, replace(SETTINGS, me=0, instances=20))
+    balancer = Balancer(1, replace(SETTINGS, me=0, instances=20, stage=1, stages=2))
     balancer.start(SECOND)
     balancer.members(SECOND, LIST_FULL, fleet(40, boot=SECOND))
     driver, own = Driver(balancer), {one.id for group in balancer.groups for one, _ in group}
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -372,6 +372,41 @@
     run(main())
 
 
+def test_a_stopping_sidecar_keeps_no_connection_at_rest() -> None:
+    """They left no room at the endpoints for the sidecar that took its callers over."""
+
+    async def main() -> None:
+        release = asyncio.Event()
+
+        async def slow(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+            if message.headers["x-request-id"] == "slow":
+                await release.wait()
+            writer.write(answer())
+
+        endpoint = Endpoint(slow)
+        async with sidecar(endpoint) as one:
+            asked = asyncio.create_task(one.ask(request(rid="slow")))
+            await endpoint.arrived.acquire()
+            assert (await one.ask(request(rid="r2"))).body == b"ok"
+            one.server.stop(lambda: None)
+            await endpoint.closed.acquire()
+            release.set()
+            assert (await asked).body == b"ok", "what was taken is finished"
+            await endpoint.closed.acquire()
+            while one.upstream.links:
+                await asyncio.sleep(0)
+
+    run(main())
+
+
+def test_what_a_rush_opened_is_not_kept_for_long() -> None:
+    async def main() -> None:
+        async with sidecar(Endpoint()) as one:
+            assert one.upstream.resting.seconds <= 6.0, "though the endpoint would keep it for 30 s"
+
+    run(main())
+
+
 # --- Memory -----------------------------------------------------------------------------
 
 
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -382,6 +382,7 @@
         self.stopping, self.on_end = True, on_end
         for caller in list(self.resting.since):
             caller.close()
+        self.driver.upstream.retire()
         self.driver.loop.call_later(ACCEPT_S + LAST_S, self._stop_listening)
 
     def _stop_listening(self) -> None:
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -30,8 +30,10 @@
 )
 
 # Part of an endpoint's idle time for which a connection is kept: the rest guards
-# against a request that crosses the endpoint's own close.
-IDLE_PART = 0.8
+# against a request that crosses the endpoint's own close. No longer than IDLE_MOST_S:
+# endpoints hold only so many, and what one sidecar kept from a rush was missing to
+# another that started anew and found every table full.
+IDLE_PART, IDLE_MOST_S = 0.8, 6.0
 # An answer that has begun must be whole so much later: guards against one that never
 # ends, which would cost the request all the time that its client has.
 ANSWER_S = 0.5
@@ -176,7 +178,8 @@
 
     def rest(self) -> None:
         """The connection carries nothing now: keep it for the next attempt."""
-        if self.pool.closed or self.transport is None or self.transport.is_closing():
+        done = self.pool.closed or self.owner.retiring
+        if done or self.transport is None or self.transport.is_closing():
             self.close()
             return
         self._begin()
@@ -298,8 +301,9 @@
         self.connect_s = (connect_us or CONNECT_DEFAULT_US) / 1e6
         self.most = most  # connections to endpoints
         self.pools: dict[int, Pool] = {}
+        self.retiring = False
         self.links: set[Link] = set()
-        idle_s = IDLE_PART * (idle_us or IDLE_DEFAULT_US) / 1e6
+        idle_s = min(IDLE_MOST_S, IDLE_PART * (idle_us or IDLE_DEFAULT_US) / 1e6)
         self.resting: Sweep[Link] = Sweep(loop, idle_s, Link.close)
         self.answering: Sweep[Link] = Sweep(loop, ANSWER_S, Link.spoil)  # begun, not yet whole
         self.ended: Ended = lambda *_: None
@@ -345,6 +349,13 @@
         self.links.add(link)
         link.opening = self.loop.create_task(link.open())
 
+    def retire(self) -> None:
+        """Keep no connection past its attempt: those that a sidecar on its way out
+        kept at rest left no room for the one that took its callers over."""
+        self.retiring = True
+        for pool in self.pools.values():
+            pool.free()
+
     def cancel(self, attempt: Attempt) -> None:
         """Stop waiting for an attempt: the endpoint sees its connection close."""
         link, attempt.link = attempt.link, None
--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -50,8 +50,8 @@
 # broken endpoint; fullness tells of load more than of a fault.
 BLAME_ERROR, BLAME_FULL, BLAME_TIMEOUT, BLAME_NO_CONNECT, BLAME_RESET = 0.4, 0.7, 0.2, 0.5, 0.2
 # A full endpoint is left alone for so many usual latencies: one kept full by
-# everybody's next try would turn slow.
-CROWDED_FOR = 1.0
+# everybody's next try would turn slow. Before the first answer, for so many aims.
+CROWDED_FOR, CROWDED_FIRST = 1.0, 0.1
 # Power of the blame that the other classes and tenants take for a failure of one.
 BLAME_OTHERS = 0.5
 # One answer repairs this share of the damage; time repairs it with a memory
@@ -109,15 +109,18 @@
 STANDING_OVER, STANDING_CHANCE = 1.3, 0.5
 # So many results at least make an unloaded time: fewer tell mostly chance.
 BASE_SAMPLES = 30
-# Looks over which the unloaded time is taken, and before which nothing is
-# bounded by it.
-CALM_LOOKS = 2
+# Looks over which the unloaded time is taken, and before which nothing is bounded
+# by it: after two, the slow answers of the start are still to come.
+CALM_LOOKS, SETTLE_LOOKS = 2, 5
 # Good results save up as much as one bad one takes: heavy work refuses nobody.
 ADMIT_ROOM = ADMIT_RISE ** (ADMIT_GOOD / (1.0 - ADMIT_GOOD) / ADMIT_SAMPLES)
 # So many for each endpoint that falls to a copy are always let through, HELD_FEW at
 # least, once answers are slow: where copies are many, eight for each of them would be
 # a standing queue by itself. While answers are quick, small counts tell nothing.
 HELD_MIN, HELD_FEW = 8, 2
+# Slow start: so many for each endpoint that falls to a copy are held at first, and one
+# more for each answer. Guards the endpoints against the rush on a copy that is back.
+HELD_FIRST = 16.0
 # Rise per look of what a request is taken to take unloaded: slow, so that a
 # long queue does not soon pass for usual, but a changed service does in time.
 BASE_RISE = 0.01
@@ -169,20 +172,18 @@
         self.rating = entry.rating
         self.ready = False
         self.inflight = 0
-        self.links: list[int] = []  # idle connections: since when, the last used last
-        self.crowded = 0  # it was full: nothing is sent before this
-        self.budget = 0.0
-        self.budget_at = 0
+        self.budget, self.budget_at = 0.0, 0
         self.own = False  # it stands on this copy's arc
         self.quiet_since = 0
-        self.waiting, self.told_at = 0.0, 0  # requests that wait there, by an answer
         self.renew()
 
     def renew(self) -> None:
         """What is learned of one process."""
         self.slowness = 1.0  # observed latency over the peers' mean
-        self.slowness_at = 0
-        self.samples = 0
+        self.slowness_at = self.samples = 0
+        self.links: list[int] = []  # idle connections: since when, the last used last
+        self.crowded = 0  # it was full: nothing is sent before this
+        self.waiting, self.told_at = 0.0, 0  # requests that wait there, by an answer
         # By class and tenant: health, when that was, failures in a row (halved by an answer).
         self.health = [(1.0, 0, 0.0)] * self.kinds
 
@@ -198,8 +199,7 @@
     __slots__ = ("deviation", "mean", "samples")
 
     def __init__(self) -> None:
-        self.mean = 0.0
-        self.deviation = 0.0
+        self.mean = self.deviation = 0.0
         self.samples = 0
 
     def add(self, value: float) -> None:
@@ -219,8 +219,7 @@
 
     def __init__(self, endpoint: Endpoint, now: int) -> None:
         self.endpoint = endpoint
-        self.cell = endpoint.cell
-        self.zone = endpoint.zone
+        self.cell, self.zone = endpoint.cell, endpoint.zone
         self.sent = now
         self.rested = -1  # how long its connection was idle; a new one was not
         self.out = True
@@ -314,7 +313,7 @@
     """
 
     __slots__ = (
-        "at", "base", "began", "bounded", "busy_at", "calm", "calm_at", "count", "least", "results",
+        "at", "base", "began", "bounded", "busy_at", "calm", "calm_at", "count", "first", "least", "results",
         "settled", "share", "standing", "took",
     )  # fmt: skip
 
@@ -328,7 +327,7 @@
         self.settled = False
         self.calm_at = self.busy_at = 0  # when few were last held, and many
         self.standing = False
-        self.least = float(HELD_MIN)  # so many may always be held
+        self.least = self.first = float(HELD_MIN)  # so many may always be held; and at first
         self.bounded = -1  # when the bound on held requests last refused one
         self.share = 1.0
 
@@ -341,12 +340,13 @@
         self.at = now
         self.count += 1
         look = max(self.results, ADMIT_SAMPLES)
-        self.took += (max(took, 1) - self.took) / min(self.count, look)
-        self.calm += (max(took, 1) - self.calm) / min(self.count, max(BASE_SAMPLES, CALM_LOOKS * look))
-        if not self.began:
-            self.began = now - took
+        # What was turned away at once says nothing of the time that an answer takes.
+        if answered or took > self.took:
+            self.took += (max(took, 1) - self.took) / min(self.count, look)
+            self.calm += (max(took, 1) - self.calm) / min(self.count, max(BASE_SAMPLES, CALM_LOOKS * look))
+        self.began = self.began or now - took
         # The first answers are the quickest ones: they say only where to begin.
-        self.settled |= self.count >= BASE_SAMPLES and now - self.began > CALM_LOOKS * memory
+        self.settled |= self.count >= BASE_SAMPLES and now - self.began > SETTLE_LOOKS * memory
         self.base = min(self.base * (1.0 + BASE_RISE / look), self.calm) if self.settled else self.calm
         step = log(ADMIT_RISE) / look
         if not good and now - took <= self.bounded:
@@ -382,8 +382,12 @@
         # seen for two.
         self.standing |= self.settled and now - self.calm_at > memory
         self.standing &= now - self.busy_at < 2.0 * memory
+        if not self.settled:
+            return held > self.first + self.count
+        # While answers are quick a full hand is chance, or the bound's own doing.
+        slow = self.standing and self.calm > STANDING_OVER * self.base
         least = self.least if self.calm > HELD_OVER * self.base else HELD_MIN
-        if not self.settled or held <= max(least, tight if self.standing else loose):
+        if held <= max(least, tight if slow else loose):
             return False
         self.bounded = now
         return True
@@ -545,6 +549,7 @@
         stands in the group with the share that lies inside.
         """
         self.admission.least = min(HELD_MIN, max(HELD_FEW, HELD_MIN * len(self.ring) / self.s.instances))
+        self.admission.first = HELD_FIRST * max(1.0, len(self.ring) / self.s.instances)
         near = self.ring
         if self.s.zones > 1 and self.s.cross_zone_price > 0.0:
             near = [pair for pair in self.ring if pair[1].zone == self.s.zone]
@@ -677,7 +682,8 @@
             health = max(HEALTH_MIN, self._health(now, endpoint, other) * blame)
             endpoint.health[other] = health, now, failures + (other == kind)
         if outcome == FULL:
-            endpoint.crowded = now + int(CROWDED_FOR * self.latency.mean)
+            usual = self.latency.mean or CROWDED_FIRST * self.longest_aim
+            endpoint.crowded = now + int(CROWDED_FOR * usual)
 
     def _praise(self, now: int, endpoint: Endpoint, request: Request, delay_us: int) -> None:
         """An answer: repair the health of its sort, learn the endpoint's speed from it."""
