Give way where shedding mends nothing; the module's idle time is that of the sockets

Cause: Admission._full, the tight bound by the stream of answers it lowers. Now a tight bound under which answers got no quicker within two looks takes their time for the unloaded one. With a look timed by present answers it took 7 s to give way (seen in the log), so it is timed by those of its beginning. The module guessed connections at rest for the settings' 30 s though the shell closes them after 6 s: it is told the shell's. Checked: no attempt below the gateways timed out; a second copy did not help.

--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -403,6 +403,7 @@
     async def main() -> None:
         async with sidecar(Endpoint()) as one:
             assert one.upstream.resting.seconds <= 6.0, "though the endpoint would keep it for 30 s"
+            assert one.driver.balancer.s.idle_us == one.upstream.resting.seconds * 1e6, "the module too"
 
     run(main())
 
--- a/woadyard/net/driver.py
+++ b/woadyard/net/driver.py
@@ -13,6 +13,7 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from hashlib import blake2b
 from math import ceil, nan
 from typing import Any
@@ -125,7 +126,8 @@
         wall_us: Callable[[], int] = lambda: time.time_ns() // 1000,
     ) -> None:
         self.loop, self.settings, self.names, self.upstream = loop, settings, names, upstream
-        self.balancer = Balancer(seed, settings)
+        # The module's view of resting connections is to be that of the sockets.
+        self.balancer = Balancer(seed, replace(settings, idle_us=int(upstream.resting.seconds * 1e6)))
         self.drain_grace_us = drain_grace_us
         self.wall_us = wall_us
         self.discovery: Discovery | None = None
--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -48,7 +48,7 @@
 LEARN_GAIN_MAX = 0.5
 # What one failure leaves of an endpoint's health, by how surely it tells of a
 # broken endpoint; fullness tells of load more than of a fault.
-BLAME_ERROR, BLAME_FULL, BLAME_TIMEOUT, BLAME_NO_CONNECT, BLAME_RESET = 0.4, 0.7, 0.2, 0.5, 0.2
+BLAME = {ERROR: 0.4, FULL: 0.7, TIMEOUT: 0.2, NO_CONNECT: 0.5, RESET: 0.2}
 # A full endpoint is left alone for so many usual latencies: one kept full by
 # everybody's next try would turn slow. Before the first answer, for so many aims.
 CROWDED_FOR, CROWDED_FIRST = 1.0, 0.1
@@ -81,14 +81,6 @@
 # of the class's aim.
 HOLD_SHARE = 0.02
 
-BLAME = {
-    ERROR: BLAME_ERROR,
-    FULL: BLAME_FULL,
-    TIMEOUT: BLAME_TIMEOUT,
-    NO_CONNECT: BLAME_NO_CONNECT,
-    RESET: BLAME_RESET,
-}
-
 # Admission: the share of admitted requests answered within their aim below
 # which fewer are let through. Chance and a small trouble must refuse nobody.
 ADMIT_GOOD = 0.85
@@ -112,6 +104,8 @@
 # Looks over which the unloaded time is taken, and before which nothing is bounded
 # by it: after two, the slow answers of the start are still to come.
 CALM_LOOKS, SETTLE_LOOKS = 2, 5
+# Looks after which the tight bound must have made answers quicker.
+VAIN_LOOKS = 2
 # Good results save up as much as one bad one takes: heavy work refuses nobody.
 ADMIT_ROOM = ADMIT_RISE ** (ADMIT_GOOD / (1.0 - ADMIT_GOOD) / ADMIT_SAMPLES)
 # So many for each endpoint that falls to a copy are always let through, HELD_FEW at
@@ -149,8 +143,7 @@
 # A handshake costs at least this part of a request's worth, priced or not.
 HANDSHAKE_LEAST = 0.01
 
-TIMER_HOLD, TIMER_WATCH = range(2)
-TIMER_KINDS = 2
+TIMER_HOLD, TIMER_WATCH, TIMER_KINDS = range(3)
 
 
 class Endpoint:
@@ -166,15 +159,13 @@
         self.id = entry.endpoint
         self.kinds = kinds  # of requests
         self.key = ring_key(entry.cell, entry.endpoint)
-        self.cell = entry.cell
-        self.zone = entry.zone
+        self.cell, self.zone = entry.cell, entry.zone
         self.boot = entry.boot
         self.rating = entry.rating
         self.ready = False
-        self.inflight = 0
+        self.inflight = self.quiet_since = 0
         self.budget, self.budget_at = 0.0, 0
         self.own = False  # it stands on this copy's arc
-        self.quiet_since = 0
         self.renew()
 
     def renew(self) -> None:
@@ -314,7 +305,7 @@
 
     __slots__ = (
         "at", "base", "began", "bounded", "busy_at", "calm", "calm_at", "count", "first", "least", "results",
-        "settled", "share", "standing", "took",
+        "settled", "share", "standing", "took", "vain",
     )  # fmt: skip
 
     def __init__(self, aim_us: float) -> None:
@@ -327,6 +318,7 @@
         self.settled = False
         self.calm_at = self.busy_at = 0  # when few were last held, and many
         self.standing = False
+        self.vain = 0, aim_us  # since when the tight bound acts, and what calm was
         self.least = self.first = float(HELD_MIN)  # so many may always be held; and at first
         self.bounded = -1  # when the bound on held requests last refused one
         self.share = 1.0
@@ -380,6 +372,7 @@
             self.busy_at = now
         # A queue stands once it lasted for a look; it is over once none was
         # seen for two.
+        stood = self.standing
         self.standing |= self.settled and now - self.calm_at > memory
         self.standing &= now - self.busy_at < 2.0 * memory
         if not self.settled:
@@ -387,6 +380,13 @@
         # While answers are quick a full hand is chance, or the bound's own doing.
         slow = self.standing and self.calm > STANDING_OVER * self.base
         least = self.least if self.calm > HELD_OVER * self.base else HELD_MIN
+        if not (stood and slow):
+            self.vain = now, self.calm
+        elif now - self.vain[0] > VAIN_LOOKS * ADMIT_MEMORY * self.vain[1]:
+            # Guards against shedding in vain, as other copies take what this one refuses:
+            # where the rest takes no less time, that is the unloaded time by now.
+            self.base = self.calm if self.calm >= self.vain[1] else self.base
+            self.vain = now, self.calm
         if held <= max(least, tight if slow else loose):
             return False
         self.bounded = now
