--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -5,12 +5,17 @@
 import asyncio
 import contextlib
 import json
+import os
+import socket
+import sys
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 import uvloop
 
+from woadyard.interface import Action, Outcome
 from woadyard.net.discovery import Discovery
 from woadyard.net.driver import Driver, Names
 from woadyard.net.server import Server
@@ -201,3 +206,54 @@
         yield Sidecar(driver, upstream, server, port)
         if server.listener is not None:
             server.listener.close()
+
+
+def outcomes(one: Sidecar) -> list[Outcome]:
+    """All that the module is told of attempts from now on."""
+    told: list[Outcome] = []
+    real = one.driver.balancer.outcome
+
+    def outcome(now: int, event: Outcome) -> list[Action]:
+        told.append(event)
+        return real(now, event)
+
+    vars(one.driver.balancer)["outcome"] = outcome
+    return told
+
+
+async def hold(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+    """No answer, until the connection closes."""
+
+
+def config(tmp_path: Path, registry: Registry, *endpoints: Endpoint, **changes: Any) -> dict[str, str]:
+    raw = {
+        "name": "n1", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{registry.port}", "seed": "8c1f",
+        "limits": {"sockets": 1024}, "settings": SETTINGS,
+        "known": {"generation": 1, "reset": True, "instances": [one.entry() for one in endpoints]},
+        **changes,
+    }  # fmt: skip
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(raw))
+    return {**os.environ, "LB_CONFIG": str(path)}
+
+
+async def start(environ: dict[str, str], errors: int = asyncio.subprocess.PIPE) -> asyncio.subprocess.Process:
+    pipe = asyncio.subprocess.PIPE
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "woadyard", env=environ, stdout=pipe, stderr=errors
+    )
+
+
+def free_port() -> int:
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        port: int = found.getsockname()[1]
+        return port
+
+
+async def connect_until_up(port: int) -> tuple[Reader, Writer]:
+    while True:
+        try:
+            return await asyncio.open_connection("127.0.0.1", port)
+        except ConnectionError:
+            await asyncio.sleep(0)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import json
+import os
 import signal
 from pathlib import Path
 
@@ -18,14 +20,20 @@
     Sidecar,
     Writer,
     answer,
+    config,
+    connect_until_up,
+    free_port,
+    hold,
+    outcomes,
     push,
+    push_raw,
     read_message,
     request,
     run,
     serve_ok,
     sidecar,
+    start,
 )
-from tests.test_sidecar import config, connect_until_up, free_port, hold, outcomes, start
 from woadyard.interface import CANCELLED, ERROR, FULL, OK
 from woadyard.net.message import Call
 from woadyard.net.server import Caller
@@ -362,11 +370,12 @@
     async def main() -> None:
         endpoint = Endpoint()
         async with sidecar(endpoint) as one:
-            pool = one.upstream.pools[next(iter(one.upstream.pools))]
-            link = Link(one.upstream, pool, None)  # type: ignore[arg-type]
-            one.upstream.links.add(link)
-            link.opening = one.driver.loop.create_task(link.open())
-            link.close()  # the task has not had a turn yet
+            call = Call(0, 0, b"GET /page", b"", b"", lambda answer: None)
+            (number,) = one.upstream.pools
+            attempt = Attempt(call, 0, number, 0, 0)
+            one.upstream.send(attempt)
+            assert len(one.upstream.links) == 1
+            one.upstream.cancel(attempt)  # the task that opens it has not had a turn yet
             assert not one.upstream.links
 
     run(main())
@@ -464,6 +473,36 @@
     run(main())
 
 
+def test_a_log_that_nobody_reads_holds_nothing_up(tmp_path: Path) -> None:
+    async def main() -> None:
+        registry, endpoint = Registry(), Endpoint()
+        read_end, write_end = os.pipe()
+        os.set_blocking(write_end, False)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                os.write(write_end, b"x" * 4096)
+        os.set_blocking(write_end, True)
+        async with await registry.start(), await endpoint.start():
+            port = free_port()
+            environ = {**config(tmp_path, registry, endpoint), "LB_LISTEN": f"127.0.0.1:{port}"}
+            process = await start(environ, write_end)
+            _, writer = await connect_until_up(port)
+            writer.close()
+            _, watch = await registry.asked.get()
+            push_raw(watch, b"{not json\n")  # a line for the log
+            await registry.asked.get()
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(PAGE)
+            assert (await read_message(reader)).body == b"ok"
+            writer.close()
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+        os.close(read_end)
+        os.close(write_end)
+
+    run(main())
+
+
 def test_sighup_moves_the_watch_to_what_the_file_names(tmp_path: Path) -> None:
     async def main() -> None:
         old, new, endpoint = Registry(), Registry(), Endpoint()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import os
 import signal
 import socket
-import sys
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -15,15 +13,18 @@
 import pytest
 
 from tests.sockets import (
-    SETTINGS,
     Endpoint,
     Handler,
     Message,
-    Reader,
     Registry,
     Sidecar,
     Writer,
     answer,
+    config,
+    connect_until_up,
+    free_port,
+    hold,
+    outcomes,
     push,
     push_raw,
     read_message,
@@ -31,6 +32,7 @@
     run,
     serve_ok,
     sidecar,
+    start,
 )
 from woadyard.interface import (
     CANCELLED,
@@ -47,26 +49,12 @@
     TIMEOUT,
     Action,
     Entry,
-    Outcome,
     Refuse,
 )
 from woadyard.net.driver import Driver, endpoint_number
 from woadyard.net.server import key_of
 
 
-def outcomes(one: Sidecar) -> list[Outcome]:
-    """All that the module is told of attempts from now on."""
-    told: list[Outcome] = []
-    real = one.driver.balancer.outcome
-
-    def outcome(now: int, event: Outcome) -> list[Action]:
-        told.append(event)
-        return real(now, event)
-
-    vars(one.driver.balancer)["outcome"] = outcome
-    return told
-
-
 def lists(one: Sidecar) -> asyncio.Queue[tuple[int, list[Entry]]]:
     """All lists that the module is told from now on."""
     told: asyncio.Queue[tuple[int, list[Entry]]] = asyncio.Queue()
@@ -85,10 +73,6 @@
     return f"{host}:{port}"
 
 
-async def hold(endpoint: Endpoint, message: Message, writer: Writer) -> None:
-    """No answer, until the connection closes."""
-
-
 def test_a_request_passes_and_its_answer_comes_back_whole() -> None:
     async def reply(endpoint: Endpoint, message: Message, writer: Writer) -> None:
         writer.write(
@@ -274,9 +258,7 @@
         b'{"generation": 43, "reset": true, "instances": [{"instanceId": 3, "lifecycle": "ready"}]}\n',
     ],
 )
-def test_a_bad_line_is_logged_and_the_watch_restarted(
-    line: bytes, capsys: pytest.CaptureFixture[str]
-) -> None:
+def test_a_bad_line_is_logged_and_the_watch_restarted(line: bytes, capfd: pytest.CaptureFixture[str]) -> None:
     async def main() -> None:
         registry = Registry()
         async with sidecar(Endpoint(), registry=registry) as one:
@@ -287,7 +269,7 @@
             assert (await one.ask(request())).body == b"ok"
 
     run(main())
-    assert "bad line from discovery" in capsys.readouterr().err
+    assert "bad line from discovery" in capfd.readouterr().err
 
 
 def test_endpoints_that_left_are_forgotten_after_the_grace() -> None:
@@ -437,7 +419,7 @@
     run(main())
 
 
-def test_a_fault_of_the_module_is_answered_and_survived(capsys: pytest.CaptureFixture[str]) -> None:
+def test_a_fault_of_the_module_is_answered_and_survived(capfd: pytest.CaptureFixture[str]) -> None:
     async def main() -> None:
         async with sidecar(Endpoint()) as one:
             real = one.driver.balancer.request
@@ -451,7 +433,7 @@
             assert (await one.ask(request())).body == b"ok"
 
     run(main())
-    assert "broken" in capsys.readouterr().err
+    assert "broken" in capfd.readouterr().err
 
 
 def test_the_client_that_leaves_calls_its_attempt_off() -> None:
@@ -669,40 +651,6 @@
 # --- The process ------------------------------------------------------------------------
 
 
-def config(tmp_path: Path, registry: Registry, *endpoints: Endpoint, **changes: Any) -> dict[str, str]:
-    raw = {
-        "name": "n1", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{registry.port}", "seed": "8c1f",
-        "limits": {"sockets": 1024}, "settings": SETTINGS,
-        "known": {"generation": 1, "reset": True, "instances": [one.entry() for one in endpoints]},
-        **changes,
-    }  # fmt: skip
-    path = tmp_path / "config.json"
-    path.write_text(json.dumps(raw))
-    return {**os.environ, "LB_CONFIG": str(path)}
-
-
-async def start(environ: dict[str, str]) -> asyncio.subprocess.Process:
-    pipe = asyncio.subprocess.PIPE
-    return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "woadyard", env=environ, stdout=pipe, stderr=pipe
-    )
-
-
-def free_port() -> int:
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        port: int = found.getsockname()[1]
-        return port
-
-
-async def connect_until_up(port: int) -> tuple[Reader, Writer]:
-    while True:
-        try:
-            return await asyncio.open_connection("127.0.0.1", port)
-        except ConnectionError:
-            await asyncio.sleep(0)
-
-
 def test_sigterm_finishes_what_was_taken_and_exits(tmp_path: Path) -> None:
     async def main() -> None:
         release = asyncio.Event()
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -16,6 +16,7 @@
 from woadyard.interface import Settings
 from woadyard.net.discovery import Discovery
 from woadyard.net.driver import Driver, Names
+from woadyard.net.message import log, unblock_log
 from woadyard.net.server import Server
 from woadyard.net.upstream import Upstream
 from woadyard.wire import WireError, read_settings
@@ -83,7 +84,7 @@
     try:
         config = read_config({name: value for name, value in environ.items() if name != "LB_DISCOVERY"})
     except ConfigError as error:
-        print(f"laurelstep: not reloaded: {error}", file=sys.stderr, flush=True)
+        log(f"not reloaded: {error}")
     else:
         discovery.move(config.discovery)
 
@@ -117,6 +118,7 @@
 
 
 def main() -> int:
+    unblock_log()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     # What stands now stays: the collector need not walk it again.
     gc.set_threshold(5_000, 10, 10)
@@ -125,7 +127,7 @@
     try:
         uvloop.run(serve(read_config(environ), environ))
     except ConfigError as error:
-        print(f"laurelstep: {error}", file=sys.stderr)
+        log(str(error))
         return 2
     return 0
 
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import json
-import sys
 from collections.abc import Callable
 from typing import Any, cast
 
 import httptools
 
+from woadyard.net.message import log
+
 # While nothing changes an empty line comes every 2 s: after two missed ones the
 # watch is taken for dead, as a network that is cut off says nothing.
 SILENT_S = 5.0
@@ -47,7 +48,7 @@
             self.parser.feed_data(data)
             self._read()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as error:
-            print(f"laurelstep: bad line from discovery: {error}", file=sys.stderr, flush=True)
+            log(f"bad line from discovery: {error}")
             self.fail()
 
     def on_body(self, data: bytes) -> None:
--- a/woadyard/net/driver.py
+++ b/woadyard/net/driver.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 import time
 import traceback
 from collections import deque
@@ -27,7 +26,6 @@
     ERROR_RATE,
     GONE,
     HELD,
-    KEYED,
     LATENCY_MS,
     LIST_CACHED,
     LIST_DELTA,
@@ -55,7 +53,7 @@
     Watch,
 )
 from woadyard.net.discovery import Discovery
-from woadyard.net.message import Answer, Call
+from woadyard.net.message import Answer, Call, log
 from woadyard.net.upstream import Attempt, Upstream
 from woadyard.policy import Balancer
 
@@ -79,7 +77,6 @@
         self.tenants = {str(entry["name"]): n for n, entry in enumerate(raw.get("accounts", ()))}
         self.zones = {str(name): n for n, name in enumerate(raw.get("zones", ()))}
         self.kinds = {str(name): n for n, name in enumerate(raw.get("kinds", ()))}
-        self.keyed = [cls.effect == KEYED for cls in settings.classes]
         self.fields = {name: at for at, name in enumerate(settings.report_fields)}
 
     def report(self, raw: bytes) -> list[float] | None:
@@ -173,7 +170,7 @@
                 self._do(action)
         except Exception:
             # Guards the process and its callers against a fault of the module.
-            traceback.print_exc()
+            log(traceback.format_exc().rstrip())
             self.balancer.out.clear()
             if call is not None and call.open:
                 self._answer(call, Answer(500))
@@ -385,7 +382,7 @@
                 if self.discovery is not None:
                     self.discovery.fetch()
             case Log(text):
-                print(f"laurelstep: {text}", file=sys.stderr, flush=True)
+                log(text)
             case _:
                 raise TypeError(f"{action!r} is not of this deployment")
 
--- a/woadyard/net/message.py
+++ b/woadyard/net/message.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
+import os
+import stat
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Generic, TypeVar
@@ -24,6 +28,20 @@
 Headers = list[tuple[bytes, bytes]]  # names in lower case
 
 
+def log(text: str) -> None:
+    """Lines for the operator. Guards the process against a log that nobody reads: with
+    `unblock_log` called, what finds no room there is lost and holds nothing up."""
+    with contextlib.suppress(OSError, ValueError):
+        os.write(sys.stderr.fileno(), f"laurelstep: {text}\n".encode())
+
+
+def unblock_log() -> None:
+    with contextlib.suppress(OSError, ValueError):
+        # Not for a terminal, which the shell behind it shares.
+        if stat.S_ISFIFO(os.fstat(sys.stderr.fileno()).st_mode):
+            os.set_blocking(sys.stderr.fileno(), False)
+
+
 def pass_on(headers: Headers, named: frozenset[bytes]) -> bytes:
     """The lines of the headers that travel end to end."""
     return b"".join(b"%b: %b\r\n" % pair for pair in headers if pair[0] in named)
@@ -92,12 +110,6 @@
             self.expire(oldest)
         self._arm()
 
-    def close(self) -> None:
-        self.since.clear()
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-
 
 @dataclass(slots=True)
 class Answer:
