--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -181,9 +181,10 @@
     known: bool = True,
     registry: Registry | None = None,
     ceilings: dict[str, Any] | None = None,
+    stage: int = 1,
 ) -> AsyncIterator[Sidecar]:
     """A sidecar whose list holds the endpoints, all on ports that the system picks."""
-    raw = {**SETTINGS, "ceilings": {**SETTINGS["ceilings"], **(ceilings or {})}}
+    raw = {**SETTINGS, "ceilings": {**SETTINGS["ceilings"], **(ceilings or {})}, "stage": stage}
     settings = read_settings(json.dumps(raw).encode())
     loop = asyncio.get_running_loop()
     async with contextlib.AsyncExitStack() as stack, asyncio.timeout(TIMEOUT_S):
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -38,6 +38,7 @@
 from woadyard.net.message import Call
 from woadyard.net.server import Caller
 from woadyard.net.upstream import Attempt, Link
+from woadyard.policy import HELD_MIN
 
 PAGE, PUT, PAY = request(), request("put", b"b"), request("pay", b"b")
 
@@ -137,6 +138,12 @@
     run(main())
 
 
+def shift(one: Sidecar, span_us: int) -> None:
+    """Set the driver's clock forward."""
+    real = one.driver.now
+    vars(one.driver)["now"] = lambda: real() + span_us
+
+
 def the_caller(one: Sidecar) -> Caller:
     (caller,) = one.server.callers
     return caller
@@ -417,6 +424,40 @@
     run(main())
 
 
+# --- Trouble below ----------------------------------------------------------------------
+
+
+async def settle(one: Sidecar) -> None:
+    """Serve requests until the entry bounds what it holds."""
+    while not one.driver.balancer.admission.settled:
+        assert (await one.ask(PAGE)).body == b"ok"
+
+
+def test_requests_that_hang_do_not_shut_the_entry() -> None:
+    """They are as many as may always be held, and no answer comes to raise the bound."""
+
+    async def main() -> None:
+        async def some(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+            if not message.headers["x-request-id"].startswith("lost"):
+                writer.write(answer())
+
+        endpoint = Endpoint(some)
+        async with sidecar(endpoint, stage=0) as one:
+            await settle(one)
+            lost = [await one.connect() for _ in range(HELD_MIN)]
+            while not endpoint.arrived.locked():  # those of the settling
+                await endpoint.arrived.acquire()
+            for n, (_, writer) in enumerate(lost):
+                writer.write(request(rid=f"lost{n}"))
+                await endpoint.arrived.acquire()
+            shift(one, 1_000_000)
+            assert (await one.ask(PAGE)).body == b"ok"
+            for _, writer in lost:
+                writer.close()
+
+    run(main())
+
+
 # --- Memory -----------------------------------------------------------------------------
 
 
--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -115,6 +115,9 @@
 # Slow start: so many for each endpoint that falls to a copy are held at first, and one
 # more for each answer. Guards the endpoints against the rush on a copy that is back.
 HELD_FIRST = 16.0
+# A request is not stuck before this part of the longest aim, however quick and even answers
+# are: a queue that forms at once must first meet the bound.
+STUCK_LEAST = 0.25
 # Rise per look of what a request is taken to take unloaded: slow, so that a
 # long queue does not soon pass for usual, but a changed service does in time.
 BASE_RISE = 0.01
@@ -892,7 +895,7 @@
         # Nothing was spent on a request yet where it enters; further down, a
         # refusal would waste what the tiers above have done for it.
         if self.s.stage == 0 and not self.admission.admits(
-            now, len(self.requests), self.worth.place(now, event), self.rng.random()
+            now, len(self.requests) - self._stuck(now), self.worth.place(now, event), self.rng.random()
         ):
             self._end(now, request)
         elif not request.key or self._queue(now, request):
@@ -901,6 +904,20 @@
             self._end(now, request)
         return self._taken(now)
 
+    def _stuck(self, now: int) -> int:
+        """Requests held far longer than answers now take: lost somewhere below, no load.
+
+        Guards admission against refusing all for some that hang, whatever hangs them (lost
+        messages, dead flows, a frozen tier): answers stop as nothing is sent, and the bound
+        that follows them stays shut until the last deadline. Where all queue at once for
+        long, it lets in one more bound's worth in each such span.
+        """
+        for stuck, request in enumerate(self.requests.values()):  # the oldest first
+            held = now - request.arrived
+            if held < STUCK_LEAST * self.longest_aim or not self._overdue(held, WARY_DEVIATIONS):
+                return stuck
+        return len(self.requests)
+
     def outcome(self, now: int, event: Outcome) -> list[Action]:
         outcome = event.outcome
         endpoint = self.endpoints.get(event.endpoint)
