--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -37,7 +37,7 @@
 from woadyard.interface import CANCELLED, ERROR, FULL, OK
 from woadyard.net.message import Call
 from woadyard.net.server import Caller
-from woadyard.net.upstream import Attempt, Link
+from woadyard.net.upstream import SPARE, Attempt, Link
 from woadyard.policy import HELD_MIN
 
 PAGE, PUT, PAY = request(), request("put", b"b"), request("pay", b"b")
@@ -424,6 +424,32 @@
     run(main())
 
 
+def test_what_rests_beyond_what_is_in_use_leaves_its_places_to_others() -> None:
+    """One sidecar kept nearly all after a rush, and one just started found no room."""
+
+    async def main() -> None:
+        release = asyncio.Event()
+
+        async def rush(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+            await release.wait()
+            writer.write(answer())
+
+        endpoint = Endpoint(rush)
+        async with sidecar(endpoint) as one:
+            asked = [asyncio.create_task(one.ask(request(rid=f"r{n}"))) for n in range(SPARE + 3)]
+            for _ in asked:
+                await endpoint.arrived.acquire()
+            release.set()
+            assert [(await each).body for each in asked] == [b"ok"] * len(asked)
+            for _ in range(3):
+                await endpoint.closed.acquire()
+            while one.upstream.surplus.since:
+                await asyncio.sleep(0)
+            assert len(one.upstream.links) == len(one.upstream.resting.since) == SPARE
+
+    run(main())
+
+
 # --- Trouble below ----------------------------------------------------------------------
 
 
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -34,6 +34,11 @@
 # endpoints hold only so many, and what one sidecar kept from a rush was missing to
 # another that started anew and found every table full.
 IDLE_PART, IDLE_MOST_S = 0.8, 6.0
+# A connection that rested this long is given up if more rest at its endpoint than are in
+# use, and SPARE. Guards another sidecar's share of the places there: after a rush one kept
+# most of them, and one that had just started found none. Does harm where load comes in
+# waves longer than this: each pays for new connections.
+SURPLUS_S, SPARE = 1.0, 2
 # An answer that has begun must be whole so much later: guards against one that never
 # ends, which would cost the request all the time that its client has.
 ANSWER_S = 0.5
@@ -185,6 +190,13 @@
         self._begin()
         self.pool.idle.append(self)
         self.owner.resting.add(self)
+        self.owner.surplus.add(self)
+
+    def close_surplus(self) -> None:
+        used = sum(1 for link in self.owner.links if link.pool is self.pool) - len(self.pool.idle)
+        if len(self.pool.idle) > used + SPARE:
+            self.close()
+            self.owner.gone(self)  # at once: it must not count for the next one
 
     def close(self) -> None:
         if self.transport is not None:
@@ -305,6 +317,7 @@
         self.links: set[Link] = set()
         idle_s = min(IDLE_MOST_S, IDLE_PART * (idle_us or IDLE_DEFAULT_US) / 1e6)
         self.resting: Sweep[Link] = Sweep(loop, idle_s, Link.close)
+        self.surplus: Sweep[Link] = Sweep(loop, SURPLUS_S, Link.close_surplus)
         self.answering: Sweep[Link] = Sweep(loop, ANSWER_S, Link.spoil)  # begun, not yet whole
         self.ended: Ended = lambda *_: None
         self.may_start: Callable[[Attempt, int], bool] = lambda *_: True
@@ -330,6 +343,7 @@
         while pool.idle:
             link = pool.idle.pop()
             self.resting.discard(link)
+            self.surplus.discard(link)
             if link.fit():
                 link.attempt, attempt.link = attempt, link
                 link.write()
@@ -365,8 +379,8 @@
 
     def gone(self, link: Link) -> None:
         self.links.discard(link)
-        self.resting.discard(link)
-        self.answering.discard(link)
+        for sweep in (self.resting, self.surplus, self.answering):
+            sweep.discard(link)
         if link in link.pool.idle:
             link.pool.idle.remove(link)
 
