--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,37 @@
+"""Plays the daemon's socket tests on both fronts; tests/fronts.py says which belong to one."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+import pytest
+
+from tests import fronts
+from tests.sockets import FRONT
+
+Logged = Callable[[], str]
+
+
+@pytest.fixture
+def logged(capfd: pytest.CaptureFixture[str], caplog: pytest.LogCaptureFixture) -> Logged:
+    """What was logged, by whichever front: standard error for the daemon, `logging` for the library."""
+    return lambda: capfd.readouterr().err + caplog.text
+
+
+def pytest_generate_tests(metafunc: pytest.Metafunc) -> None:
+    if metafunc.module.__name__ in fronts.SHARED and "front" in metafunc.fixturenames:
+        metafunc.parametrize("front", ("daemon", "library"), indirect=True)
+
+
+@pytest.fixture(autouse=True)
+def front(request: pytest.FixtureRequest) -> Iterator[str]:
+    name = str(getattr(request, "param", "daemon"))
+    token = FRONT.set(name)
+    yield name
+    FRONT.reset(token)
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    kept = [item for item in items if not fronts.is_hosts(item)]
+    fronts.SEEN.update(fronts.case(item) for item in items if fronts.is_shared(item))
+    items[:] = kept
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -1,4 +1,4 @@
-"""Real sockets on loopback for the tests: endpoints, discovery and a caller."""
+"""One copy of the balancer behind either of its fronts, with stand-ins on loopback."""
 
 from __future__ import annotations
 
@@ -8,19 +8,57 @@
 import os
 import socket
 import sys
-from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
-from dataclasses import dataclass, field
+from collections.abc import AsyncIterator, Coroutine
+from contextvars import ContextVar
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
+import uvicorn
 import uvloop
+from starlette.applications import Starlette
+from starlette.middleware import Middleware
 
+from woadyard.engine import Engine, LoopClock
+from woadyard.engine.given import GivenMembers
 from woadyard.interface import Action, Outcome
-from woadyard.net.discovery import Discovery
-from woadyard.net.driver import Driver, Names
+from woadyard.library import BalancerMiddleware, Client
+from woadyard.library.client import State
+from woadyard.net.discovery import LIST_PATH, Discovery
+from woadyard.net.message import log
 from woadyard.net.server import Server
 from woadyard.net.upstream import Upstream
-from woadyard.wire import read_settings
+from woadyard.settings import Config, config_from
+from woadyard.testing import (
+    Endpoint,
+    Handler,
+    Message,
+    Reader,
+    Registry,
+    Writer,
+    answer,
+    push,
+    push_raw,
+    read_message,
+    request,
+    serve,
+    stall,
+    whole_list,
+)
+
+__all__ = [
+    "Endpoint",
+    "Handler",
+    "Message",
+    "Reader",
+    "Registry",
+    "Writer",
+    "answer",
+    "push",
+    "push_raw",
+    "read_message",
+    "request",
+]
 
 SETTINGS: dict[str, Any] = {
     "classes": [
@@ -40,28 +78,13 @@
     "zones": ["here"], "kinds": ["small"], "discovery": "push", "stage": 1,
 }  # fmt: skip
 
-Reader = asyncio.StreamReader
-Writer = asyncio.StreamWriter
 TIMEOUT_S = 20.0  # for a test that hangs; nothing is measured by it
 
+# The front that `sidecar` puts before the engine; tests/conftest.py plays each test on both.
+FRONT: ContextVar[str] = ContextVar("FRONT", default="daemon")
 
-@dataclass
-class Message:
-    start: str
-    headers: dict[str, str]
-    body: bytes
-
-
-async def read_message(reader: Reader) -> Message:
-    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-    headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in head[1:] if line)}
-    body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return Message(head[0], headers, body)
-
-
-def answer(status: int = 200, body: bytes = b"ok", headers: str = "") -> bytes:
-    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{headers}\r\n"
-    return head.encode() + body
+serve_ok = serve()
+hold = stall()
 
 
 def run(test: Coroutine[Any, Any, None]) -> None:
@@ -69,87 +92,30 @@
     uvloop.run(test)
 
 
-Handler = Callable[["Endpoint", Message, Writer], Awaitable[None]]
-
-
-async def serve_ok(endpoint: Endpoint, message: Message, writer: Writer) -> None:
-    writer.write(answer())
-
-
-class Listener:
-    """Serves connections on a port that the system picks."""
-
-    port: int = 0
-
-    async def start(self) -> asyncio.Server:
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
-        return server
-
-    async def _serve(self, reader: Reader, writer: Writer) -> None:
-        raise NotImplementedError
-
-
-@dataclass
-class Endpoint(Listener):
-    """Answers each request by its handler and keeps what it was sent."""
-
-    handler: Handler = serve_ok
-    got: list[Message] = field(default_factory=list)
-    opened: int = 0
-    closed: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(0))
-    arrived: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(0))
-
-    async def _serve(self, reader: Reader, writer: Writer) -> None:
-        self.opened += 1
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            while True:
-                message = await read_message(reader)
-                self.got.append(message)
-                self.arrived.release()
-                await self.handler(self, message, writer)
-        writer.close()
-        self.closed.release()
-
-    def entry(self, name: str = "s-1", **changes: Any) -> dict[str, Any]:
-        return {
-            "instanceId": name, "hostPort": f"127.0.0.1:{self.port}", "zone": "here", "machineType": "small",
-            "cell": 1, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0, **changes,
-        }  # fmt: skip
-
-
-@dataclass
-class Registry(Listener):
-    """Discovery: one watch at a time, fed by the test."""
-
-    asked: asyncio.Queue[tuple[str, Writer]] = field(default_factory=asyncio.Queue)
-
-    async def _serve(self, reader: Reader, writer: Writer) -> None:
-        message = await read_message(reader)
-        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        await self.asked.put((message.start, writer))
-        await reader.read()
-        writer.close()
-
-
-def push(writer: Writer, generation: int, whole: bool, *entries: dict[str, Any]) -> None:
-    line = json.dumps({"generation": generation, "reset": whole, "instances": entries}) + "\n"
-    push_raw(writer, line.encode())
-
-
-def push_raw(writer: Writer, line: bytes) -> None:
-    writer.write(b"%x\r\n%b\r\n" % (len(line), line))
-
-
 @dataclass
 class Sidecar:
-    driver: Driver
+    engine: Engine
     upstream: Upstream
-    server: Server
     port: int
+    daemon: Server | None = None
+    host: uvicorn.Server | None = None
+
+    @property
+    def server(self) -> Server:
+        """The daemon's own side of callers; the library has none."""
+        assert self.daemon is not None
+        return self.daemon
+
+    @property
+    def callers(self) -> int:
+        """Connections open at the front."""
+        if self.daemon is not None:
+            return len(self.daemon.callers)
+        assert self.host is not None
+        return len(self.host.server_state.connections)
 
     def told(self, *entries: dict[str, Any], whole: bool = True) -> None:
-        self.driver.listed(1, whole, list(entries))
+        self.engine.listed(1, whole, list(entries))
 
     async def connect(self) -> tuple[Reader, Writer]:
         return await asyncio.open_connection("127.0.0.1", self.port)
@@ -162,19 +128,6 @@
         return message
 
 
-def request(
-    cls: str = "page", body: bytes = b"", headers: str = "", deadline_ms: int = 4000, rid: str = "r1"
-) -> bytes:
-    method = "GET" if cls == "page" else "POST"
-    length = f"Content-Length: {len(body)}\r\n" if method == "POST" else ""
-    key = "Idempotency-Key: k1\r\n" if cls == "put" else ""
-    return (
-        f"{method} /{cls}?obj=7f3a HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: {rid}\r\n"
-        f"X-Class: {cls}\r\n"
-        f"X-Deadline-Ms: {deadline_ms}\r\n{length}{key}{headers}\r\n"
-    ).encode() + body
-
-
 @contextlib.asynccontextmanager
 async def sidecar(
     *endpoints: Endpoint,
@@ -184,53 +137,92 @@
     stage: int = 1,
 ) -> AsyncIterator[Sidecar]:
     """A sidecar whose list holds the endpoints, all on ports that the system picks."""
-    raw = {**SETTINGS, "ceilings": {**SETTINGS["ceilings"], **(ceilings or {})}, "stage": stage}
-    settings = read_settings(json.dumps(raw).encode())
-    loop = asyncio.get_running_loop()
+    settings = {**SETTINGS, "ceilings": {**SETTINGS["ceilings"], **(ceilings or {})}, "stage": stage}
     async with contextlib.AsyncExitStack() as stack, asyncio.timeout(TIMEOUT_S):
         for endpoint in endpoints:
             listener = await endpoint.start()
             stack.callback(listener.close)
-        upstream = Upstream(loop, Driver.now, settings.idle_us, settings.connect_timeout_us, 64)
-        driver = Driver(loop, 1, settings, Names(raw, settings), upstream, 500_000)
+        raw: dict[str, Any] = {"seed": "1", "settings": settings, "limits": {"sockets": 152}}
         if registry is not None:
             listener = await registry.start()
             stack.callback(listener.close)
-            address = f"127.0.0.1:{registry.port}"
-            driver.discovery = Discovery(loop, address, "/registry/instances", True, driver.listed)
-            stack.callback(driver.discovery.close)
-        entries = [one.entry(f"s-{n}") for n, one in enumerate(endpoints)]
-        driver.start({"generation": 41, "reset": True, "instances": entries} if known else None)
-        server = Server(driver)
-        port = await server.listen("127.0.0.1", 0)
-        stack.callback(upstream.close)
-        yield Sidecar(driver, upstream, server, port)
-        if server.listener is not None:
-            server.listener.close()
+            raw["discovery"] = f"127.0.0.1:{registry.port}"
+        if known:
+            entries = [one.entry(f"s-{n}") for n, one in enumerate(endpoints)]
+            raw["known"] = whole_list(*entries, generation=41)
+        front = daemon if FRONT.get() == "daemon" else library
+        yield await stack.enter_async_context(front(config_from(raw, "test")))
+
+
+@contextlib.asynccontextmanager
+async def daemon(config: Config) -> AsyncIterator[Sidecar]:
+    loop = asyncio.get_running_loop()
+    settings = config.settings
+    clock = LoopClock(loop)
+    most = config.side_sockets
+    upstream = Upstream(loop, clock.now, settings.idle_us, settings.connect_timeout_us, most)
+    source: Discovery | GivenMembers = GivenMembers()
+    if config.discovery is not None:
+        source = Discovery(loop, config.discovery, LIST_PATH, True, log)
+    engine = Engine(clock, config.seed, settings, config.names, upstream, source, config.drain_grace_us, log)
+    engine.start(config.known)
+    server = Server(loop, engine, on_stop=upstream.retire)
+    port = await server.listen("127.0.0.1", 0)
+    yield Sidecar(engine, upstream, port, daemon=server)
+    source.close()
+    upstream.close()
+    if server.listener is not None:
+        server.listener.close()
+
+
+@contextlib.asynccontextmanager
+async def library(config: Config) -> AsyncIterator[Sidecar]:
+    """The library in a Starlette app on uvicorn, on the test's own loop."""
+    client = Client.open(config)
+    app = Starlette(middleware=[Middleware(BalancerMiddleware, client=client)])
+    async with hosted(app) as (host, port):
+        yield Sidecar(client.engine, client._upstream, port, host=host)
+    assert client.state is State.CLOSED and not client._upstream.links
+
+
+@contextlib.asynccontextmanager
+async def hosted(app: Any) -> AsyncIterator[tuple[uvicorn.Server, int]]:
+    """An ASGI app on uvicorn; at the end its connections are cut and its lifespan ends."""
+    config = uvicorn.Config(
+        app, "127.0.0.1", 0, http="httptools", lifespan="on", log_config=None, access_log=False
+    )
+    config.load()
+    host = uvicorn.Server(config)
+    host.lifespan = config.lifespan_class(config)
+    await host.startup()
+    try:
+        yield host, int(host.servers[0].sockets[0].getsockname()[1])
+    finally:
+        for server in host.servers:
+            server.close()
+        for connection in list(host.server_state.connections):
+            connection.transport.abort()
+        await host.lifespan.shutdown()
 
 
 def outcomes(one: Sidecar) -> list[Outcome]:
     """All that the module is told of attempts from now on."""
     told: list[Outcome] = []
-    real = one.driver.balancer.outcome
+    real = one.engine.balancer.outcome
 
     def outcome(now: int, event: Outcome) -> list[Action]:
         told.append(event)
         return real(now, event)
 
-    vars(one.driver.balancer)["outcome"] = outcome
+    vars(one.engine.balancer)["outcome"] = outcome
     return told
 
 
-async def hold(endpoint: Endpoint, message: Message, writer: Writer) -> None:
-    """No answer, until the connection closes."""
-
-
 def config(tmp_path: Path, registry: Registry, *endpoints: Endpoint, **changes: Any) -> dict[str, str]:
     raw = {
         "name": "n1", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{registry.port}", "seed": "8c1f",
         "limits": {"sockets": 1024}, "settings": SETTINGS,
-        "known": {"generation": 1, "reset": True, "instances": [one.entry() for one in endpoints]},
+        "known": whole_list(*(one.entry() for one in endpoints)),
         **changes,
     }  # fmt: skip
     path = tmp_path / "config.json"
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -34,10 +34,11 @@
     sidecar,
     start,
 )
+from woadyard.engine import Answer, Attempt, Call
 from woadyard.interface import CANCELLED, ERROR, FULL, OK
-from woadyard.net.message import Call
+from woadyard.library.client import Exchange
 from woadyard.net.server import Caller
-from woadyard.net.upstream import SPARE, Attempt, Link
+from woadyard.net.upstream import SPARE, Link
 from woadyard.policy import HELD_MIN
 
 PAGE, PUT, PAY = request(), request("put", b"b"), request("pay", b"b")
@@ -72,6 +73,30 @@
         (PAGE + b"nonsense", "400"),
         (PAGE + request(rid="r2"), "400"),
     ],
+    ids=[
+        "no-id",
+        "id-spaces",
+        "id-long",
+        "id-twice",
+        "no-class",
+        "class-differs",
+        "absolute-form",
+        "two-slashes",
+        "fragment",
+        "method",
+        "get-with-body",
+        "key-spaces",
+        "key-unasked",
+        "no-length",
+        "length-negative",
+        "length-twice",
+        "length-and-chunks",
+        "coding",
+        "length-huge",
+        "length-absurd",
+        "noise-behind",
+        "request-behind",
+    ],
 )
 def test_what_is_not_in_form_is_refused_and_nothing_sent(raw: bytes, expected: str) -> None:
     async def main() -> None:
@@ -115,7 +140,7 @@
             assert (await one.ask(PAGE)).start.split()[1] == "409"
             release.set()
             assert (await first).body == b"ok"
-            assert (await one.ask(PAGE)).body == b"ok" and not one.driver.names_open
+            assert (await one.ask(PAGE)).body == b"ok" and not one.engine.open_names
 
     run(main())
 
@@ -139,9 +164,10 @@
 
 
 def shift(one: Sidecar, span_us: int) -> None:
-    """Set the driver's clock forward."""
-    real = one.driver.now
-    vars(one.driver)["now"] = lambda: real() + span_us
+    """Set the engine's clock forward."""
+    real = one.engine.clock.now
+    vars(one.engine.clock)["now"] = lambda: real() + span_us
+    one.engine.now = one.engine.clock.now
 
 
 def the_caller(one: Sidecar) -> Caller:
@@ -167,7 +193,11 @@
     run(main())
 
 
-@pytest.mark.parametrize(("raw", "expected"), [(b"", None), (b"GET /pa", "408"), (PAY[:-1], "408")])
+@pytest.mark.parametrize(
+    ("raw", "expected"),
+    [(b"", None), (b"GET /pa", "408"), (PAY[:-1], "408")],
+    ids=["silent", "half-head", "half-body"],
+)
 def test_a_caller_that_brings_no_request_is_ended(raw: bytes, expected: str | None) -> None:
     async def main() -> None:
         async with sidecar(Endpoint()) as one:
@@ -259,6 +289,11 @@
 # --- Spoilt answers ---------------------------------------------------------------------
 
 
+class Nobody:
+    def answered(self, call: Call, answer: Answer) -> None:
+        """Is not told."""
+
+
 def raw_answer(raw: bytes) -> Handler:
     async def reply(endpoint: Endpoint, message: Message, writer: Writer) -> None:
         writer.write(raw)
@@ -377,9 +412,9 @@
     async def main() -> None:
         endpoint = Endpoint()
         async with sidecar(endpoint) as one:
-            call = Call(0, 0, b"GET /page", b"", b"", lambda answer: None)
+            call = Call(0, 0, b"GET /page", b"", b"", Nobody())
             (number,) = one.upstream.pools
-            attempt = Attempt(call, 0, number, 0, 0)
+            attempt = Attempt(one.engine, call, 0, number, 0, 0)
             one.upstream.send(attempt)
             assert len(one.upstream.links) == 1
             one.upstream.cancel(attempt)  # the task that opens it has not had a turn yet
@@ -419,7 +454,7 @@
     async def main() -> None:
         async with sidecar(Endpoint()) as one:
             assert one.upstream.resting.seconds <= 6.0, "though the endpoint would keep it for 30 s"
-            assert one.driver.balancer.s.idle_us == one.upstream.resting.seconds * 1e6, "the module too"
+            assert one.engine.balancer.s.idle_us == one.upstream.resting.seconds * 1e6, "the module too"
 
     run(main())
 
@@ -455,7 +490,7 @@
 
 async def settle(one: Sidecar) -> None:
     """Serve requests until the entry bounds what it holds."""
-    while not one.driver.balancer.admission.settled:
+    while not one.engine.balancer.admission.settled:
         assert (await one.ask(PAGE)).body == b"ok"
 
 
@@ -526,7 +561,7 @@
 
 
 def alive() -> int:
-    return sum(type(one) in (Caller, Link, Call, Attempt) for one in gc.get_objects())
+    return sum(type(one) in (Caller, Exchange, Link, Call, Attempt) for one in gc.get_objects())
 
 
 def test_what_is_over_is_freed_without_the_collector() -> None:
@@ -544,11 +579,11 @@
                 writer.close()
                 await endpoint.closed.acquire()
                 one.told()
-                while one.server.callers or one.upstream.links:
+                while one.callers or one.upstream.links:
                     await asyncio.sleep(0)
                 await asyncio.sleep(0)
                 assert alive() == 0
-                assert not one.driver.calls and not one.driver.names_open
+                assert not one.engine.calls and not one.engine.open_names
             finally:
                 gc.enable()
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from tests.conftest import Logged
 from tests.sockets import (
     Endpoint,
     Handler,
@@ -34,6 +35,7 @@
     sidecar,
     start,
 )
+from woadyard.engine import endpoint_number
 from woadyard.interface import (
     CANCELLED,
     DRAINING,
@@ -51,20 +53,20 @@
     Entry,
     Refuse,
 )
-from woadyard.net.driver import Driver, endpoint_number
-from woadyard.net.server import key_of
+from woadyard.net.discovery import Discovery
+from woadyard.net.request import key_of
 
 
 def lists(one: Sidecar) -> asyncio.Queue[tuple[int, list[Entry]]]:
     """All lists that the module is told from now on."""
     told: asyncio.Queue[tuple[int, list[Entry]]] = asyncio.Queue()
-    real = one.driver.balancer.members
+    real = one.engine.balancer.members
 
     def members(now: int, mode: int, entries: list[Entry]) -> list[Action]:
         told.put_nowait((mode, list(entries)))
         return real(now, mode, entries)
 
-    vars(one.driver.balancer)["members"] = members
+    vars(one.engine.balancer)["members"] = members
     return told
 
 
@@ -91,7 +93,7 @@
             assert 0 < int(got.headers["x-deadline-ms"]) <= 4000
             assert "x-other" not in got.headers, "only what an endpoint needs"
             assert "x-load" not in back.headers, "only what a caller needs"
-            (told,) = one.driver.balancer.endpoints.values()
+            (told,) = one.engine.balancer.endpoints.values()
             assert told.waiting == 2.0, "the socket's queue is the settings' waiting"
 
     run(main())
@@ -106,8 +108,8 @@
             for n in range(5):
                 writer.write(request(cls, rid=f"r{n}"))
                 assert (await read_message(reader)).body == b"ok"
-            assert endpoint.opened == 1 and len(one.server.callers) == 1
-            assert not one.driver.calls and not one.driver.balancer.requests
+            assert endpoint.opened == 1 and one.callers == 1
+            assert not one.engine.calls and not one.engine.balancer.requests
 
     run(main())
 
@@ -120,8 +122,8 @@
         first, second = Endpoint(), Endpoint()
         async with sidecar(first, second) as one, sidecar(second, first, known=False) as other:
             other.told(second.entry("s-1"), first.entry("s-0"))
-            assert set(one.driver.balancer.endpoints) == set(other.driver.balancer.endpoints)
-            assert endpoint_number("s-0") in one.driver.balancer.endpoints
+            assert set(one.engine.balancer.endpoints) == set(other.engine.balancer.endpoints)
+            assert endpoint_number("s-0") in one.engine.balancer.endpoints
         assert endpoint_number("s-5be2a07c") == 0x850D21AD14919D0C, "the same after a restart"
 
     run(main())
@@ -132,13 +134,13 @@
         endpoint = Endpoint()
         async with sidecar(endpoint) as one:
             wall = 1_700_000_000_000_000
-            one.driver.wall_us = lambda: wall
+            vars(one.engine.clock)["wall"] = lambda: wall
             started = endpoint.entry(startedAtMs=wall // 1000 - 4_000)
-            before = Driver.now()
+            before = one.engine.now()
             one.told(started)
-            (known,) = one.driver.balancer.endpoints.values()
+            (known,) = one.engine.balancer.endpoints.values()
             boot = known.boot
-            assert before - 4_000_000 <= boot <= Driver.now() - 4_000_000
+            assert before - 4_000_000 <= boot <= one.engine.now() - 4_000_000
             wall += 3_600_000_000  # the wall clock is set: no restart
             one.told(started)
             assert known.boot == boot
@@ -209,7 +211,7 @@
             push(watch, 45, True, endpoint.entry("s-9"))
             mode, (entry,) = await told.get()
             assert (mode, entry.endpoint) == (LIST_FULL, endpoint_number("s-9"))
-            assert list(one.driver.balancer.endpoints) == [endpoint_number("s-9")]
+            assert list(one.engine.balancer.endpoints) == [endpoint_number("s-9")]
 
     run(main())
 
@@ -218,7 +220,7 @@
     modes: list[int] = []
 
     async def main() -> None:
-        async with sidecar(Endpoint()):
+        async with sidecar(Endpoint(), registry=Registry()):
             pass
 
     from woadyard.policy import Balancer
@@ -238,8 +240,9 @@
     async def main() -> None:
         registry = Registry()
         async with sidecar(Endpoint(), registry=registry) as one:
-            assert one.driver.discovery is not None
-            one.driver.discovery.silent_s = 0.05
+            source = one.engine.source
+            assert isinstance(source, Discovery)
+            source.silent_s = 0.05
             await registry.asked.get()
             start, _ = await registry.asked.get()
             assert "from=41 " in start
@@ -258,7 +261,7 @@
         b'{"generation": 43, "reset": true, "instances": [{"instanceId": 3, "lifecycle": "ready"}]}\n',
     ],
 )
-def test_a_bad_line_is_logged_and_the_watch_restarted(line: bytes, capfd: pytest.CaptureFixture[str]) -> None:
+def test_a_bad_line_is_logged_and_the_watch_restarted(line: bytes, logged: Logged) -> None:
     async def main() -> None:
         registry = Registry()
         async with sidecar(Endpoint(), registry=registry) as one:
@@ -269,7 +272,7 @@
             assert (await one.ask(request())).body == b"ok"
 
     run(main())
-    assert "bad line from discovery" in capfd.readouterr().err
+    assert "bad line from discovery" in logged()
 
 
 def test_endpoints_that_left_are_forgotten_after_the_grace() -> None:
@@ -277,11 +280,11 @@
         endpoint = Endpoint()
         async with sidecar(endpoint) as one:
             one.told()
-            (place,) = one.driver.places.values()
+            (place,) = one.engine.members.places.values()
             assert place.left_at is not None, "kept for the grace"
             place.left_at -= 500_000
             one.told(whole=False)
-            assert not one.driver.places and not one.upstream.pools
+            assert not one.engine.members.places and not one.upstream.pools
 
     run(main())
 
@@ -334,7 +337,7 @@
             assert [event.outcome for event in told] == [expected]
             assert back.start.split()[1] == str(final)
             assert len(endpoint.got) == 1
-            assert not one.driver.calls
+            assert not one.engine.calls
 
     run(main())
 
@@ -388,9 +391,9 @@
         endpoint = Endpoint(hold)
         async with sidecar(endpoint) as one:
             told = outcomes(one)
-            asked = one.driver.now()
+            asked = one.engine.now()
             back = await one.ask(request("pay", deadline_ms=80))
-            assert one.driver.now() - asked >= 80_000, "never early"
+            assert one.engine.now() - asked >= 80_000, "never early"
             assert back.start.split()[1] == "504"
             assert [(event.outcome, event.over) for event in told] == [(TIMEOUT, False)]
             await endpoint.closed.acquire()  # giving up closes the connection
@@ -404,7 +407,7 @@
             back = await one.ask(request(deadline_ms=100))
             assert back.start.split()[1] == "503"
             assert back.headers["retry-after"] == "0.040", "a 50th of the aim, as the module waits itself"
-            assert not one.driver.calls and not one.driver.balancer.requests
+            assert not one.engine.calls and not one.engine.balancer.requests
 
     run(main())
 
@@ -412,28 +415,28 @@
 def test_a_refusal_tells_when_to_come_back() -> None:
     async def main() -> None:
         async with sidecar(Endpoint()) as one:
-            vars(one.driver.balancer)["request"] = lambda now, event: [Refuse(event.request, 1_250_000)]
+            vars(one.engine.balancer)["request"] = lambda now, event: [Refuse(event.request, 1_250_000)]
             back = await one.ask(request())
             assert back.start.split()[1] == "503" and back.headers["retry-after"] == "1.250"
 
     run(main())
 
 
-def test_a_fault_of_the_module_is_answered_and_survived(capfd: pytest.CaptureFixture[str]) -> None:
+def test_a_fault_of_the_module_is_answered_and_survived(logged: Logged) -> None:
     async def main() -> None:
         async with sidecar(Endpoint()) as one:
-            real = one.driver.balancer.request
+            real = one.engine.balancer.request
 
             def broken(now: int, event: object) -> list[Action]:
                 raise RuntimeError("broken")
 
-            vars(one.driver.balancer)["request"] = broken
+            vars(one.engine.balancer)["request"] = broken
             assert (await one.ask(request())).start.split()[1] == "500"
-            vars(one.driver.balancer)["request"] = real
+            vars(one.engine.balancer)["request"] = real
             assert (await one.ask(request())).body == b"ok"
 
     run(main())
-    assert "broken" in capfd.readouterr().err
+    assert "broken" in logged()
 
 
 def test_the_client_that_leaves_calls_its_attempt_off() -> None:
@@ -447,7 +450,7 @@
             writer.close()
             await endpoint.closed.acquire()
             assert [(event.outcome, event.over) for event in told] == [(CANCELLED, True)]
-            assert not one.driver.calls and not one.driver.balancer.requests
+            assert not one.engine.calls and not one.engine.balancer.requests
 
     run(main())
 
@@ -461,18 +464,17 @@
             told = outcomes(one)
             asked = asyncio.create_task(one.ask(request("pay", deadline_ms=4000)))
             await endpoint.arrived.acquire()
-            ((_, call),) = one.driver.calls.items()
+            ((_, call),) = one.engine.calls.items()
             (attempt,) = call.attempts
-            place = one.driver.places[attempt.endpoint]
-            now = one.driver.now()
-            assert one.driver.may_start(attempt, now)
-            assert not one.driver.may_start(attempt, call.expires)
+            place = one.engine.members.places[attempt.endpoint]
+            now = one.engine.now()
+            assert one.engine.may_start(attempt, now)
+            assert not one.engine.may_start(attempt, call.expires)
             place.left_at = now - 499_000
-            assert one.driver.may_start(attempt, now)
+            assert one.engine.may_start(attempt, now)
             place.left_at = now - 500_000
-            assert not one.driver.may_start(attempt, now)
-            link = attempt.link
-            assert link is not None
+            assert not one.engine.may_start(attempt, now)
+            link = one.upstream.carrying[attempt]
             link.write()  # as a connect that took so long would
             assert [event.outcome for event in told] == [MOOT] and len(endpoint.got) == 1
             asked.cancel()
@@ -484,7 +486,7 @@
     async def main() -> None:
         endpoints = [Endpoint(status(503, "X-Not-Run: 1\r\n")) for _ in range(4)]
         async with sidecar(*endpoints) as one:
-            one.driver.settings = replace(one.driver.settings, max_attempts=2)
+            one.engine.settings = replace(one.engine.settings, max_attempts=2)
             told = outcomes(one)
             await one.ask(request("pay"))
             assert sum(len(endpoint.got) for endpoint in endpoints) == 2
@@ -498,8 +500,8 @@
         async with sidecar() as one:
             fired: asyncio.Queue[int] = asyncio.Queue()
             for delay in (1, 400, 1_499, 2_501, 7_777):
-                due = one.driver.now() + delay
-                one.driver.at(due, lambda due: fired.put_nowait(one.driver.now() - due), due)
+                due = one.engine.now() + delay
+                one.engine.clock.at(due, lambda due: fired.put_nowait(one.engine.now() - due), due)
             for _ in range(5):
                 assert await fired.get() >= 0
 
@@ -572,7 +574,7 @@
             one.told(first.entry("s-0"), second.entry("s-1"))
             assert one.upstream.pools[endpoint_number("s-0")].idle
             one.told(second.entry("s-1", lifecycle="ready"), whole=False)
-            vars(one.driver.balancer)["_pick"] = lambda now, req: one.driver.balancer.endpoints[
+            vars(one.engine.balancer)["_pick"] = lambda now, req: one.engine.balancer.endpoints[
                 endpoint_number("s-1")
             ]
             assert (await one.ask(request(rid="r2"))).body == b"ok"
@@ -628,7 +630,7 @@
         async with sidecar(endpoint) as one:
             back = await one.ask(request("pay", deadline_ms=0))
             assert back.start.split()[1] in ("503", "504")
-            assert not endpoint.got and not one.driver.calls and not one.driver.balancer.requests
+            assert not endpoint.got and not one.engine.calls and not one.engine.balancer.requests
 
     run(main())
 
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -1,84 +1,49 @@
-"""One real sidecar: reads its configuration, wires the parts, heeds SIGTERM and SIGHUP."""
+"""The command: `run` (also with no word), `check`, `demo`. Wiring and signals of the daemon."""
 
 from __future__ import annotations
 
 import asyncio
 import gc
-import json
 import os
 import signal
 import sys
-from dataclasses import dataclass
-from typing import Any
+from collections.abc import Sequence
 
-import uvloop
-
-from woadyard.interface import Settings
-from woadyard.net.discovery import Discovery
-from woadyard.net.driver import Driver, Names
+from woadyard.engine import Engine, LoopClock
+from woadyard.engine.given import GivenMembers
+from woadyard.engine.ports import MemberSource
+from woadyard.net.discovery import LIST_PATH, Discovery
 from woadyard.net.message import log, unblock_log
 from woadyard.net.server import Server
 from woadyard.net.upstream import Upstream
-from woadyard.wire import WireError, read_settings
-
-LIST_PATH = "/registry/instances"
-SOCKETS_DEFAULT = 1024
-# Descriptors for the listener, the watch, the loop and standard streams.
-SOCKETS_APART = 24
-
-
-class ConfigError(Exception):
-    """The configuration can't be used; the text says why, on one line."""
-
+from woadyard.settings import Config, ConfigError, read_platform
 
-@dataclass(frozen=True)
-class Config:
-    listen: tuple[str, int]
-    discovery: str
-    seed: int
-    sockets: int
-    settings: Settings
-    names: Names
-    drain_grace_us: int
-    known: dict[str, Any] | None
-
-
-def address(text: Any) -> tuple[str, int]:
-    host, _, port = str(text).rpartition(":")
-    if not host or not port.isdigit() or int(port) > 65535:
-        raise ConfigError(f"no address: {text!r}")
-    return host, int(port)
+USAGE = """usage: laurelstep [run] [--operator FILE]   one sidecar, told by LB_CONFIG or by FILE
+       laurelstep check FILE...            check configurations: .toml is the operator's form
+       laurelstep demo [--seconds N] [--json]   a small world on loopback, with a live table
+"""
 
 
 def read_config(environ: dict[str, str]) -> Config:
-    path = environ.get("LB_CONFIG")
-    if not path:
-        raise ConfigError("LB_CONFIG is not set")
-    try:
-        with open(path, "rb") as file:
-            raw = json.load(file)
-        settings = read_settings(json.dumps(raw["settings"]).encode())
-        rules = raw["settings"].get("invariants", {})
-        known = raw.get("known")
-        if known is not None and not (isinstance(known["instances"], list) and int(known["generation"]) >= 0):
-            raise ConfigError("known is no list of endpoints")
-        discovery = str(environ.get("LB_DISCOVERY") or raw["discovery"])
-        address(discovery)
-        return Config(
-            listen=address(environ.get("LB_LISTEN") or raw["listen"]),
-            discovery=discovery,
-            seed=int(str(raw.get("seed", "0")), 16),
-            sockets=int(raw.get("limits", {}).get("sockets", SOCKETS_DEFAULT)),
-            settings=settings,
-            names=Names(raw["settings"], settings),
-            drain_grace_us=int(rules.get("drain-grace-us", 0)),
-            known=known,
-        )
-    except (OSError, ValueError, KeyError, TypeError, AttributeError, RecursionError, WireError) as error:
-        raise ConfigError(f"{path}: {type(error).__name__}: {error}") from None
-
-
-def reload(environ: dict[str, str], discovery: Discovery) -> None:
+    """The platform's configuration where there is one; else the operator's file alone."""
+    operator_path = environ.get("LB_OPERATOR")
+    if not operator_path:
+        return read_platform(environ)
+    # Imported when asked for: the platform's own form needs no further library.
+    from woadyard.settings.operator import read_operator
+
+    operator = read_operator(operator_path)
+    if not environ.get("LB_CONFIG"):
+        config = operator.config(operator_path)
+        if config.listen is None:
+            raise ConfigError(f"{operator_path}: deployment.listen: expected host:port for a daemon")
+        return config
+    if operator.deployment is not None:
+        raise ConfigError(f"{operator_path}: deployment: expected none where LB_CONFIG is set")
+    return read_platform(environ)
+
+
+def reload(environ: dict[str, str], source: MemberSource) -> None:
     """SIGHUP: what the file now says of discovery holds, also against the
     environment of the start; a file that can't be used changes nothing."""
     try:
@@ -86,50 +51,103 @@
     except ConfigError as error:
         log(f"not reloaded: {error}")
     else:
-        discovery.move(config.discovery)
+        if isinstance(source, Discovery) and config.discovery is not None:
+            source.move(config.discovery)
 
 
 async def serve(config: Config, environ: dict[str, str]) -> None:
     loop = asyncio.get_running_loop()
-    # Each side has its half of the descriptors: a crowd of callers must not leave
-    # none for endpoints, nor the other way round.
-    most = max(16, min(config.sockets, SOCKETS_DEFAULT) - SOCKETS_APART) // 2
+    most = config.side_sockets
     settings = config.settings
-    upstream = Upstream(loop, Driver.now, settings.idle_us, settings.connect_timeout_us, most)
-    driver = Driver(loop, config.seed, settings, config.names, upstream, config.drain_grace_us)
-    discovery = Discovery(loop, config.discovery, LIST_PATH, not settings.asks_discovery, driver.listed)
-    driver.discovery = discovery
+    clock = LoopClock(loop)
+    upstream = Upstream(loop, clock.now, settings.idle_us, settings.connect_timeout_us, most)
+    source: Discovery | GivenMembers = GivenMembers()
+    if config.discovery is not None:
+        source = Discovery(loop, config.discovery, LIST_PATH, not settings.asks_discovery, log)
+    engine = Engine(clock, config.seed, settings, config.names, upstream, source, config.drain_grace_us, log)
     try:
-        driver.start(config.known)
+        if isinstance(source, GivenMembers):
+            engine.start()
+            source.give(config.known["instances"] if config.known else ())
+        else:
+            engine.start(config.known)
     except ValueError as error:
         raise ConfigError(f"known: {error}") from None
-    server = Server(driver, most)
+    server = Server(loop, engine, most, upstream.retire)
+    assert config.listen is not None
     try:
         await server.listen(*config.listen)
     except OSError as error:
         raise ConfigError(f"can't listen: {error}") from None
     ended = asyncio.Event()
-    loop.add_signal_handler(signal.SIGHUP, reload, environ, discovery)
+    loop.add_signal_handler(signal.SIGHUP, reload, environ, source)
     loop.add_signal_handler(signal.SIGTERM, server.stop, ended.set)
     loop.add_signal_handler(signal.SIGINT, server.stop, ended.set)
     await ended.wait()
-    discovery.close()
+    source.close()
     upstream.close()
 
 
-def main() -> int:
+def run(arguments: Sequence[str]) -> int:
+    environ = dict(os.environ)
+    if arguments[:1] == ["--operator"] and len(arguments) == 2:
+        environ["LB_OPERATOR"] = arguments[1]
+    elif arguments:
+        sys.stderr.write(USAGE)
+        return 2
+    import uvloop
+
     unblock_log()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     # What stands now stays: the collector need not walk it again.
     gc.set_threshold(5_000, 10, 10)
     gc.freeze()
-    environ = dict(os.environ)
+    uvloop.run(serve(read_config(environ), environ))
+    return 0
+
+
+def check(paths: Sequence[str]) -> int:
+    """One line for each file; 2 if one of them can't be used."""
+    from woadyard.settings import read_file
+    from woadyard.settings.operator import read_operator
+
+    if not paths:
+        sys.stderr.write(USAGE)
+        return 2
+    failed = 0
+    for path in paths:
+        try:
+            if path.endswith(".toml"):
+                read_operator(path)
+            else:
+                read_file(path)
+            print(f"{path}: ok")
+        except ConfigError as error:
+            log(str(error))
+            failed = 2
+    return failed
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    words = list(sys.argv[1:] if arguments is None else arguments)
     try:
-        uvloop.run(serve(read_config(environ), environ))
+        match words:
+            case ["check", *paths]:
+                return check(paths)
+            case ["demo", *rest]:
+                from woadyard.demo import main as demo
+
+                return demo(rest)
+            case ["run", *rest]:
+                return run(rest)
+            case ["-h" | "--help"]:
+                sys.stdout.write(USAGE)
+                return 0
+            case _:
+                return run(words)
     except ConfigError as error:
         log(str(error))
         return 2
-    return 0
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/woadyard/engine/__init__.py
@@ -0,0 +1,29 @@
+"""The engine: drives one `Balancer` on a clock. Requests come in, attempts go out, and
+each request gets exactly one final answer. It knows no HTTP caller, no ASGI and no
+subsystem; what it works with is named in `woadyard.engine.ports`."""
+
+from woadyard.engine.call import Answer, Attempt, Call, Ending, Headers
+from woadyard.engine.clock import LoopClock
+from woadyard.engine.engine import Engine
+from woadyard.engine.members import endpoint_number
+from woadyard.engine.names import Names
+from woadyard.engine.ports import Clock, Front, Handle, Log, MemberSink, MemberSource, Upstream
+
+__all__ = [
+    "Answer",
+    "Attempt",
+    "Call",
+    "Clock",
+    "Ending",
+    "Engine",
+    "Front",
+    "Handle",
+    "Headers",
+    "Log",
+    "LoopClock",
+    "MemberSink",
+    "MemberSource",
+    "Names",
+    "Upstream",
+    "endpoint_number",
+]
--- /dev/null
+++ b/woadyard/engine/engine.py
@@ -0,0 +1,267 @@
+"""Drives one `Balancer` in real time: clock, timers, ids, and its actions.
+
+It translates and obeys. What happens is told to the module as one event at a
+time, and the actions that come back are carried out in their order; events
+that an action brings about wait until the present one is done.
+
+The steps of a request, each by its name here: `take` (before the module is told),
+`_send` (an attempt is about to be sent), `ended` (its one outcome), `_answer` (the
+final answer leaves), `gone` (its client left). Lists come by `listed`.
+"""
+
+from __future__ import annotations
+
+import traceback
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+from typing import Any
+
+from woadyard.engine.call import Answer, Attempt, Call, Ending
+from woadyard.engine.members import Members
+from woadyard.engine.names import Names
+from woadyard.engine.ports import Clock, Log, MemberSource, Upstream
+from woadyard.interface import (
+    CANCELLED,
+    LIST_CACHED,
+    LIST_DELTA,
+    LIST_FAILED,
+    LIST_FULL,
+    MOOT,
+    OK,
+    TIMEOUT,
+    Action,
+    Arrival,
+    Cancel,
+    Close,
+    Fail,
+    Fetch,
+    Outcome,
+    Refuse,
+    Send,
+    Settings,
+    Timer,
+    Watch,
+)
+from woadyard.interface import (
+    Log as LogLine,
+)
+from woadyard.policy import Balancer
+
+Method = Callable[..., list[Action]]
+
+
+class Engine:
+    """One copy of the balancer with all that it holds.
+
+    `known` of `start` and the lists of `source` are in discovery's form. Every call
+    handed to `take` gets one answer through its front by its `expires`, unless `gone`
+    is called first.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        seed: int,
+        settings: Settings,
+        names: Names,
+        upstream: Upstream,
+        source: MemberSource,
+        drain_grace_us: int,
+        log: Log,
+    ) -> None:
+        self.clock = clock
+        self.now = clock.now
+        self.settings = settings
+        self.names = names
+        self.upstream = upstream
+        self.source = source
+        self.log = log
+        # The module's view of resting connections is to be that of the sockets.
+        self.balancer = Balancer(seed, replace(settings, idle_us=upstream.idle_us))
+        self.members = Members(clock, names, upstream, drain_grace_us)
+        self.calls: dict[int, Call] = {}
+        self.open_names: set[bytes] = set()  # the ids of the requests that are open
+        self.next_id = 0
+        self.events: deque[tuple[Method, tuple[Any, ...], Call | None]] = deque()
+        self.telling = False
+
+    # --- Events -------------------------------------------------------------------
+
+    def start(self, known: dict[str, Any] | None = None) -> None:
+        """ValueError if the known list can't be read."""
+        self.source.start(self, int(known["generation"]) if known else 0)
+        self._tell(self.balancer.start)
+        if known is not None:
+            self._list(LIST_CACHED, known["instances"])
+
+    def _tell(self, method: Method, *args: Any, call: Call | None = None) -> None:
+        self.events.append((method, args, call))
+        if self.telling:
+            return
+        self.telling = True
+        try:
+            while self.events:
+                self._step(*self.events.popleft())
+        finally:
+            self.telling = False
+
+    def _step(self, method: Method, args: tuple[Any, ...], call: Call | None) -> None:
+        try:
+            for action in method(self.now(), *args):
+                self._do(action)
+        except Exception:
+            # Guards the process and its callers against a fault of the module.
+            self.log(traceback.format_exc().rstrip())
+            self.balancer.out.clear()
+            if call is not None and call.open:
+                self._answer(call, Answer(Ending.FAILED, 500))
+
+    # --- Members ------------------------------------------------------------------
+
+    def listed(self, version: int, whole: bool, entries: Sequence[Any]) -> None:
+        self._list(LIST_FULL if whole else LIST_DELTA, entries)
+
+    def list_failed(self) -> None:
+        self._tell(self.balancer.members, LIST_FAILED, ())
+
+    def _list(self, mode: int, raw: Sequence[Any]) -> None:
+        entries = self.members.apply(mode != LIST_DELTA, raw)
+        self._tell(self.balancer.members, mode, entries)
+
+    # --- Requests -----------------------------------------------------------------
+
+    def take(self, call: Call) -> None:
+        """Take a request. Its front may be answered before this returns."""
+        self.next_id += 1
+        call.id = self.next_id
+        self.calls[call.id] = call
+        self.open_names.add(call.name)
+        call.timer = self.clock.at(call.expires, self._expire, call)
+        event = Arrival(call.id, call.cls, call.expires, call.tenant, call.key, call.work_us, call.repeated)
+        self._tell(self.balancer.request, event, call=call)
+
+    def gone(self, call: Call) -> None:
+        """The client left: nothing more is owed. Nothing happens if it was answered."""
+        if call.open:
+            self._over(call)
+            self._tell(self.balancer.gone, call.id)
+
+    def _expire(self, call: Call) -> None:
+        """The client's deadline: what is out timed out, and the module answers."""
+        for attempt in call.attempts:
+            if attempt.out:
+                self._time_out(attempt)
+        if call.open:  # guards the caller should the module have held it to the end
+            self._answer(call, Answer(Ending.FAILED, 504))
+            self._tell(self.balancer.gone, call.id)
+
+    def _answer(self, call: Call, answer: Answer) -> None:
+        self._over(call)
+        call.front.answered(call, answer)
+
+    def _over(self, call: Call) -> None:
+        call.open = False
+        self.open_names.discard(call.name)
+        if call.timer is not None:
+            call.timer.cancel()
+            call.timer = None
+        self._forget(call)
+
+    def _forget(self, call: Call) -> None:
+        if not call.open and not any(attempt.out for attempt in call.attempts):
+            self.calls.pop(call.id, None)
+            call.attempts.clear()  # each holds the call: the cycle ends here
+
+    # --- Attempts -----------------------------------------------------------------
+
+    def may_start(self, attempt: Attempt, now: int) -> bool:
+        if not attempt.call.open or now >= attempt.until:
+            return False
+        return self.members.may_receive(attempt.endpoint, now)
+
+    def _send(self, action: Send) -> None:
+        call = self.calls.get(action.request)
+        if call is None:
+            return
+        now = self.now()
+        until = min(call.expires, now + action.timeout_us) if action.timeout_us else call.expires
+        attempt = Attempt(self, call, len(call.attempts), action.endpoint, now, until)
+        call.attempts.append(attempt)
+        if attempt.copy >= self.settings.max_attempts or not self.may_start(attempt, now):
+            self.ended(attempt, MOOT, None, b"")
+            return
+        call.tried += 1
+        call.endpoint = self.members.places[attempt.endpoint].name
+        if attempt.until < call.expires:
+            attempt.timer = self.clock.at(attempt.until, self._time_out, attempt)
+        self.upstream.send(attempt)
+
+    def _time_out(self, attempt: Attempt) -> None:
+        if attempt.out:
+            self.upstream.cancel(attempt)
+            self.ended(attempt, TIMEOUT, None, b"")
+
+    def ended(self, attempt: Attempt, outcome: int, answer: Answer | None, load: bytes) -> None:
+        """The one outcome of an attempt."""
+        if not attempt.out:
+            return
+        attempt.out = False
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+            attempt.timer = None
+        call = attempt.call
+        if outcome == OK and answer is not None and call.open:
+            self._answer(call, answer)
+        event = Outcome(
+            request=call.id,
+            copy=attempt.copy,
+            endpoint=attempt.endpoint,
+            outcome=outcome,
+            delay_us=self.now() - attempt.sent,
+            over=not call.open,
+            report=self.names.report(load),
+        )
+        self._tell(self.balancer.outcome, event, call=call)
+        self._forget(call)
+
+    # --- Actions ------------------------------------------------------------------
+
+    def _do(self, action: Action) -> None:
+        match action:
+            case Send():
+                self._send(action)
+            case Timer(token, delay_us):
+                self.clock.at(self.now() + delay_us, self._fired, token)
+            case Refuse(request, after_us):
+                if (call := self._open_call(request)) is not None:
+                    self._answer(call, Answer(Ending.REFUSED, 503, retry_after_us=after_us))
+            case Fail(request):
+                if (call := self._open_call(request)) is not None:
+                    status = 504 if self.now() >= call.expires else 502
+                    self._answer(call, Answer(Ending.FAILED, status))
+            case Cancel(request, copy):
+                self._cancel(request, copy)
+            case Close(endpoint):
+                self.upstream.free(endpoint)
+            case Watch(on):
+                self.source.watch(on)
+            case Fetch():
+                self.source.fetch()
+            case LogLine(text):
+                self.log(text)
+            case _:
+                raise TypeError(f"{action!r} is not of this deployment")
+
+    def _cancel(self, request: int, copy: int) -> None:
+        call = self.calls.get(request)
+        if call is not None and call.attempts[copy].out:
+            self.upstream.cancel(call.attempts[copy])
+            self.ended(call.attempts[copy], CANCELLED, None, b"")
+
+    def _open_call(self, request: int) -> Call | None:
+        call = self.calls.get(request)
+        return call if call is not None and call.open else None
+
+    def _fired(self, token: int) -> None:
+        self._tell(self.balancer.timer, token)
--- /dev/null
+++ b/woadyard/engine/members.py
@@ -0,0 +1,135 @@
+"""The endpoints that this copy was told of: entries read, starts dated, drains timed.
+
+Rules that everything here serves:
+
+1. A list is read whole before any of it is used; a bad entry loses nothing of the state.
+2. An endpoint told draining or gone, or left out of a whole list, gets nothing new once
+   the drain grace is over, counted from the first time it was told.
+3. A new start or address inherits no connection of the old one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from hashlib import blake2b
+from typing import Any
+
+from woadyard.engine.names import Names
+from woadyard.engine.ports import Clock, Upstream
+from woadyard.interface import DRAINING, GONE, READY, Entry
+
+PHASES = {"ready": READY, "draining": DRAINING, "gone": GONE}
+
+
+def endpoint_number(instance: str) -> int:
+    """From the name alone, so that all sidecars sort and group alike, and do
+    so after a restart; 64 bits, so that two hardly ever meet."""
+    return int.from_bytes(blake2b(instance.encode(), digest_size=8).digest(), "big")
+
+
+class Place:
+    """What is kept of one listed endpoint."""
+
+    __slots__ = ("address", "boot", "left_at", "name", "started_ms")
+
+    def __init__(self, name: str, address: str, started_ms: int, boot: int) -> None:
+        self.name = name
+        self.address = address
+        self.started_ms = started_ms
+        self.boot = boot
+        self.left_at: int | None = None  # told draining or gone
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Host and port; ValueError if there are none."""
+    host, _, port = address.rpartition(":")
+    if not host or not 0 < int(port) < 65536:
+        raise ValueError(f"no address: {address}")
+    return host, int(port)
+
+
+class Members:
+    def __init__(self, clock: Clock, names: Names, upstream: Upstream, drain_grace_us: int) -> None:
+        self.clock = clock
+        self.names = names
+        self.upstream = upstream
+        self.drain_grace_us = drain_grace_us
+        self.places: dict[int, Place] = {}
+
+    def may_receive(self, endpoint: int, now: int) -> bool:
+        place = self.places.get(endpoint)
+        if place is None:
+            return False
+        return place.left_at is None or now < place.left_at + self.drain_grace_us
+
+    def apply(self, whole: bool, raw: Sequence[Any]) -> list[Entry]:
+        """Take a list in discovery's form and give its entries for the module;
+        ValueError if it can't be read, with nothing changed."""
+        try:
+            read = [self._entry(one) for one in raw]
+        except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as error:
+            raise ValueError(f"no entry: {error!r}") from None
+        now = self.clock.now()
+        self._forget(now)
+        if whole:  # it replaces: what it leaves out is gone
+            named = {entry.endpoint for entry, _ in read}
+            for number, place in self.places.items():
+                if number not in named:
+                    self._leave(now, number, place)
+        for entry, place in read:
+            self._place(now, entry, place)
+        return [entry for entry, _ in read]
+
+    def _forget(self, now: int) -> None:
+        """Guards memory where endpoints come and go: past the grace nothing may start there."""
+        left = [(n, one.left_at) for n, one in self.places.items() if one.left_at is not None]
+        for number, left_at in left:
+            if now >= left_at + self.drain_grace_us:
+                del self.places[number]
+
+    def _entry(self, raw: dict[str, Any]) -> tuple[Entry, Place]:
+        name = raw["instanceId"]
+        number = endpoint_number(name)
+        phase = PHASES[raw["lifecycle"]]
+        address = str(raw.get("hostPort", ""))
+        started_ms = int(raw.get("startedAtMs", 0))
+        if phase == READY:
+            split_address(address)
+        old = self.places.get(number)
+        # Converted once: a clock that is set must not feign a restart.
+        same = old is not None and old.started_ms == started_ms
+        boot = old.boot if old is not None and same else self._boot(started_ms)
+        entry = Entry(
+            endpoint=number,
+            phase=phase,
+            boot=boot,
+            rating=float(raw.get("weight", 1.0)),
+            cell=int(raw.get("cell", 0)),
+            zone=self.names.zones.get(raw.get("zone", ""), 0),
+            kind=self.names.kinds.get(raw.get("machineType", ""), 0),
+        )
+        return entry, Place(name, address, started_ms, boot)
+
+    def _boot(self, started_ms: int) -> int:
+        """Wall time of a start on the module's clock, which is monotonic."""
+        if started_ms <= 0:
+            return 0
+        boot = self.clock.now() - (self.clock.wall() - started_ms * 1000)
+        return boot or 1  # 0 would mean long ago
+
+    def _place(self, now: int, entry: Entry, place: Place) -> None:
+        number = entry.endpoint
+        old = self.places.get(number)
+        if entry.phase != READY:
+            if old is not None:
+                self._leave(now, number, old)
+            return
+        self.places[number] = place
+        same = old is not None and old.left_at is None
+        if old is None or not same or (old.address, old.started_ms) != (place.address, place.started_ms):
+            self.upstream.place(number, *split_address(place.address))
+
+    def _leave(self, now: int, number: int, place: Place) -> None:
+        if place.left_at is None:
+            place.left_at = now
+            self.upstream.remove(number)
--- /dev/null
+++ b/woadyard/engine/names.py
@@ -0,0 +1,44 @@
+"""Numbers of the names that travel on the sockets."""
+
+from __future__ import annotations
+
+from math import nan
+from typing import Any
+
+from woadyard.interface import BUSY, ERROR_RATE, HELD, LATENCY_MS, SERVED_RATE, WAITING, Settings
+
+# Load-report names on the socket; those of the settings may differ.
+REPORT_NAMES = {
+    "inflight": HELD,
+    "queue": WAITING,
+    "util": BUSY,
+    "latency_ms": LATENCY_MS,
+    "qps": SERVED_RATE,
+    "eps": ERROR_RATE,
+}
+
+
+class Names:
+    """Made from the settings object of the platform's configuration."""
+
+    def __init__(self, raw: dict[str, Any], settings: Settings) -> None:
+        self.classes = {str(entry["name"]): n for n, entry in enumerate(raw["classes"])}
+        self.tenants = {str(entry["name"]): n for n, entry in enumerate(raw.get("accounts", ()))}
+        self.zones = {str(name): n for n, name in enumerate(raw.get("zones", ()))}
+        self.kinds = {str(name): n for n, name in enumerate(raw.get("kinds", ()))}
+        self.fields = {name: at for at, name in enumerate(settings.report_fields)}
+
+    def report(self, raw: bytes) -> list[float] | None:
+        """A load report in the settings' order; what can't be read is left out."""
+        if not raw or not self.fields:
+            return None
+        values = [nan] * len(self.fields)
+        for part in raw.split(b","):
+            name, _, value = part.decode("latin-1").strip().partition("=")
+            at = self.fields.get(REPORT_NAMES.get(name, name))
+            if at is not None:
+                try:
+                    values[at] = float(value)
+                except ValueError:
+                    continue
+        return values
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -4,23 +4,20 @@
 
 import asyncio
 import json
-from collections.abc import Callable
-from typing import Any, cast
+from typing import cast
 
 import httptools
 
-from woadyard.net.message import log
+from woadyard.engine.ports import Log, MemberSink
 
 # While nothing changes an empty line comes every 2 s: after two missed ones the
 # watch is taken for dead, as a network that is cut off says nothing.
 SILENT_S = 5.0
 RETRY_S, RETRY_MOST_S = 0.1, 2.0
 CONNECT_S = 2.0
+LIST_PATH = "/registry/instances"
 LINE_MAX = 16 * 1024 * 1024
 
-# Takes one list (version, whether it is whole, entries); ValueError if it is bad.
-Listen = Callable[[int, bool, list[dict[str, Any]]], None]
-
 
 class Stream(asyncio.Protocol):
     """One answer of discovery: a watch, or one whole list."""
@@ -48,7 +45,7 @@
             self.parser.feed_data(data)
             self._read()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as error:
-            log(f"bad line from discovery: {error}")
+            self.owner.log(f"bad line from discovery: {error}")
             self.fail()
 
     def on_body(self, data: bytes) -> None:
@@ -87,26 +84,46 @@
 
 
 class Discovery:
+    """Lists over HTTP, as the engine's source of members.
+
+    `pushed`: the watch is kept open from the start on, and opened anew when it ends.
+    Otherwise it is opened, and lists are fetched, when the engine says so.
+    """
+
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, address: str, path: str, pushed: bool, listen: Listen
+        self, loop: asyncio.AbstractEventLoop, address: str, path: str, pushed: bool, log: Log
     ) -> None:
-        self.loop, self.address, self.path, self.pushed = loop, address, path, pushed
-        self.listen = listen
-        self.on_failed: Callable[[], None] = lambda: None
+        self.loop = loop
+        self.address = address
+        self.path = path
+        self.pushed = pushed
+        self.log = log
+        self.sink: MemberSink | None = None
         self.generation = 0
         self.stream: Stream | None = None  # the watch
-        self.retry_s, self.silent_s = RETRY_S, SILENT_S
+        self.checking: asyncio.TimerHandle | None = None
+        self.retry_s = RETRY_S
+        self.silent_s = SILENT_S
         self.tasks: set[asyncio.Task[None]] = set()
         self.closed = False
 
+    def start(self, sink: MemberSink, generation: int) -> None:
+        self.sink = sink
+        self.generation = generation
+        if self.pushed:
+            self.watch(True)
+
     def watch(self, on: bool) -> None:
         if self.stream is not None:
             self.stream.stop()
             self.stream = None
+        if self.checking is not None:
+            self.checking.cancel()
+            self.checking = None
         if on and not self.closed:
             target = f"{self.path}?watch=1&from={self.generation}"
             self.stream = self._ask(target, watch=True)
-            self.loop.call_later(self.silent_s, self._check, self.stream)
+            self.checking = self.loop.call_later(self.silent_s, self._check, self.stream)
 
     def move(self, address: str) -> None:
         """Watch at another address, from now on and from the start: the versions
@@ -139,7 +156,7 @@
             return
         left = stream.heard + self.silent_s - self.loop.time()
         if left > 0.0:
-            self.loop.call_later(left, self._check, stream)
+            self.checking = self.loop.call_later(left, self._check, stream)
         else:
             stream.fail()
 
@@ -152,16 +169,16 @@
             raise ValueError(f"no list: {error!r}") from None
         if not isinstance(entries, list):
             raise ValueError("instances is no list")
-        if whole or version >= self.generation:
-            self.listen(version, whole, entries)
+        if self.sink is not None and (whole or version >= self.generation):
+            self.sink.listed(version, whole, entries)
             self.generation = version
         self.retry_s = RETRY_S
 
     def lost(self, stream: Stream) -> None:
-        if self.closed:
+        if self.closed or self.sink is None:
             return
         if not self.pushed:
-            self.on_failed()  # the module says when to ask again
+            self.sink.list_failed()  # the module says when to ask again
         elif stream is self.stream:
             self.loop.call_later(self.retry_s, self._again, stream)
             self.retry_s = min(RETRY_MOST_S, 2.0 * self.retry_s)
@@ -173,3 +190,10 @@
     def close(self) -> None:
         self.closed = True
         self.watch(False)
+        for task in self.tasks:
+            task.cancel()
+
+    async def wait_closed(self) -> None:
+        """After `close`: until no task is left."""
+        if self.tasks:
+            await asyncio.wait(set(self.tasks))
--- a/woadyard/net/message.py
+++ b/woadyard/net/message.py
@@ -1,4 +1,4 @@
-"""What the HTTP sides share: limits, header rules, one sweep, and the messages themselves."""
+"""What the HTTP sides share: limits, header rules, one sweep, and the log."""
 
 from __future__ import annotations
 
@@ -6,18 +6,20 @@
 import os
 import stat
 import sys
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, Generic, TypeVar
 
+from woadyard.engine.call import Headers
+
 if TYPE_CHECKING:
     from asyncio import AbstractEventLoop, TimerHandle
 
-    from woadyard.net.upstream import Attempt
-
 BODY_MAX = HEAD_MAX = 64 * 1024
 # All of one message with its framing; guards against chunks that are mostly framing.
 MESSAGE_MAX = HEAD_MAX + 2 * BODY_MAX
+# A request must be whole so long after its connection came or its first byte: guards
+# descriptors and memory against callers that say nothing or never end.
+READ_S = 2.2
 # What an endpoint needs of a request, and a caller of an answer, beside what is
 # set anew on each side. Whatever else a socket brings ends here.
 REQUEST_HEADERS = frozenset(
@@ -25,7 +27,6 @@
      b"idempotency-key", b"content-type", b"content-encoding")
 )  # fmt: skip
 ANSWER_HEADERS = frozenset((b"content-type", b"content-encoding"))
-Headers = list[tuple[bytes, bytes]]  # names in lower case
 
 
 def log(text: str) -> None:
@@ -42,9 +43,9 @@
             os.set_blocking(sys.stderr.fileno(), False)
 
 
-def pass_on(headers: Headers, named: frozenset[bytes]) -> bytes:
-    """The lines of the headers that travel end to end."""
-    return b"".join(b"%b: %b\r\n" % pair for pair in headers if pair[0] in named)
+def lines(headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """Header lines as they are written."""
+    return b"".join(b"%b: %b\r\n" % pair for pair in headers)
 
 
 def single(headers: Headers, once: frozenset[bytes]) -> dict[bytes, bytes]:
@@ -86,6 +87,13 @@
         self.since: dict[T, float] = {}
         self.timer: TimerHandle | None = None
 
+    def close(self) -> None:
+        """Forget all of them and set no timer any more."""
+        self.since.clear()
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
     def add(self, one: T) -> None:
         """Its wait starts now, unless it waits already."""
         if one not in self.since:
@@ -109,33 +117,3 @@
             del self.since[oldest]
             self.expire(oldest)
         self._arm()
-
-
-@dataclass(slots=True)
-class Answer:
-    """A final answer to a caller; `head` holds further header lines."""
-
-    status: int
-    head: bytes = b""
-    body: bytes = b""
-
-
-@dataclass(slots=True, eq=False)
-class Call:
-    """One request of a caller, taken and not yet forgotten."""
-
-    cls: int
-    expires: int  # on the driver's clock, µs
-    start: bytes  # method and target as they came
-    head: bytes  # header lines to pass on
-    body: bytes
-    answer: Callable[[Answer], None]
-    name: bytes = b""  # its X-Request-Id
-    tenant: int = 0
-    key: int = 0
-    work_us: int = 0
-    repeated: bool = False
-    id: int = 0
-    open: bool = True  # no final answer yet, and its client is there
-    attempts: list[Attempt] = field(default_factory=list)
-    timer: TimerHandle | None = None
--- /dev/null
+++ b/woadyard/net/request.py
@@ -0,0 +1,126 @@
+"""What is let in: one request's head judged, alike on every front.
+
+The rules: one well-formed id, a class that agrees with the path, the method, key and
+body of that class, one reading of the framing, no more body than is allowed. Whatever
+breaks one of them is a `BadRequestError` with the status that tells the caller so.
+"""
+
+from __future__ import annotations
+
+import re
+import zlib
+
+from woadyard.engine.call import Call, Front, Headers
+from woadyard.engine.names import Names
+from woadyard.interface import KEYED, SAFE, RequestClass, Settings
+from woadyard.net.message import BODY_MAX, REQUEST_HEADERS, body_length, lines, single
+
+MAX_U63 = 2**63
+
+# Headers that decide something: a second one would leave it open which counts.
+ONCE = frozenset(
+    (b"host", b"content-length", b"transfer-encoding", b"x-request-id", b"x-class", b"x-tenant",
+     b"x-deadline-ms", b"idempotency-key", b"x-retry", b"x-cost-hint")
+)  # fmt: skip
+TOKEN = re.compile(rb"[0-9A-Za-z._~+/=:-]{1,128}")
+# Origin form and nothing else: no second word, no control characters, no fragment.
+TARGET = re.compile(rb"/[!\"$-~]*")
+
+
+class BadRequestError(Exception):
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+def number(fields: dict[bytes, bytes], name: bytes) -> int | None:
+    raw = fields.get(name)
+    if raw is None:
+        return None
+    if not raw.isdigit() or len(raw) > 15:
+        raise BadRequestError(400, f"{name.decode()} is no number")
+    return int(raw)
+
+
+def hint(raw: bytes) -> int:
+    """A guess may be missing or unreadable; that is no reason to refuse."""
+    return int(raw) if raw.isdigit() and len(raw) <= 15 else 0
+
+
+def key_of(query: bytes) -> int:
+    """The number of what a request is about; 0 = nothing named."""
+    for part in query.split(b"&"):
+        if part.startswith(b"obj="):
+            value = part[4:]
+            try:
+                return int(value, 16) % MAX_U63 if len(value) <= 16 else zlib.crc32(value)
+            except ValueError:
+                return zlib.crc32(value)
+    return 0
+
+
+def checked(headers: Headers) -> dict[bytes, bytes]:
+    """The fields of a head whose framing has one reading and whose body is not too
+    large: judged by what it declares, before any of the body is read."""
+    try:
+        fields = single(headers, ONCE)
+        length = body_length(fields)
+    except ValueError as error:
+        raise BadRequestError(400, str(error)) from None
+    if length is not None and length > BODY_MAX:
+        raise BadRequestError(413, "the body is too large")
+    return fields
+
+
+def class_of(target: bytes, fields: dict[bytes, bytes], classes: dict[str, int]) -> int:
+    if not TARGET.fullmatch(target):
+        raise BadRequestError(400, "the target is no path")
+    name = fields.get(b"x-class", b"")
+    if target.partition(b"?")[0].split(b"/")[1] != name:
+        raise BadRequestError(400, "X-Class and the path differ")
+    cls = classes.get(name.decode("latin-1"))
+    if cls is None:
+        raise BadRequestError(404, "unknown class")
+    return cls
+
+
+def check_form(method: bytes, fields: dict[bytes, bytes], cls: RequestClass) -> None:
+    """The id, and the method, key and body that the class demands."""
+    if not TOKEN.fullmatch(fields.get(b"x-request-id", b"")):
+        raise BadRequestError(400, "X-Request-Id is missing or malformed")
+    if method != (b"GET" if cls.effect == SAFE else b"POST"):
+        raise BadRequestError(405, "not the method of this class")
+    key = fields.get(b"idempotency-key")
+    if (key is not None) != (cls.effect == KEYED) or (key is not None and not TOKEN.fullmatch(key)):
+        raise BadRequestError(400, "Idempotency-Key is not as the class demands")
+    length = body_length(fields)
+    if cls.effect == SAFE and length:
+        raise BadRequestError(400, "a GET has no body")
+    if cls.effect != SAFE and length is None:
+        raise BadRequestError(411, "Content-Length is missing")
+
+
+def call_from(
+    method: bytes, target: bytes, headers: Headers, names: Names, settings: Settings, front: Front
+) -> Call:
+    """The call that a head asks for; `expires` is still a span, which counts from the
+    request's last byte on, and the body is still to come."""
+    fields = checked(headers)
+    cls = class_of(target, fields, names.classes)
+    rules = settings.classes[cls]
+    check_form(method, fields, rules)
+    wait_ms = number(fields, b"x-deadline-ms")
+    tenant = fields.get(b"x-tenant", b"").decode("latin-1")
+    return Call(
+        cls=cls,
+        expires=rules.deadline_us if wait_ms is None else min(wait_ms * 1000, rules.deadline_us),
+        start=method + b" " + target,
+        head=lines(pair for pair in headers if pair[0] in REQUEST_HEADERS),
+        body=b"",
+        front=front,
+        name=fields[b"x-request-id"],
+        tenant=names.tenants.get(tenant, 0),
+        key=key_of(target.partition(b"?")[2]),
+        work_us=hint(fields.get(b"x-cost-hint", b"")),
+        repeated=fields.get(b"x-retry") == b"1",
+    )
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -3,37 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import re
-import zlib
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import TYPE_CHECKING, cast
+from typing import cast
 
 import httptools
 
-from woadyard.interface import KEYED, SAFE, RequestClass
-from woadyard.net.message import (
-    BODY_MAX,
-    HEAD_MAX,
-    MESSAGE_MAX,
-    REQUEST_HEADERS,
-    Answer,
-    Call,
-    Headers,
-    Sweep,
-    body_length,
-    pass_on,
-    single,
-)
-
-if TYPE_CHECKING:
-    from woadyard.net.driver import Driver
+from woadyard.engine.call import Answer, Call, Ending, Headers
+from woadyard.engine.engine import Engine
+from woadyard.net.message import BODY_MAX, HEAD_MAX, MESSAGE_MAX, READ_S, Sweep, lines
+from woadyard.net.request import BadRequestError, call_from, checked
 
 READY_PATH = b"/health/ready"
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
-# A request must be whole so long after its connection came or its first byte: guards
-# descriptors and memory against callers that say nothing or never end.
-READ_S = 2.2
 # A connection rests so long between requests at most: some callers never come back.
 REST_S = 5.0
 # How long a connection that was ended may take to read its answer before it is cut.
@@ -43,91 +25,6 @@
 # New connections come for this long after SIGTERM, and a last one gets this
 # long to bring its request.
 ACCEPT_S, LAST_S = 0.4, 0.15
-MAX_U63 = 2**63
-
-# --- What is let in -------------------------------------------------------------
-
-# Headers that decide something: a second one would leave it open which counts.
-ONCE = frozenset(
-    (b"host", b"content-length", b"transfer-encoding", b"x-request-id", b"x-class", b"x-tenant",
-     b"x-deadline-ms", b"idempotency-key", b"x-retry", b"x-cost-hint")
-)  # fmt: skip
-TOKEN = re.compile(rb"[0-9A-Za-z._~+/=:-]{1,128}")
-# Origin form and nothing else: no second word, no control characters, no fragment.
-TARGET = re.compile(rb"/[!\"$-~]*")
-
-
-class BadRequestError(Exception):
-    def __init__(self, status: int, text: str) -> None:
-        super().__init__(text)
-        self.status = status
-
-
-def number(fields: dict[bytes, bytes], name: bytes) -> int | None:
-    raw = fields.get(name)
-    if raw is None:
-        return None
-    if not raw.isdigit() or len(raw) > 15:
-        raise BadRequestError(400, f"{name.decode()} is no number")
-    return int(raw)
-
-
-def hint(raw: bytes) -> int:
-    """A guess may be missing or unreadable; that is no reason to refuse."""
-    return int(raw) if raw.isdigit() and len(raw) <= 15 else 0
-
-
-def key_of(query: bytes) -> int:
-    """The number of what a request is about; 0 = nothing named."""
-    for part in query.split(b"&"):
-        if part.startswith(b"obj="):
-            value = part[4:]
-            try:
-                return int(value, 16) % MAX_U63 if len(value) <= 16 else zlib.crc32(value)
-            except ValueError:
-                return zlib.crc32(value)
-    return 0
-
-
-def checked(headers: Headers) -> dict[bytes, bytes]:
-    """The fields of a head whose framing has one reading and whose body is not too
-    large: judged by what it declares, before any of the body is read."""
-    try:
-        fields = single(headers, ONCE)
-        length = body_length(fields)
-    except ValueError as error:
-        raise BadRequestError(400, str(error)) from None
-    if length is not None and length > BODY_MAX:
-        raise BadRequestError(413, "the body is too large")
-    return fields
-
-
-def class_of(target: bytes, fields: dict[bytes, bytes], classes: dict[str, int]) -> int:
-    if not TARGET.fullmatch(target):
-        raise BadRequestError(400, "the target is no path")
-    name = fields.get(b"x-class", b"")
-    if target.partition(b"?")[0].split(b"/")[1] != name:
-        raise BadRequestError(400, "X-Class and the path differ")
-    cls = classes.get(name.decode("latin-1"))
-    if cls is None:
-        raise BadRequestError(404, "unknown class")
-    return cls
-
-
-def check_form(method: bytes, fields: dict[bytes, bytes], cls: RequestClass) -> None:
-    """The id, and the method, key and body that the class demands."""
-    if not TOKEN.fullmatch(fields.get(b"x-request-id", b"")):
-        raise BadRequestError(400, "X-Request-Id is missing or malformed")
-    if method != (b"GET" if cls.effect == SAFE else b"POST"):
-        raise BadRequestError(405, "not the method of this class")
-    key = fields.get(b"idempotency-key")
-    if (key is not None) != (cls.effect == KEYED) or (key is not None and not TOKEN.fullmatch(key)):
-        raise BadRequestError(400, "Idempotency-Key is not as the class demands")
-    length = body_length(fields)
-    if cls.effect == SAFE and length:
-        raise BadRequestError(400, "a GET has no body")
-    if cls.effect != SAFE and length is None:
-        raise BadRequestError(411, "Content-Length is missing")
 
 
 class Caller(asyncio.Protocol):
@@ -163,7 +60,7 @@
     def _leave(self) -> None:
         call, self.call = self.call, None
         if call is not None:
-            self.server.driver.gone(call)
+            self.server.engine.gone(call)
 
     # --- Reading --------------------------------------------------------------------
 
@@ -221,49 +118,31 @@
         self.whole, self.keep = True, self.parser.should_keep_alive()
 
     def _asked(self) -> Call | Answer:
-        fields = checked(self.headers)
         method = self.parser.get_method()
         if method == b"GET" and self.target == READY_PATH:
-            return Answer(503 if self.server.stopping else 200)
-        driver = self.server.driver
-        cls = class_of(self.target, fields, driver.names.classes)
-        rules = driver.settings.classes[cls]
-        check_form(method, fields, rules)
-        wait_ms = number(fields, b"x-deadline-ms")
-        tenant = fields.get(b"x-tenant", b"").decode("latin-1")
-        return Call(
-            cls=cls,
-            # From the last byte on: until that has come it is a span.
-            expires=rules.deadline_us if wait_ms is None else min(wait_ms * 1000, rules.deadline_us),
-            start=method + b" " + self.target,
-            head=pass_on(self.headers, REQUEST_HEADERS),
-            body=b"",
-            answer=self.answer,
-            name=fields[b"x-request-id"],
-            tenant=driver.names.tenants.get(tenant, 0),
-            key=key_of(self.target.partition(b"?")[2]),
-            work_us=hint(fields.get(b"x-cost-hint", b"")),
-            repeated=fields.get(b"x-retry") == b"1",
-        )
+            checked(self.headers)
+            return Answer(Ending.FAILED, 503) if self.server.stopping else Answer(Ending.SERVED, 200)
+        engine = self.server.engine
+        return call_from(method, self.target, self.headers, engine.names, engine.settings, self)
 
     def _take(self) -> None:
         asked, body = self.asked, b"".join(self.body)
         self._begin()
         self.server.reading.discard(self)
-        driver = self.server.driver
+        engine = self.server.engine
         if isinstance(asked, Answer):
             self._write(asked)
-        elif asked is not None and asked.name in driver.names_open:
+        elif asked is not None and asked.name in engine.open_names:
             self.refuse(BadRequestError(409, "X-Request-Id is that of an open request"))
         elif asked is not None:
-            asked.expires += driver.now()
+            asked.expires += engine.now()
             asked.body = body
             self.call = asked
-            driver.take(asked)
+            engine.take(asked)
 
     # --- Writing --------------------------------------------------------------------
 
-    def answer(self, answer: Answer) -> None:
+    def answered(self, call: Call, answer: Answer) -> None:
         self.call = None
         self._write(answer)
 
@@ -272,10 +151,13 @@
             return
         keep = self.keep and not self.server.stopping
         reason = REASONS.get(answer.status, b"")
+        head = lines(answer.headers)
+        if answer.retry_after_us > 0:
+            head += b"Retry-After: %.3f\r\n" % (answer.retry_after_us / 1e6)
         close = b"" if keep else b"Connection: close\r\n"
         self.transport.write(
             b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b%b\r\n%b"
-            % (answer.status, reason, len(answer.body), answer.head, close, answer.body)
+            % (answer.status, reason, len(answer.body), head, close, answer.body)
         )
         if keep:
             self.server.resting.add(self)
@@ -326,10 +208,18 @@
 class Server:
     """The listener and its connections."""
 
-    def __init__(self, driver: Driver, most: int = 512) -> None:
-        self.driver, self.most = driver, most  # connections of callers
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        engine: Engine,
+        most: int = 512,
+        on_stop: Callable[[], None] | None = None,
+    ) -> None:
+        self.loop = loop
+        self.engine = engine
+        self.most = most  # connections of callers
+        self.on_stop = on_stop  # called when the stop begins
         self.callers: set[Caller] = set()
-        loop = driver.loop
         self.reading: Sweep[Caller] = Sweep(loop, READ_S, Caller.time_out)  # a request is owed
         self.resting: Sweep[Caller] = Sweep(loop, REST_S, Caller.close)  # between requests
         self.lingering: Sweep[Caller] = Sweep(loop, LINGER_S, Caller.cut)  # ended, not yet closed
@@ -338,8 +228,7 @@
         self.on_end: Callable[[], None] = lambda: None
 
     async def listen(self, host: str, port: int) -> int:
-        loop = self.driver.loop
-        self.listener = await loop.create_server(lambda: Caller(self), host, port, backlog=1024)
+        self.listener = await self.loop.create_server(lambda: Caller(self), host, port, backlog=1024)
         return int(self.listener.sockets[0].getsockname()[1])
 
     def joined(self, caller: Caller) -> None:
@@ -382,8 +271,9 @@
         self.stopping, self.on_end = True, on_end
         for caller in list(self.resting.since):
             caller.close()
-        self.driver.upstream.retire()
-        self.driver.loop.call_later(ACCEPT_S + LAST_S, self._stop_listening)
+        if self.on_stop is not None:
+            self.on_stop()
+        self.loop.call_later(ACCEPT_S + LAST_S, self._stop_listening)
 
     def _stop_listening(self) -> None:
         """No request begins any more: half-sent ones and silent callers keep nothing up."""
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -1,7 +1,7 @@
 """Attempts at endpoints and the connections that carry them.
 
 It opens, reuses and drops connections and reports one outcome for each
-attempt. Whether an attempt may still start is asked of the driver at the
+attempt. Whether an attempt may still start is asked of the attempt at the
 moment of writing; a broken connection is never tried again from here.
 """
 
@@ -14,18 +14,15 @@
 
 import httptools
 
+from woadyard.engine.call import Answer, Attempt, Ending, Headers
 from woadyard.interface import ERROR, FULL, MOOT, NO_CONNECT, OK, RESET
 from woadyard.net.message import (
     ANSWER_HEADERS,
     BODY_MAX,
     HEAD_MAX,
     MESSAGE_MAX,
-    Answer,
-    Call,
-    Headers,
     Sweep,
     body_length,
-    pass_on,
     single,
 )
 
@@ -45,22 +42,6 @@
 # Where the settings name none.
 IDLE_DEFAULT_US, CONNECT_DEFAULT_US = 10_000_000, 1_000_000
 
-Ended = Callable[["Attempt", int, "Answer | None", "bytes"], None]
-
-
-class Attempt:
-    __slots__ = ("call", "copy", "endpoint", "link", "out", "sent", "timer", "until")
-
-    def __init__(self, call: Call, copy: int, endpoint: int, now: int, until: int) -> None:
-        self.call = call
-        self.copy = copy
-        self.endpoint = endpoint
-        self.sent = now
-        self.until = until  # when the sidecar stops waiting
-        self.out = True  # no outcome yet
-        self.link: Link | None = None
-        self.timer: asyncio.TimerHandle | None = None
-
 
 class Pool:
     """The idle connections to one process at one address, the last used last."""
@@ -163,12 +144,13 @@
         attempt, transport = self.attempt, self.transport
         assert attempt is not None and transport is not None
         now = self.owner.now()
-        if not self.owner.may_start(attempt, now):
+        if not attempt.may_start(now):
             # Guards the rules after a slow connect: past the drain grace, the
             # deadline or the final answer nothing may start.
             self.attempt = None
+            self.owner.carrying.pop(attempt, None)
             self.rest()
-            self.owner.ended(attempt, MOOT, None, b"")
+            attempt.end(MOOT)
             return
         self.unwritten = False
         transport.write(request_bytes(attempt, now))
@@ -214,8 +196,8 @@
     def _end(self, outcome: int, answer: Answer | None = None) -> None:
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
-            attempt.link = None
-            self.owner.ended(attempt, outcome, answer, (self.fields or {}).get(b"x-load", b""))
+            self.owner.carrying.pop(attempt, None)
+            attempt.end(outcome, answer, (self.fields or {}).get(b"x-load", b""))
 
     def spoil(self) -> None:
         """No answer of this protocol: the request may have run, and the connection is of
@@ -273,7 +255,8 @@
         outcome, answer = ERROR, None
         if status == 200:
             outcome = OK
-            answer = Answer(200, pass_on(self.headers, ANSWER_HEADERS), b"".join(self.body))
+            passed = [pair for pair in self.headers if pair[0] in ANSWER_HEADERS]
+            answer = Answer(Ending.SERVED, 200, passed, b"".join(self.body))
         elif status in (503, 504) and fields.get(b"x-not-run", b"").strip() == b"1":
             outcome = FULL
         attempt, self.attempt = self.attempt, None
@@ -284,8 +267,8 @@
         else:
             self.close()
         if attempt is not None:
-            attempt.link = None
-            self.owner.ended(attempt, outcome, answer, fields.get(b"x-load", b""))
+            self.owner.carrying.pop(attempt, None)
+            attempt.end(outcome, answer, fields.get(b"x-load", b""))
 
 
 def request_bytes(attempt: Attempt, now: int) -> bytes:
@@ -319,8 +302,12 @@
         self.resting: Sweep[Link] = Sweep(loop, idle_s, Link.close)
         self.surplus: Sweep[Link] = Sweep(loop, SURPLUS_S, Link.close_surplus)
         self.answering: Sweep[Link] = Sweep(loop, ANSWER_S, Link.spoil)  # begun, not yet whole
-        self.ended: Ended = lambda *_: None
-        self.may_start: Callable[[Attempt, int], bool] = lambda *_: True
+        self.carrying: dict[Attempt, Link] = {}
+        self.emptied: asyncio.Event | None = None
+
+    @property
+    def idle_us(self) -> int:
+        return int(self.resting.seconds * 1e6)
 
     def place(self, endpoint: int, host: str, port: int) -> None:
         """A new process or address: what was open to the old one is of no use."""
@@ -338,14 +325,15 @@
     def send(self, attempt: Attempt) -> None:
         pool = self.pools.get(attempt.endpoint)
         if pool is None:
-            self.ended(attempt, NO_CONNECT, None, b"")
+            attempt.end(NO_CONNECT)
             return
         while pool.idle:
             link = pool.idle.pop()
             self.resting.discard(link)
             self.surplus.discard(link)
             if link.fit():
-                link.attempt, attempt.link = attempt, link
+                link.attempt = attempt
+                self.carrying[attempt] = link
                 link.write()
                 return
             link.close()
@@ -357,9 +345,10 @@
             self.gone(oldest)
         if len(self.links) >= self.most:
             # Guards the limit on descriptors; no fault of the endpoint.
-            self.ended(attempt, MOOT, None, b"")
+            attempt.end(MOOT)
             return
-        link = attempt.link = Link(self, pool, attempt)
+        link = Link(self, pool, attempt)
+        self.carrying[attempt] = link
         self.links.add(link)
         link.opening = self.loop.create_task(link.open())
 
@@ -372,18 +361,29 @@
 
     def cancel(self, attempt: Attempt) -> None:
         """Stop waiting for an attempt: the endpoint sees its connection close."""
-        link, attempt.link = attempt.link, None
+        link = self.carrying.pop(attempt, None)
         if link is not None and link.attempt is attempt:
             link.attempt = None
             link.close()
 
     def gone(self, link: Link) -> None:
         self.links.discard(link)
+        if not self.links and self.emptied is not None:
+            self.emptied.set()
         for sweep in (self.resting, self.surplus, self.answering):
             sweep.discard(link)
         if link in link.pool.idle:
             link.pool.idle.remove(link)
 
     def close(self) -> None:
+        self.retiring = True
         for link in list(self.links):
             link.close()
+        for sweep in (self.resting, self.surplus, self.answering):
+            sweep.close()
+
+    async def wait_closed(self) -> None:
+        """After `close`: until no connection is left."""
+        if self.links:
+            self.emptied = self.emptied or asyncio.Event()
+            await self.emptied.wait()
--- /dev/null
+++ b/woadyard/settings/config.py
@@ -0,0 +1,77 @@
+"""One copy's configuration, checked, whichever file it came from."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from woadyard.engine.names import Names
+from woadyard.interface import Settings
+from woadyard.wire import WireError, read_settings
+
+SOCKETS_DEFAULT = SOCKETS_MOST = 1024
+# Descriptors for the listener, the watch, the loop and standard streams.
+SOCKETS_APART = 24
+
+
+class ConfigError(Exception):
+    """The configuration can't be used; the text says why, on one line."""
+
+
+@dataclass(frozen=True)
+class Config:
+    """Times in µs. `listen` is None where no front of its own is asked for, `discovery`
+    where the members are given in another way."""
+
+    listen: tuple[str, int] | None
+    discovery: str | None
+    seed: int
+    sockets: int
+    settings: Settings
+    names: Names
+    drain_grace_us: int
+    known: dict[str, Any] | None
+
+    @property
+    def side_sockets(self) -> int:
+        """Connections that each side may hold, callers and endpoints: a crowd of the one
+        must not leave none for the other, nor any of both for the watch and the loop."""
+        return max(16, min(self.sockets, SOCKETS_MOST) - SOCKETS_APART) // 2
+
+
+def address(text: Any) -> tuple[str, int]:
+    """Host and port of `host:port`; `ConfigError` otherwise."""
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise ConfigError(f"no address: {text!r}")
+    return host, int(port)
+
+
+def config_from(raw: Any, source: str) -> Config:
+    """The configuration that an object in the platform's form holds; `source` is what
+    its errors name. Absent `listen` and `discovery` are None here: whether they may be
+    is for the caller to say."""
+    try:
+        settings = read_settings(json.dumps(raw["settings"]).encode())
+        rules = raw["settings"].get("invariants", {})
+        known = raw.get("known")
+        if known is not None and not (isinstance(known["instances"], list) and int(known["generation"]) >= 0):
+            raise ConfigError("known is no list of endpoints")
+        listen, discovery = raw.get("listen"), raw.get("discovery")
+        if discovery is not None:
+            address(discovery)
+        return Config(
+            listen=None if listen is None else address(listen),
+            discovery=None if discovery is None else str(discovery),
+            seed=int(str(raw.get("seed", "0")), 16),
+            sockets=int(raw.get("limits", {}).get("sockets", SOCKETS_DEFAULT)),
+            settings=settings,
+            names=Names(raw["settings"], settings),
+            drain_grace_us=int(rules.get("drain-grace-us", 0)),
+            known=known,
+        )
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError, WireError) as error:
+        raise ConfigError(f"{source}: {type(error).__name__}: {error}") from None
+    except ConfigError as error:
+        raise ConfigError(f"{source}: {error}") from None
--- /dev/null
+++ b/woadyard/settings/operator.py
@@ -0,0 +1,224 @@
+"""The operator's own file: TOML, read by msgspec into frozen, typed settings.
+
+Every key has a default that changes nothing. `[deployment]` describes a deployment
+where there is no platform to do so: for the library, or a daemon of its own."""
+
+from __future__ import annotations
+
+import re
+import secrets
+import tomllib
+from typing import Annotated, Any, Literal
+
+import msgspec
+
+from woadyard.settings.config import Config, ConfigError, address, config_from
+
+Count = Annotated[int, msgspec.Meta(ge=1)]
+Whole = Annotated[int, msgspec.Meta(ge=0)]
+Part = Annotated[float, msgspec.Meta(gt=0.0, le=1.0)]
+Amount = Annotated[float, msgspec.Meta(ge=0.0)]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[0-9A-Za-z._~-]{1,64}$")]
+
+# The names of load reports on the sockets, and in the platform's settings.
+REPORTS = {
+    "inflight": "active",
+    "queue": "waiting",
+    "util": "cpu",
+    "latency_ms": "avg_ms",
+    "qps": "rps",
+    "eps": "err_rps",
+}
+EFFECTS = {"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
+
+
+class _Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A table of the file: what it does not know is an error, never ignored."""
+
+
+class RequestClass(_Table, frozen=True, kw_only=True):
+    name: Name
+    effect: Literal["safe", "keyed", "unsafe"]
+    aim_ms: Count
+    deadline_ms: Count
+    worth: Amount = 1.0
+    scope: Literal["all", "zone", "cell"] = "all"
+    window_ms: Whole = 0
+
+    def raw(self) -> dict[str, Any]:
+        return {
+            "name": self.name,
+            "repeat": EFFECTS[self.effect],
+            "aim-us": self.aim_ms * 1000,
+            "deadline-us": self.deadline_ms * 1000,
+            "points": self.worth,
+            "dedup-scope": self.scope,
+            "repeat-window-us": self.window_ms * 1000,
+        }
+
+
+class Tenant(_Table, frozen=True, kw_only=True):
+    name: str
+    allowance_per_s: Amount
+
+
+class Member(_Table, frozen=True, kw_only=True):
+    id: Annotated[str, msgspec.Meta(min_length=1)]
+    address: str
+    zone: str = ""
+    kind: str = ""
+    cell: Whole = 0
+    weight: Annotated[float, msgspec.Meta(gt=0.0)] = 1.0
+
+    def raw(self) -> dict[str, Any]:
+        return {
+            "instanceId": self.id,
+            "hostPort": self.address,
+            "zone": self.zone,
+            "machineType": self.kind,
+            "cell": self.cell,
+            "lifecycle": "ready",
+            "weight": self.weight,
+            "startedAtMs": 0,
+        }
+
+
+class Deployment(_Table, frozen=True, kw_only=True):
+    classes: Annotated[tuple[RequestClass, ...], msgspec.Meta(min_length=1)]
+    listen: str | None = None
+    discovery: str | None = None
+    members: tuple[Member, ...] = ()
+    tenants: tuple[Tenant, ...] = ()
+    sockets: Annotated[int, msgspec.Meta(ge=64)] = 1024
+    seed: Annotated[str, msgspec.Meta(pattern=r"^[0-9a-fA-F]{1,32}$")] | None = None
+    tier: Whole = 0
+    tiers: Count = 1
+    copy: Whole = 0
+    copies: Count = 1
+    zone: str = ""
+    zones: tuple[str, ...] = ()
+    kinds: tuple[str, ...] = ()
+    reports: tuple[Literal["inflight", "queue", "util", "latency_ms", "qps", "eps"], ...] = ()
+    max_attempts: Count = 3
+    second_copies: bool = False
+    cancel: bool = True
+    retry_after: bool = True
+    max_retry_after_ms: Whole = 2_000
+    connect_timeout_ms: Count = 1_000
+    idle_ms: Count = 10_000
+    drain_grace_ms: Annotated[int, msgspec.Meta(ge=0, le=500)] = 500
+    cold_share: Part = 1.0
+    cold_ms: Whole = 0
+    tip_multiple: Annotated[float, msgspec.Meta(gt=0.0)] = 3.0
+    tip_ms: Count = 1_000
+
+    def problem(self) -> str | None:
+        """What can't be as the file says: the key, and what was expected."""
+        for key, names in (
+            ("classes", [one.name for one in self.classes]),
+            ("members", [one.id for one in self.members]),
+            ("tenants", [one.name for one in self.tenants]),
+        ):
+            if len(set(names)) < len(names):
+                return f"deployment.{key}: expected each name once"
+        for one in self.classes:
+            if one.effect == "keyed" and not one.window_ms:
+                return f"deployment.classes: {one.name}: expected window_ms above 0 for a keyed class"
+            if one.aim_ms > one.deadline_ms:
+                return f"deployment.classes: {one.name}: expected aim_ms no longer than deadline_ms"
+        if self.zone and self.zone not in self.zones:
+            return "deployment.zone: expected one of zones"
+        if self.tier >= self.tiers:
+            return "deployment.tier: expected less than tiers"
+        if self.discovery is not None and self.members:
+            return "deployment.members: expected none where discovery is named"
+        texts = [("listen", self.listen), ("discovery", self.discovery)]
+        for key, text in [*texts, *((f"members: {one.id}", one.address) for one in self.members)]:
+            if text is not None and not _is_address(text):
+                return f"deployment.{key}: expected host:port, got {text!r}"
+        return None
+
+    def raw(self) -> dict[str, Any]:
+        """The same in the platform's form."""
+        settings = {
+            "me": self.copy,
+            "instances": self.copies,
+            "stage": self.tier,
+            "layers": [f"tier {n}" for n in range(self.tiers)],
+            "locality": self.zones.index(self.zone) if self.zone else 0,
+            "zones": list(self.zones),
+            "kinds": list(self.kinds),
+            "classes": [one.raw() for one in self.classes],
+            "accounts": [{"name": one.name, "allowance-per-s": one.allowance_per_s} for one in self.tenants],
+            "load-report": {"fields": [REPORTS[name] for name in self.reports], "how": "piggyback"},
+            "discovery": "push",
+            "ceilings": {
+                "cancel": self.cancel,
+                "second-copies": self.second_copies,
+                "max-attempts": self.max_attempts,
+                "max-streams": 1,
+                "conn-idle-us": self.idle_ms * 1000,
+                "connect-timeout-us": self.connect_timeout_ms * 1000,
+                "retry-after": self.retry_after,
+                "max-retry-after-us": self.max_retry_after_ms * 1000,
+            },
+            "invariants": {
+                "drain-grace-us": self.drain_grace_ms * 1000,
+                "cold-share": self.cold_share,
+                "cold-us": self.cold_ms * 1000,
+                "tip-multiple": self.tip_multiple,
+                "overload-for-us": self.tip_ms * 1000,
+            },
+        }
+        known = {"generation": 0, "reset": True, "instances": [one.raw() for one in self.members]}
+        return {
+            "listen": self.listen,
+            "discovery": self.discovery,
+            "seed": self.seed or secrets.token_hex(8),
+            "limits": {"sockets": self.sockets},
+            "known": known if self.members else None,
+            "settings": settings,
+        }
+
+
+class Operator(_Table, frozen=True, kw_only=True):
+    """The whole file. An absent table is a subsystem that is off."""
+
+    deployment: Deployment | None = None
+
+    def config(self, path: str) -> Config:
+        """The configuration of `[deployment]`; `ConfigError` where the file has none."""
+        if self.deployment is None:
+            raise ConfigError(f"{path}: deployment: expected the table [deployment]")
+        return config_from(self.deployment.raw(), path)
+
+
+def _is_address(text: str) -> bool:
+    try:
+        return address(text)[1] >= 0
+    except ConfigError:
+        return False
+
+
+def _worded(error: msgspec.ValidationError) -> str:
+    """`key: what was expected`, from msgspec's `what - at $.key`."""
+    text = " ".join(str(error).split())
+    what, _, where = text.partition(" - at ")
+    key = re.sub(r"^`?\$\.?|`$", "", where)
+    return f"{key}: {what}" if key else what
+
+
+def read_operator(path: str) -> Operator:
+    """The operator's file, checked; `ConfigError` with one line otherwise."""
+    try:
+        with open(path, "rb") as file:
+            read = msgspec.convert(tomllib.load(file), Operator)
+    except msgspec.ValidationError as error:
+        raise ConfigError(f"{path}: {_worded(error)}") from None
+    except (OSError, ValueError, RecursionError) as error:
+        raise ConfigError(f"{path}: {type(error).__name__}: {error}") from None
+    if read.deployment is not None:
+        if (problem := read.deployment.problem()) is not None:
+            raise ConfigError(f"{path}: {problem}")
+        read.config(path)
+    return read
--- /dev/null
+++ b/woadyard/testing/__init__.py
@@ -0,0 +1,58 @@
+"""Stand-ins on loopback, for tests of whatever uses this balancer: endpoints that follow
+a script and count what they execute, discovery, and callers.
+
+    async with Endpoint(stall()) as bad, Endpoint() as good:
+        client = Client.open({..., "known": whole_list(bad.entry("s-0"), good.entry("s-1"))})
+
+Ports are the system's choice; nothing here sleeps or polls.
+"""
+
+from woadyard.testing.callers import Caller, request
+from woadyard.testing.endpoints import (
+    Effects,
+    Endpoint,
+    Handler,
+    Listener,
+    after,
+    close,
+    in_turn,
+    paced,
+    raw,
+    refuse,
+    reset,
+    serve,
+    spoil,
+    stall,
+    status,
+)
+from woadyard.testing.messages import Message, Reader, Writer, answer, read_message
+from woadyard.testing.registry import Registry, push, push_raw, whole_list
+
+__all__ = [
+    "Caller",
+    "Effects",
+    "Endpoint",
+    "Handler",
+    "Listener",
+    "Message",
+    "Reader",
+    "Registry",
+    "Writer",
+    "after",
+    "answer",
+    "close",
+    "in_turn",
+    "paced",
+    "push",
+    "push_raw",
+    "raw",
+    "read_message",
+    "refuse",
+    "request",
+    "reset",
+    "serve",
+    "spoil",
+    "stall",
+    "status",
+    "whole_list",
+]
--- /dev/null
+++ b/woadyard/testing/callers.py
@@ -0,0 +1,68 @@
+"""Callers: requests in the platform's form, one at a time on a kept connection."""
+
+from __future__ import annotations
+
+import asyncio
+from types import TracebackType
+from typing import Self
+
+from woadyard.testing.messages import Message, Reader, Writer, read_message
+
+
+def request(
+    cls: str = "page",
+    body: bytes = b"",
+    headers: str = "",
+    deadline_ms: int = 4000,
+    rid: str = "r1",
+    key: str | None = None,
+    method: str | None = None,
+) -> bytes:
+    """A request's bytes. The method is GET for a class named `page` or `view`, POST for
+    others; the key is `k1` for one named `put`, and none for others; unless given."""
+    method = method or ("GET" if cls in ("page", "view") else "POST")
+    length = f"Content-Length: {len(body)}\r\n" if method == "POST" else ""
+    key = key or ("k1" if cls == "put" else None)
+    key_line = f"Idempotency-Key: {key}\r\n" if key else ""
+    return (
+        f"{method} /{cls}?obj=7f3a HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: {rid}\r\n"
+        f"X-Class: {cls}\r\n"
+        f"X-Deadline-Ms: {deadline_ms}\r\n{length}{key_line}{headers}\r\n"
+    ).encode() + body
+
+
+class Caller:
+    """One connection to a front, opened when it is needed and kept while it may be."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self.host = host
+        self.port = port
+        self.streams: tuple[Reader, Writer] | None = None
+
+    async def ask(self, raw: bytes) -> Message:
+        """The answer to these bytes. OSError or `asyncio.IncompleteReadError` if there is none."""
+        if self.streams is None:
+            self.streams = await asyncio.open_connection(self.host, self.port)
+        reader, writer = self.streams
+        writer.write(raw)
+        try:
+            message = await read_message(reader)
+        except (OSError, asyncio.IncompleteReadError):
+            self.close()
+            raise
+        if message.headers.get("connection", "").lower() == "close":
+            self.close()
+        return message
+
+    def close(self) -> None:
+        if self.streams is not None:
+            self.streams[1].close()
+            self.streams = None
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.close()
--- /dev/null
+++ b/woadyard/testing/endpoints.py
@@ -0,0 +1,251 @@
+"""Endpoints that follow a script, and the effects that they count."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from types import TracebackType
+from typing import Any, Self
+
+from woadyard.testing.messages import Message, Reader, Writer, answer, read_message
+
+Handler = Callable[["Endpoint", Message, Writer], Awaitable[None]]
+
+
+@dataclass
+class Effects:
+    """What was executed, by all endpoints that share this object.
+
+    A keyed request is executed once for its key: a repeat of it is dropped, as the
+    endpoints of one pod do. Everything else is executed as often as it comes.
+    """
+
+    by_id: Counter[str] = field(default_factory=Counter)
+    by_key: Counter[str] = field(default_factory=Counter)
+    dropped: int = 0
+
+    def execute(self, message: Message) -> None:
+        key = message.headers.get("idempotency-key")
+        if key is not None:
+            if self.by_key[key]:
+                self.dropped += 1
+                return
+            self.by_key[key] += 1
+        self.by_id[message.headers.get("x-request-id", "")] += 1
+
+    def twice(self) -> list[str]:
+        """The ids of requests that took effect more than once."""
+        return [name for name, times in self.by_id.items() if times > 1]
+
+
+# --- Scripts ----------------------------------------------------------------------------
+
+
+def serve(body: bytes = b"ok", headers: str = "") -> Handler:
+    """Execute, then answer 200. `headers` are whole lines, such as a load report's."""
+
+    async def handler(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        endpoint.effects.execute(message)
+        writer.write(answer(200, body, headers))
+
+    return handler
+
+
+def stall(executes: bool = True) -> Handler:
+    """No answer, until the connection closes; whether it has run is up to the script."""
+
+    async def handler(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        if executes:
+            endpoint.effects.execute(message)
+
+    return handler
+
+
+def status(code: int, headers: str = "", executes: bool = False) -> Handler:
+    """Answer with this status."""
+
+    async def handler(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        if executes:
+            endpoint.effects.execute(message)
+        writer.write(answer(code, headers=headers))
+
+    return handler
+
+
+def refuse(code: int = 503) -> Handler:
+    """Turn it away unseen: `X-Not-Run` says that it has not run."""
+    return status(code, "X-Not-Run: 1\r\n")
+
+
+def raw(data: bytes) -> Handler:
+    """Write these bytes and nothing else."""
+
+    async def handler(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        writer.write(data)
+
+    return handler
+
+
+def spoil(data: bytes = b"what?\r\n\r\n") -> Handler:
+    """Execute, then answer with what can't be read."""
+
+    async def handler(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        endpoint.effects.execute(message)
+        writer.write(data)
+
+    return handler
+
+
+def close(executes: bool = True, begun: bytes = b"") -> Handler:
+    """End the connection, possibly behind a part of an answer."""
+
+    async def handler(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        if executes:
+            endpoint.effects.execute(message)
+        writer.write(begun)
+        writer.close()
+
+    return handler
+
+
+def reset(executes: bool = True) -> Handler:
+    """Reset the connection, as a process that dies does."""
+
+    async def handler(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        if executes:
+            endpoint.effects.execute(message)
+        reset_connection(writer)
+
+    return handler
+
+
+def after(event: asyncio.Event, then: Handler) -> Handler:
+    """Wait for the event first."""
+
+    async def handler(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        await event.wait()
+        await then(endpoint, message, writer)
+
+    return handler
+
+
+def paced(seconds: Callable[[], float], then: Handler | None = None) -> Handler:
+    """Work for a time first: a figure drawn anew for each request. For worlds that run
+    in real time; a test waits for events instead."""
+    script = then or serve()
+
+    async def handler(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        await asyncio.sleep(seconds())
+        await script(endpoint, message, writer)
+
+    return handler
+
+
+def in_turn(*scripts: Handler) -> Handler:
+    """The first request meets the first script, and so on; the last one stays."""
+    left = list(scripts)
+
+    async def handler(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        script = left.pop(0) if len(left) > 1 else left[0]
+        await script(endpoint, message, writer)
+
+    return handler
+
+
+def reset_connection(writer: Writer) -> None:
+    """Close with a reset in place of an orderly end."""
+    found: socket.socket | None = writer.get_extra_info("socket")
+    if found is not None:
+        found.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+# --- Servers ----------------------------------------------------------------------------
+
+
+class Listener:
+    """Serves connections on a port that the system picks; `port` tells which."""
+
+    port: int = 0
+
+    async def start(self, port: int = 0) -> asyncio.Server:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", port, backlog=1024)
+        self.port = server.sockets[0].getsockname()[1]
+        return server
+
+    async def _serve(self, reader: Reader, writer: Writer) -> None:
+        raise NotImplementedError
+
+
+@dataclass(eq=False)
+class Endpoint(Listener):
+    """Answers each request by its script and keeps what it was sent.
+
+    `arrived` and `closed` are released for each request and each ended connection, for
+    tests that wait. `handler` may be set at any time and holds from the next request on.
+    """
+
+    handler: Handler = field(default_factory=serve)
+    got: list[Message] = field(default_factory=list)
+    opened: int = 0
+    closed: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(0))
+    arrived: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(0))
+    effects: Effects = field(default_factory=Effects)
+    started_ms: int = 0
+    keep: bool = True  # all requests in `got`; for a long run only the count is kept
+    count: int = 0
+    open: set[Writer] = field(default_factory=set)
+    server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> Self:
+        self.server = await self.start()
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.stop()
+
+    def stop(self) -> None:
+        """Die: the port refuses, and what is open is reset."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        for writer in list(self.open):
+            reset_connection(writer)
+
+    async def restart(self, started_ms: int) -> None:
+        """Come back at the same address as a new process."""
+        self.stop()
+        self.started_ms = started_ms
+        self.server = await self.start(self.port)
+
+    async def _serve(self, reader: Reader, writer: Writer) -> None:
+        self.opened += 1
+        self.open.add(writer)
+        try:
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                while True:
+                    message = await read_message(reader)
+                    self.count += 1
+                    if self.keep:
+                        self.got.append(message)
+                    self.arrived.release()
+                    await self.handler(self, message, writer)
+        finally:
+            self.open.discard(writer)
+            writer.close()
+            self.closed.release()
+
+    def entry(self, name: str = "s-1", **changes: Any) -> dict[str, Any]:
+        """Its line of a list, in discovery's form; `lifecycle="draining"` and the like
+        as further arguments."""
+        return {
+            "instanceId": name, "hostPort": f"127.0.0.1:{self.port}", "zone": "here", "machineType": "small",
+            "cell": 1, "lifecycle": "ready", "weight": 1.0, "startedAtMs": self.started_ms, **changes,
+        }  # fmt: skip
--- /dev/null
+++ b/woadyard/testing/messages.py
@@ -0,0 +1,50 @@
+"""HTTP/1.1 messages as the stand-ins read and write them: small and by hand, so that
+they can also be wrong on purpose."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+Reader = asyncio.StreamReader
+Writer = asyncio.StreamWriter
+
+
+@dataclass
+class Message:
+    """A whole request or answer: its first line, its headers by lower-case name, its body."""
+
+    start: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def status(self) -> int:
+        """Of an answer; ValueError for a request."""
+        return int(self.start.split()[1])
+
+
+async def read_message(reader: Reader) -> Message:
+    """The next message; `asyncio.IncompleteReadError` if the connection ends before it does.
+    Framing by Content-Length or by chunks."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in head[1:] if line)}
+    if headers.get("transfer-encoding") == "chunked":
+        return Message(head[0], headers, await _read_chunks(reader))
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Message(head[0], headers, body)
+
+
+async def _read_chunks(reader: Reader) -> bytes:
+    parts = []
+    while size := int(await reader.readuntil(b"\r\n"), 16):
+        parts.append(await reader.readexactly(size))
+        await reader.readexactly(2)
+    await reader.readuntil(b"\r\n")
+    return b"".join(parts)
+
+
+def answer(status: int = 200, body: bytes = b"ok", headers: str = "") -> bytes:
+    """An answer's bytes; `headers` are whole lines."""
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{headers}\r\n"
+    return head.encode() + body
