--- a/benchmarks/hotpath.py
+++ b/benchmarks/hotpath.py
@@ -4,7 +4,8 @@
 as middleware on uvicorn, and the library's client alone. One client process drives the
 first three over sockets, each connection with one request out at a time; the endpoint
 answers at once. The tier is not the entry, where admission would refuse a part of what a
-closed loop presses on it, and a refusal costs less than a request that is served. `--other FOLDER` adds the daemon of another checkout.
+closed loop presses on it, and a refusal costs less than a request that is served.
+`--other FOLDER` adds the daemon of another checkout.
 """
 
 from __future__ import annotations
