Add an embedded store: group commit, recovery, compaction, failing disks

Need: what must survive a restart, first of all the record of paid orders, has no place. SQLite and LMDB were weighed (docs/design/store.md); an append and a sync with group commit, an own word on failed syncs and a bound on stalls are what is wanted, and the whole can be tested by cutting it at every byte.

woadyard/store: log, manifest and index decide without I/O, disk is one narrow protocol, store.py runs it on a thread of its own. Tests cut a course of writes and two compactions at every call and every byte, on a simulated disk that keeps what was synced and any blocks of the rest; flip every byte; play ENOSPC and EIO; kill a process; hypothesis against a dict.

Found by the simulated disk: a commit mark that stayed in the log and was lost with the batch behind it kept looked like damage, so the next batch now takes its place.

--- /dev/null
+++ b/woadyard/store/recovery.py
@@ -0,0 +1,137 @@
+"""Opening: from a folder's files to an index, or to a word on what is wrong."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from woadyard.store.disk import Disk
+from woadyard.store.index import Index
+from woadyard.store.log import (
+    SEGMENT_SIZE,
+    End,
+    LogError,
+    Scan,
+    encode_frame,
+    read_segment_head,
+    records_of,
+    scan,
+    segment_head,
+)
+from woadyard.store.manifest import (
+    ASIDE,
+    MANIFEST,
+    Found,
+    Manifest,
+    Segment,
+    encode_manifest,
+    judge,
+    segment_name,
+)
+
+# Told how many segments of how many have been read.
+Progress = Callable[[int, int], None]
+
+
+@dataclass
+class Opened:
+    """A store's state as its files tell it."""
+
+    manifest: Manifest
+    index: Index
+    tail: int  # where the next frame of the last segment goes
+    salts: dict[int, int] = field(default_factory=dict)
+    sizes: dict[int, int] = field(default_factory=dict)
+    allocated: int = 0  # the last segment's length on the disk, zeros ahead of the tail included
+    torn: int = 0  # bytes cut off, never reported as written
+
+
+def look(disk: Disk) -> Found:
+    files = disk.files()
+    return judge(files, disk.read(MANIFEST) if MANIFEST in files else None)
+
+
+def write_manifest(disk: Disk, manifest: Manifest) -> None:
+    """Durable as a whole, or as if it had not been."""
+    disk.create(ASIDE, encode_manifest(manifest))
+    disk.rename(ASIDE, MANIFEST)
+    disk.sync_folder()
+
+
+def create_segment(disk: Disk, number: int, salt: int) -> None:
+    """Durable, and named by no manifest yet."""
+    disk.create(segment_name(number), segment_head(number, salt))
+    disk.sync_folder()
+
+
+def read_segment(disk: Disk, segment: Segment) -> tuple[bytes, int, Scan]:
+    """The bytes that count, the salt and the scan; `LogError` where something is damaged."""
+    data = disk.read(segment_name(segment.number))
+    salt = read_segment_head(data, segment.number)
+    if segment.sealed is not None:
+        if len(data) < segment.sealed:
+            raise LogError(f"segment {segment.number}: {len(data)} bytes of {segment.sealed}")
+        data = data[: segment.sealed]
+    found = scan(data, salt)
+    if found.how is End.DAMAGED or (segment.sealed is not None and found.how is not End.CLEAN):
+        raise LogError(f"segment {segment.number}: damaged at byte {found.end}")
+    return data, salt, found
+
+
+def fill(index: Index, segment: int, data: bytes, found: Scan) -> None:
+    """The segment's records, in their order. Sequence numbers rise along the log."""
+    apply = index.apply
+    for frame in found.frames:
+        if frame.count and frame.highest <= index.highest:
+            raise LogError(f"segment {segment}: a batch out of order at byte {frame.offset}")
+        for offset, kind, expires, _, key in records_of(data, frame):
+            apply(segment, offset, kind, expires, key)
+        index.highest = max(index.highest, frame.highest)
+
+
+def read_all(disk: Disk, manifest: Manifest, progress: Progress | None = None) -> Opened:
+    """All segments read; nothing is written."""
+    opened = Opened(manifest, Index(), 0)
+    for at, segment in enumerate(manifest.segments):
+        data, salt, found = read_segment(disk, segment)
+        fill(opened.index, segment.number, data, found)
+        opened.salts[segment.number] = salt
+        opened.allocated = len(data)
+        # Zeros are what was allocated ahead, not a batch.
+        opened.torn = len(data[found.end :].rstrip(b"\0"))
+        opened.tail = found.end
+        if found.frames and not found.frames[-1].count:
+            opened.tail = found.frames[-1].offset  # the next batch takes the mark's place
+        opened.sizes[segment.number] = opened.tail
+        if progress is not None:
+            progress(at + 1, len(manifest.segments))
+    return opened
+
+
+def recover(disk: Disk, salt: int, progress: Progress | None = None) -> Opened:
+    """The store as it was last reported, made durable and ready to be written to.
+
+    `LogError` for what is damaged, OSError as the disk tells; then nothing was changed
+    but what no manifest names.
+    """
+    found = look(disk)
+    if found.manifest is None:
+        create_segment(disk, 1, salt)
+        write_manifest(disk, Manifest(1, (Segment(1),), 2))
+        found = look(disk)
+        assert found.manifest is not None
+    opened = read_all(disk, found.manifest, progress)
+    for name in found.leftover:
+        disk.delete(name)
+    last = segment_name(found.manifest.segments[-1].number)
+    if opened.torn:
+        disk.cut(last, opened.tail)
+        opened.allocated = opened.tail
+    # What a process that was killed had written but not synced is read as there: so it is made.
+    disk.sync(last)
+    if opened.tail > SEGMENT_SIZE:
+        salt = opened.salts[found.manifest.segments[-1].number]
+        mark = encode_frame(salt, (), opened.index.highest)
+        disk.write(last, opened.tail, mark)
+        opened.allocated = max(opened.allocated, opened.tail + len(mark))
+    return opened
--- /dev/null
+++ b/woadyard/testing/disk.py
@@ -0,0 +1,165 @@
+"""A disk that loses power: what was synced is kept, and of the rest whatever the test says."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+
+class PowerLostError(BaseException):
+    """Nothing after this point happened."""
+
+
+@dataclass
+class Inode:
+    """A file's bytes: those that are durable, and the writes since."""
+
+    durable: bytearray = field(default_factory=bytearray)
+    pending: list[tuple[int, bytes]] = field(default_factory=list)
+    cuts: int | None = None
+
+    def view(self) -> bytearray:
+        """As a process sees it."""
+        data = bytearray(self.durable)
+        for offset, part in self.pending:
+            put(data, offset, part)
+        return data
+
+    def sync(self) -> None:
+        self.durable = self.view()
+        self.pending = []
+
+
+def put(data: bytearray, offset: int, part: bytes) -> None:
+    """Write, with zeros in a gap."""
+    if len(data) < offset:
+        data.extend(bytes(offset - len(data)))
+    data[offset : offset + len(part)] = part
+
+
+Op = tuple[Any, ...]
+
+
+class SimulatedDisk:
+    """The store's `Disk` in memory. `journal` keeps every call, with the marks that a test
+    adds, so that `replay` can stop at any of them."""
+
+    def __init__(self) -> None:
+        self.names: dict[str, Inode] = {}
+        self.durable_names: dict[str, Inode] = {}
+        self.pending_names: list[Op] = []
+        self.journal: list[Op] = []
+        self.faults: dict[str, list[OSError]] = {}  # by operation: raised in their turn
+        self.owner: list[SimulatedDisk] = []
+
+    def mark(self, *words: Any) -> None:
+        """The test's own word in the journal."""
+        self.journal.append(("mark", *words))
+
+    def fail(self, operation: str, *errors: OSError) -> None:
+        """The next calls of an operation raise these."""
+        self.faults.setdefault(operation, []).extend(errors)
+
+    def _begin(self, *op: Any) -> None:
+        if waiting := self.faults.get(op[0]):
+            raise waiting.pop(0)
+        self.journal.append(op)
+
+    # --- The protocol -------------------------------------------------------------
+
+    def lock(self) -> None: ...
+
+    def close(self) -> None: ...
+
+    def files(self) -> dict[str, int]:
+        return {name: len(inode.view()) for name, inode in self.names.items()}
+
+    def read(self, name: str, offset: int = 0, size: int | None = None) -> bytes:
+        if name not in self.names:
+            raise FileNotFoundError(name)
+        data = self.names[name].view()
+        return bytes(data[offset:] if size is None else data[offset : offset + size])
+
+    def create(self, name: str, data: bytes) -> None:
+        self._begin("create", name, data)
+        inode = Inode()
+        self.names[name] = inode
+        self.pending_names.append(("link", name, inode))
+        inode.pending.append((0, data))
+        inode.sync()
+
+    def write(self, name: str, offset: int, data: bytes) -> None:
+        self._begin("write", name, offset, data)
+        self.names[name].pending.append((offset, data))
+
+    def sync(self, name: str) -> None:
+        self._begin("sync", name)
+        self.names[name].sync()
+
+    def cut(self, name: str, size: int) -> None:
+        self._begin("cut", name, size)
+        inode = self.names[name]
+        inode.sync()
+        del inode.durable[size:]
+
+    def rename(self, old: str, new: str) -> None:
+        self._begin("rename", old, new)
+        self.names[new] = self.names.pop(old)
+        self.pending_names.append(("rename", old, new))
+
+    def sync_folder(self) -> None:
+        self._begin("sync_folder")
+        self.durable_names = dict(self.names)
+        self.pending_names = []
+
+    def delete(self, name: str) -> None:
+        self._begin("delete", name)
+        self.names.pop(name, None)
+        self.pending_names.append(("unlink", name))
+
+    # --- Losing power -------------------------------------------------------------
+
+    @classmethod
+    def replay(cls, journal: list[Op]) -> SimulatedDisk:
+        """The disk after these calls."""
+        disk = cls()
+        for name, *args in journal:
+            if name != "mark":
+                getattr(disk, name)(*args)
+        return disk
+
+    def lose_power(self, keep: random.Random | None = None, all_: bool = False) -> SimulatedDisk:
+        """The disk as the next start finds it: names as far as the folder was synced, and a
+        part of the changes since, in their order; bytes as far as a file was synced, and any
+        of the blocks written since. Without `keep` all that was not synced is lost, or with
+        `all_` none of it."""
+        names = dict(self.durable_names)
+        changes = len(self.pending_names) if all_ else keep.randint(0, len(self.pending_names)) if keep else 0
+        for op in self.pending_names[:changes]:
+            match op:
+                case ("link", name, inode):
+                    names[name] = inode
+                case ("rename", old, new) if old in names:
+                    names[new] = names.pop(old)
+                case ("unlink", name):
+                    names.pop(name, None)
+        after = SimulatedDisk()
+        for name, inode in names.items():
+            data = inode.view() if all_ else bytearray(inode.durable)
+            if keep is not None and not all_:
+                for offset, part in blocks(inode.pending):
+                    if keep.random() < 0.5:
+                        put(data, offset, part)
+            after.names[name] = Inode(data)
+        after.durable_names = dict(after.names)
+        return after
+
+
+def blocks(writes: list[tuple[int, bytes]], size: int = 16) -> Iterator[tuple[int, bytes]]:
+    """Writes in the pieces that a disk may keep or lose by themselves; small, so that a short
+    log has many."""
+    for offset, part in writes:
+        for at in range(0, len(part), size):
+            yield offset + at, part[at : at + size]
