Keep a record of paid orders that survives a restart

Need: a copy that restarts knows neither what it sent nor what it answered; a client that names an order again could have it run twice, or hear two answers.

woadyard/orders joins the engine at three named steps (before the module is told, before a final answer leaves, when the client leaves) for daemon and library alike. Intent is durable before anything is sent; served and refused leave only when the record says so; a second request for an order in hand waits for the first's answer; with the intent alone it may have run: 502 with X-May-Have-Run, never an attempt. Off by default ([orders] in operator.toml), `fail` or `pass` where the store can't.

Measured: 200 kills of the daemon in four worlds while clients repeat their orders until answered, half of them just after an order ran: none ran twice, none that was told served was forgotten.

--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,494 @@
+"""The record of orders: nothing twice, nothing contradicted, over restarts and kills."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import os
+import random
+import signal
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.sockets import SETTINGS, free_port
+from tests.test_library import member, nothing_held
+from tests.test_settings import file, platform
+from woadyard.engine import Answer, Call, Ending
+from woadyard.library import Client, ConfigError, Reply, Request
+from woadyard.orders import OrderClass, Orders
+from woadyard.orders.book import (
+    answer_of,
+    digest_of,
+    encode_answer,
+    encode_intent,
+    order_name,
+)
+from woadyard.orders.recorder import OrderRecorder
+from woadyard.settings import config_from, read_file
+from woadyard.settings.operator import read_operator
+from woadyard.store import FolderDisk, Options, Store
+from woadyard.store.disk import Disk
+from woadyard.testing import (
+    Caller,
+    Effects,
+    Endpoint,
+    after,
+    in_turn,
+    refuse,
+    request,
+    reset,
+    serve,
+    stall,
+    whole_list,
+)
+
+ORDER = OrderClass(header=b"x-order-id", keep_ms=60_000)
+
+
+def orders(folder: Path, unavailable: Any = "fail", settings: OrderClass = ORDER) -> Orders:
+    return Orders(str(folder), {"pay": settings}, unavailable)
+
+
+@contextlib.asynccontextmanager
+async def opened(folder: Path, *endpoints: Endpoint, **options: Any) -> AsyncIterator[Client]:
+    """A client that records the class `pay`; the endpoints are up already."""
+    raw = {"seed": "1", "settings": SETTINGS, "limits": {"sockets": 1024}}
+    config = config_from(raw, "test", orders(folder, **options))
+    members = [member(one, f"s-{n}") for n, one in enumerate(endpoints)]
+    async with asyncio.timeout(20), Client.open(config, members) as client:
+        yield client
+
+
+def pay(name: str = "o-1", body: bytes = b"sum", deadline_s: float = 4.0, rid: str | None = None) -> Request:
+    headers = {"X-Order-Id": name}
+    return Request("pay", "/pay", "POST", body=body, deadline_s=deadline_s, headers=headers, id=rid)
+
+
+def said(reply: Reply) -> tuple[str, int, bool, bool]:
+    headers = dict(reply.headers)
+    return reply.outcome, reply.status, "x-may-have-run" in headers, "x-from-record" in headers
+
+
+SERVED = ("served", 200, False, False)
+AGAIN = ("served", 200, False, True)
+MAY_HAVE_RUN = ("failed", 502, True, False)
+
+
+def run(test: Any) -> None:
+    asyncio.run(test)
+
+
+# --- Without I/O -------------------------------------------------------------------------
+
+
+class Nobody:
+    def answered(self, call: Call, answer: Answer) -> None:
+        """Is not told."""
+
+
+def call(body: bytes = b"sum") -> Call:
+    return Call(2, 0, b"POST /pay", b"", body, Nobody())
+
+
+def test_a_record_gives_the_answer_as_it_was() -> None:
+    digest = digest_of(call())
+    answer = Answer(Ending.SERVED, 200, ((b"content-type", b"text/plain"),), b"line\nline\0")
+    found = answer_of(encode_answer(digest, answer), digest)
+    assert (found.ending, found.status, found.body) == (answer.ending, 200, answer.body)
+    assert found.headers == (*answer.headers, (b"x-from-record", b"1"))
+    told = answer_of(encode_intent(digest), digest)
+    assert (told.ending, told.status, told.headers) == (Ending.FAILED, 502, ((b"x-may-have-run", b"1"),))
+    assert answer_of(encode_intent(digest), digest_of(call(b"other"))).status == 422
+    for bad in (b"", b"Z" * 40, b"I", encode_answer(digest, answer)[:20]):
+        with pytest.raises(ValueError, match=r".*"):
+            answer_of(bad, digest)
+
+
+@pytest.mark.parametrize(
+    ("settings", "header", "body", "expected"),
+    [
+        (ORDER, b" o-1 ", b"", b"o-1"),
+        (ORDER, b"", b'{"order": "o-1"}', None),
+        (ORDER, b"x" * 257, b"", None),
+        (OrderClass(body_field="order"), b"o-1", b'{"order": "o-2"}', b"o-2"),
+        (OrderClass(body_field="order"), b"", b'{"order": 17}', b"17"),
+        (OrderClass(body_field="order"), b"", '{"order": "\u00fc"}'.encode(), "\u00fc".encode()),
+        (OrderClass(body_field="order"), b"", b'{"order": true}', None),
+        (OrderClass(body_field="order"), b"", b'{"order": {}}', None),
+        (OrderClass(body_field="order"), b"", b"[1]", None),
+        (OrderClass(body_field="order"), b"", b"\xff", None),
+        (OrderClass(body_field="order"), b"", b"[" * 100_000, None),
+    ],
+)
+def test_what_a_request_calls_its_order(
+    settings: OrderClass, header: bytes, body: bytes, expected: bytes | None
+) -> None:
+    assert order_name(settings, header, body) == expected
+
+
+# --- One life ----------------------------------------------------------------------------
+
+
+def test_an_order_named_again_gets_the_answer_that_is_known(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with Endpoint(in_turn(serve(b"first"), serve(b"second"))) as endpoint:
+            async with opened(tmp_path, endpoint) as client:
+                assert said(await client.send(pay())) == SERVED
+                again = await client.send(pay())
+                assert said(again) == AGAIN and again.body == b"first" and again.attempts == 0
+                assert (await client.send(pay(body=b"other sum"))).status == 422
+                assert said(await client.send(pay("o-2"))) == SERVED
+                plain = Request("pay", "/pay", "POST", body=b"sum")
+                assert [said(await client.send(plain)) for _ in range(2)] == [SERVED, SERVED]
+                assert nothing_held(client)
+            assert len(endpoint.got) == 4, "what names no order is as today"
+
+    run(main())
+
+
+def test_the_same_order_on_two_connections_at_once_runs_once(tmp_path: Path) -> None:
+    async def main() -> None:
+        gate = asyncio.Event()
+        async with Endpoint(after(gate, serve(b"one"))) as endpoint, opened(tmp_path, endpoint) as client:
+            tasks = [asyncio.create_task(client.send(pay())) for _ in range(5)]
+            other = asyncio.create_task(client.send(pay(body=b"other")))
+            await endpoint.arrived.acquire()
+            gate.set()
+            replies = await asyncio.gather(*tasks)
+            assert {one.body for one in replies} == {b"one"} and (await other).status == 422
+            assert len(endpoint.got) == 1 and nothing_held(client)
+
+    run(main())
+
+
+def test_a_refused_order_has_not_run_and_may_come_again(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with Endpoint(refuse()) as endpoint, opened(tmp_path, endpoint) as client:
+            assert (await client.send(pay())).outcome is Ending.REFUSED
+            endpoint.handler = serve(b"now")
+            client.members([member(endpoint, "n-1")])
+            assert said(await client.send(pay())) == SERVED and endpoint.effects.by_id.total() == 1
+
+    run(main())
+
+
+def test_an_order_that_failed_is_not_sent_again(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with Endpoint(in_turn(reset(), serve())) as endpoint, opened(tmp_path, endpoint) as client:
+            first, second = await client.send(pay()), await client.send(pay())
+            assert (first.outcome, second.outcome) == (Ending.FAILED, Ending.FAILED)
+            assert len(endpoint.got) == 1
+
+    run(main())
+
+
+def test_an_order_whose_client_left_may_have_run(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with Endpoint(stall()) as endpoint, opened(tmp_path, endpoint) as client:
+            first = asyncio.create_task(client.send(pay()))
+            await endpoint.arrived.acquire()
+            waits = asyncio.create_task(client.send(pay()))
+            await asyncio.sleep(0)
+            first.cancel()
+            assert said(await waits) == MAY_HAVE_RUN
+            assert said(await client.send(pay())) == MAY_HAVE_RUN
+            assert len(endpoint.got) == 1 and nothing_held(client)
+
+    run(main())
+
+
+def test_an_order_whose_client_left_before_it_was_sent_passes_to_the_next(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with Endpoint() as endpoint, opened(tmp_path, endpoint) as client:
+            first = asyncio.create_task(client.send(pay()))
+            waits = asyncio.create_task(client.send(pay()))
+            await asyncio.sleep(0)
+            first.cancel()  # its intent is being written
+            assert said(await waits) == SERVED
+            alone = asyncio.create_task(client.send(pay("o-2")))
+            await asyncio.sleep(0)
+            alone.cancel()
+            assert said(await client.send(pay("o-2"))) == SERVED
+            assert len(endpoint.got) == 2 and nothing_held(client)
+
+    run(main())
+
+
+# --- The store fails -----------------------------------------------------------------------
+
+
+async def recorded(
+    disk: Disk, endpoint: Endpoint, unavailable: str, folder: Path, stack: contextlib.AsyncExitStack
+) -> tuple[Client, Store]:
+    """A client whose store is on a disk that the test breaks."""
+    client = await stack.enter_async_context(opened(folder, endpoint, unavailable=unavailable))
+    store = await Store.open(disk, Options())
+    recorder = client.engine.recorder
+    assert isinstance(recorder, OrderRecorder)
+    await recorder.store.close()
+    recorder.store = store
+    return client, store
+
+
+@pytest.mark.parametrize("unavailable", ["fail", "pass"])
+def test_an_order_that_can_not_be_recorded(tmp_path: Path, unavailable: str) -> None:
+    async def main() -> None:
+        from woadyard.testing.disk import SimulatedDisk
+
+        disk = SimulatedDisk()
+        async with Endpoint() as endpoint, contextlib.AsyncExitStack() as stack:
+            client, _ = await recorded(disk, endpoint, unavailable, tmp_path, stack)
+            disk.fail("sync", OSError(errno.EIO, "Input/output error"))
+            reply = await client.send(pay())
+            if unavailable == "pass":
+                assert said(reply) == SERVED and len(endpoint.got) == 1
+            else:
+                assert said(reply) == MAY_HAVE_RUN and not endpoint.got, "at once, with nothing sent"
+            assert (await client.send(Request("page", "/page"))).outcome is Ending.SERVED
+
+    run(main())
+
+
+def test_an_answer_that_can_not_be_recorded_is_not_told_as_served(tmp_path: Path) -> None:
+    async def main() -> None:
+        from woadyard.testing.disk import SimulatedDisk
+
+        disk = SimulatedDisk()
+        gate = asyncio.Event()
+        async with Endpoint(after(gate, serve())) as endpoint, contextlib.AsyncExitStack() as stack:
+            client, _ = await recorded(disk, endpoint, "fail", tmp_path, stack)
+            asked = asyncio.create_task(client.send(pay()))
+            await endpoint.arrived.acquire()
+            disk.fail("sync", OSError(errno.EIO, "Input/output error"))
+            gate.set()
+            assert said(await asked) == MAY_HAVE_RUN, "a later life would say no more"
+
+    run(main())
+
+
+def test_a_slow_store_does_not_hold_an_answer_past_its_time(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with Endpoint() as endpoint, opened(tmp_path, endpoint) as client:
+            recorder = client.engine.recorder
+            assert isinstance(recorder, OrderRecorder)
+            real, never = recorder.store.put, asyncio.Event()
+
+            async def slow(key: bytes, value: bytes, expires: int = 0) -> None:
+                await never.wait()
+                await real(key, value, expires)
+
+            vars(recorder.store)["put"] = slow
+            reply = await client.send(pay(deadline_s=0.05))
+            assert (reply.outcome, reply.status) == (Ending.FAILED, 504) and not endpoint.got
+            never.set()
+            del vars(recorder.store)["put"]
+            assert said(await client.send(pay())) == SERVED, "its intent was taken back: nothing was sent"
+
+    run(main())
+
+
+# --- Restarts ------------------------------------------------------------------------------
+
+
+def test_a_restart_knows_what_was_answered_and_what_may_have_run(tmp_path: Path) -> None:
+    async def main() -> None:
+        effects = Effects()
+        script = in_turn(serve(b"album"), stall())
+        async with Endpoint(script, effects=effects) as endpoint:
+            async with opened(tmp_path, endpoint) as client:
+                assert said(await client.send(pay("known"))) == SERVED
+                lost = asyncio.create_task(client.send(pay("lost")))
+                await endpoint.arrived.acquire()
+                await endpoint.arrived.acquire()
+                lost.cancel()
+            endpoint.handler = serve(b"never")
+            for _ in range(2):
+                async with opened(tmp_path, endpoint) as client:
+                    known = await client.send(pay("known"))
+                    assert said(known) == AGAIN and known.body == b"album"
+                    assert said(await client.send(pay("lost"))) == MAY_HAVE_RUN
+                    two = [client.send(pay("lost")), client.send(pay("known"))]
+                    assert [said(one) for one in await asyncio.gather(*two)] == [MAY_HAVE_RUN, AGAIN]
+            assert len(endpoint.got) == 2 and not effects.twice()
+
+    run(main())
+
+
+def test_one_folder_is_one_copys(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with Endpoint() as endpoint, opened(tmp_path, endpoint):
+            with pytest.raises(ConfigError, match="another process has this store open"):
+                async with opened(tmp_path, endpoint):
+                    pass
+
+    run(main())
+
+
+OPERATOR = """
+[orders]
+store_path = "{folder}"
+[[orders.classes]]
+name = "pay"
+header = "X-Order-Id"
+"""
+
+
+class World:
+    """A daemon that is killed and started again while orders flow and clients repeat them."""
+
+    def __init__(self, folder: Path, seed: int) -> None:
+        self.folder = folder
+        self.draw = random.Random(seed)
+        self.effects = Effects()
+        self.ran: dict[str, int] = {}  # by order: how often it took effect
+        self.told: dict[str, set[int]] = {}  # by order: the statuses that were told
+        self.port = free_port()
+        self.stop = False
+        self.number = 0
+        self.trap: asyncio.Event | None = None
+
+    async def handler(self, endpoint: Endpoint, message: Any, writer: Any) -> None:
+        order = message.headers.get("x-order-id") or message.body.decode()
+        self.ran[order] = self.ran.get(order, 0) + 1
+        if self.trap is not None and self.draw.random() < 0.3:
+            self.trap.set()  # it has run, and its daemon will not live to hear of it
+            return
+        await serve(order.encode())(endpoint, message, writer)
+
+    async def client(self, name: str) -> None:
+        """Orders one after another, each repeated until an answer is certain."""
+        caller = Caller("127.0.0.1", self.port)
+        order = 0
+        while not self.stop:
+            order += 1
+            await self.order(caller, f"{name}-{order}")
+        caller.close()
+
+    async def order(self, caller: Caller, order: str) -> None:
+        """Repeated until it is answered, over as many lives as it takes."""
+        while True:
+            self.number += 1
+            headers = f"X-Order-Id: {order}\r\n"
+            raw = request("pay", order.encode(), headers, rid=f"r{self.number}", deadline_ms=2000)
+            try:
+                back = await caller.ask(raw)
+            except (OSError, asyncio.IncompleteReadError):
+                await asyncio.sleep(0.002)
+                continue
+            self.told.setdefault(order, set()).add(back.status)
+            if back.status == 200:
+                assert back.body == order.encode()
+            if back.status != 503:
+                return
+
+    async def start(self, environ: dict[str, str]) -> asyncio.subprocess.Process:
+        process = await asyncio.create_subprocess_exec(sys.executable, "-m", "woadyard", env=environ)
+        while process.returncode is None:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                async with Caller("127.0.0.1", self.port) as caller:
+                    if (await caller.ask(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")).status == 200:
+                        return process
+            await asyncio.sleep(0.005)
+        raise AssertionError(f"the daemon ended with {process.returncode}")
+
+    async def play(self, kills: int) -> None:
+        async with Endpoint(self.handler, keep=False) as one, Endpoint(self.handler, keep=False) as other:
+            entries = [one.entry("s-0"), other.entry("s-1")]
+            text = platform(listen=f"127.0.0.1:{self.port}", known=whole_list(*entries))
+            operator = OPERATOR.format(folder=self.folder / "store")
+            environ = {
+                **os.environ,
+                "LB_CONFIG": file(self.folder, text, "config.json"),
+                "LB_OPERATOR": file(self.folder, operator),
+            }
+            process = await self.start(environ)
+            clients = [asyncio.create_task(self.client(f"c{n}")) for n in range(4)]
+            for _ in range(kills):
+                await self.moment()
+                process.send_signal(signal.SIGKILL)
+                await process.wait()
+                process = await self.start(environ)
+            self.stop = True
+            await asyncio.gather(*clients)
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+            await self.check(environ)
+
+    async def moment(self) -> None:
+        """Some way into the flow of orders; every other time with one that has just run."""
+        served = sum(self.ran.values()) + self.draw.randint(1, 12)
+        while sum(self.ran.values()) < served:
+            await asyncio.sleep(0)
+        if self.draw.random() < 0.5:
+            self.trap = asyncio.Event()
+            await self.trap.wait()
+            self.trap = None
+
+    async def check(self, environ: dict[str, str]) -> None:
+        """Once more, of a last life: what it says contradicts nothing that was told."""
+        process = await self.start(environ)
+        async with Caller("127.0.0.1", self.port) as caller:
+            for order, statuses in self.told.items():
+                before = set(statuses)
+                await self.order(caller, order)
+                if 200 in before:
+                    assert statuses == before, "told served is not forgotten"
+        process.send_signal(signal.SIGKILL)
+        await process.wait()
+
+
+def test_killed_at_any_moment_no_order_runs_twice(tmp_path: Path) -> None:
+    """200 kills, in four worlds side by side."""
+
+    async def main() -> None:
+        worlds = []
+        for seed in range(4):
+            (tmp_path / str(seed)).mkdir()
+            worlds.append(World(tmp_path / str(seed), seed))
+        async with asyncio.timeout(150):
+            await asyncio.gather(*(world.play(kills=50) for world in worlds))
+        for world in worlds:
+            assert len(world.ran) > 100 and set(world.ran.values()) == {1}, "no order runs twice"
+            told = [status for statuses in world.told.values() for status in statuses]
+            assert 200 in told and set(told) <= {200, 502, 503, 504}
+
+    run(main())
+
+
+# --- Settings ------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("[orders]", "orders: Object missing required field `store_path`"),
+        (OPERATOR + 'body_field = "x"', "pay: expected one of header and body_field"),
+        (OPERATOR.replace('header = "X-Order-Id"', ""), "pay: expected one of header and body_field"),
+        (OPERATOR.replace("[[", "unavailable = 'wait'\n[[", 1), "expected one of fail, pass, got 'wait'"),
+        (OPERATOR + OPERATOR.partition("\n[[")[2].replace("orders", "[[orders", 1), "each name once"),
+    ],
+)
+def test_orders_that_can_not_be_used_are_one_line(tmp_path: Path, text: str, expected: str) -> None:
+    with pytest.raises(ConfigError) as told:
+        read_operator(file(tmp_path, text.replace("{folder}", str(tmp_path))))
+    assert expected in str(told.value) and "\n" not in str(told.value)
+
+
+def test_only_classes_with_effects_are_recorded(tmp_path: Path) -> None:
+    text = (Path(__file__).parent.parent / "deploy" / "kiosk.toml").read_text()
+    text += OPERATOR.format(folder=tmp_path)
+    with pytest.raises(ConfigError, match=r"orders\.classes: pay: expected one of print-order, upload"):
+        read_file(file(tmp_path, text))
+    config = read_file(file(tmp_path, text.replace('"pay"', '"print-order"')))
+    assert config.orders is not None and config.names.order_headers == {2: b"x-order-id"}
+
+
+def test_a_disk_in_a_folder_is_a_disk(tmp_path: Path) -> None:
+    disk: Disk = FolderDisk(tmp_path)
+    disk.lock()
+    disk.close()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -192,7 +192,8 @@
     _, _, rest = "\n".join(lines).partition("# [deployment]")
     shown = re.sub(r"^# ?", "", "# [deployment]" + rest, flags=re.M)
     text = "\n".join(one for one in shown.splitlines() if re.match(r"\[|[a-z_]+ = ", one))
-    raw = tomllib.loads(text)["deployment"]
+    whole = tomllib.loads(text)
+    raw = whole["deployment"]
     from woadyard.settings import operator
 
     for table, given in (
@@ -200,6 +201,8 @@
         (operator.RequestClass, raw["classes"][0]),
         (operator.Tenant, raw["tenants"][0]),
         (operator.Member, raw["members"][0]),
+        (operator.OrdersTable, whole["orders"]),
+        (operator.RecordedClass, whole["orders"]["classes"][0]),
     ):
         fields = {name: getattr(table, name, None) for name in table.__struct_fields__}
         missing = set(fields) - set(given)
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -16,6 +16,7 @@
 from woadyard.net.message import log, unblock_log
 from woadyard.net.server import Server
 from woadyard.net.upstream import Upstream
+from woadyard.orders import open_recorder
 from woadyard.settings import Config, ConfigError, read_platform
 
 USAGE = """usage: laurelstep [run] [--operator FILE]   one sidecar, told by LB_CONFIG or by FILE
@@ -40,7 +41,7 @@
         return config
     if operator.deployment is not None:
         raise ConfigError(f"{operator_path}: deployment: expected none where LB_CONFIG is set")
-    return read_platform(environ)
+    return read_platform(environ, operator.orders_settings())
 
 
 def reload(environ: dict[str, str], source: MemberSource) -> None:
@@ -64,7 +65,20 @@
     source: Discovery | GivenMembers = GivenMembers()
     if config.discovery is not None:
         source = Discovery(loop, config.discovery, LIST_PATH, not settings.asks_discovery, log)
-    engine = Engine(clock, config.seed, settings, config.names, upstream, source, config.drain_grace_us, log)
+    recorder = None
+    if config.orders is not None:
+        recorder = await open_recorder(config.orders, config.names.classes, log)
+    engine = Engine(
+        clock,
+        config.seed,
+        settings,
+        config.names,
+        upstream,
+        source,
+        config.drain_grace_us,
+        log,
+        recorder,
+    )
     try:
         if isinstance(source, GivenMembers):
             engine.start()
@@ -86,6 +100,8 @@
     await ended.wait()
     source.close()
     upstream.close()
+    if recorder is not None:
+        await recorder.close()
 
 
 def run(arguments: Sequence[str]) -> int:
--- a/woadyard/engine/__init__.py
+++ b/woadyard/engine/__init__.py
@@ -7,7 +7,17 @@
 from woadyard.engine.engine import Engine
 from woadyard.engine.members import endpoint_number
 from woadyard.engine.names import Names
-from woadyard.engine.ports import Clock, Front, Handle, Log, MemberSink, MemberSource, Upstream
+from woadyard.engine.ports import (
+    Clock,
+    Front,
+    Handle,
+    Log,
+    MemberSink,
+    MemberSource,
+    Recorded,
+    Recorder,
+    Upstream,
+)
 
 __all__ = [
     "Answer",
@@ -24,6 +34,8 @@
     "MemberSink",
     "MemberSource",
     "Names",
+    "Recorded",
+    "Recorder",
     "Upstream",
     "endpoint_number",
 ]
--- a/woadyard/engine/call.py
+++ b/woadyard/engine/call.py
@@ -74,12 +74,15 @@
     key: int = 0  # the number of what it is about; 0 = nothing named
     work_us: int = 0  # a hint of its cost; 0 = none given
     repeated: bool = False
+    order: bytes = b""  # the header by which it names its order, where its class has one
     id: int = 0
     open: bool = True  # no final answer yet, and its client is there
     attempts: list[Attempt] = field(default_factory=list)
     timer: Handle | None = None
     tried: int = 0  # attempts that were handed to the upstream
     endpoint: str = ""  # the instance id of the last of them
+    recorded: bool = False  # a recorder sees its answer before its front does
+    held: bool = False  # its final answer waits for the recorder
 
 
 class Attempt:
--- a/woadyard/engine/engine.py
+++ b/woadyard/engine/engine.py
@@ -4,9 +4,10 @@
 time, and the actions that come back are carried out in their order; events
 that an action brings about wait until the present one is done.
 
-The steps of a request, each by its name here: `take` (before the module is told),
-`_send` (an attempt is about to be sent), `ended` (its one outcome), `_answer` (the
-final answer leaves), `gone` (its client left). Lists come by `listed`.
+The steps of a request, each by its name here: `take` (a recorder may come in between),
+`admit` (the module is told), `_send` (an attempt is about to be sent), `ended` (its one
+outcome), `_answer` (the final answer leaves), `gone` (its client left). Lists come by
+`listed`.
 """
 
 from __future__ import annotations
@@ -20,7 +21,7 @@
 from woadyard.engine.call import Answer, Attempt, Call, Ending
 from woadyard.engine.members import Members
 from woadyard.engine.names import Names
-from woadyard.engine.ports import Clock, Log, MemberSource, Upstream
+from woadyard.engine.ports import Clock, Log, MemberSource, Recorder, Upstream
 from woadyard.interface import (
     CANCELLED,
     LIST_CACHED,
@@ -69,6 +70,7 @@
         source: MemberSource,
         drain_grace_us: int,
         log: Log,
+        recorder: Recorder | None = None,
     ) -> None:
         self.clock = clock
         self.now = clock.now
@@ -77,6 +79,7 @@
         self.upstream = upstream
         self.source = source
         self.log = log
+        self.recorder = recorder
         # The module's view of resting connections is to be that of the sockets.
         self.balancer = Balancer(seed, replace(settings, idle_us=upstream.idle_us))
         self.members = Members(clock, names, upstream, drain_grace_us)
@@ -138,13 +141,28 @@
         self.calls[call.id] = call
         self.open_names.add(call.name)
         call.timer = self.clock.at(call.expires, self._expire, call)
+        if self.recorder is not None:
+            call.recorded = True
+            if self.recorder.begin(call, self):
+                return
+            call.recorded = False
+        self.admit(call)
+
+    def admit(self, call: Call) -> None:
+        """The module is told of a call that is open."""
+        if not call.open:
+            return
         event = Arrival(call.id, call.cls, call.expires, call.tenant, call.key, call.work_us, call.repeated)
         self._tell(self.balancer.request, event, call=call)
 
     def gone(self, call: Call) -> None:
         """The client left: nothing more is owed. Nothing happens if it was answered."""
-        if call.open:
+        if call.held:
+            self._let_go(call)
+        elif call.open:
             self._over(call)
+            if call.recorded and self.recorder is not None:
+                self.recorder.gone(call, self)
             self._tell(self.balancer.gone, call.id)
 
     def _expire(self, call: Call) -> None:
@@ -158,7 +176,30 @@
 
     def _answer(self, call: Call, answer: Answer) -> None:
         self._over(call)
-        call.front.answered(call, answer)
+        if call.recorded and self.recorder is not None:
+            call.held = True
+            call.timer = self.clock.at(call.expires, self.deliver, call, Answer(Ending.FAILED, 504))
+            self.recorder.finish(call, answer, self)
+        else:
+            call.front.answered(call, answer)
+
+    def settle(self, call: Call, answer: Answer) -> None:
+        """A final answer that the module has no part in."""
+        if call.open:
+            self._over(call)
+            call.front.answered(call, answer)
+
+    def deliver(self, call: Call, answer: Answer) -> None:
+        """A held answer leaves; at the call's time, what is known by then."""
+        if call.held:
+            self._let_go(call)
+            call.front.answered(call, answer)
+
+    def _let_go(self, call: Call) -> None:
+        call.held = False
+        if call.timer is not None:
+            call.timer.cancel()
+            call.timer = None
 
     def _over(self, call: Call) -> None:
         call.open = False
--- a/woadyard/engine/names.py
+++ b/woadyard/engine/names.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from math import nan
 from typing import Any
 
@@ -19,10 +20,14 @@
 
 
 class Names:
-    """Made from the settings object of the platform's configuration."""
+    """Made from the settings object of the platform's configuration. `order_headers` are the
+    headers, by class, with which requests name their order."""
 
-    def __init__(self, raw: dict[str, Any], settings: Settings) -> None:
+    def __init__(
+        self, raw: dict[str, Any], settings: Settings, order_headers: Mapping[str, bytes] | None = None
+    ) -> None:
         self.classes = {str(entry["name"]): n for n, entry in enumerate(raw["classes"])}
+        self.order_headers = {self.classes[name]: one for name, one in (order_headers or {}).items()}
         self.tenants = {str(entry["name"]): n for n, entry in enumerate(raw.get("accounts", ()))}
         self.zones = {str(name): n for n, name in enumerate(raw.get("zones", ()))}
         self.kinds = {str(name): n for n, name in enumerate(raw.get("kinds", ()))}
--- a/woadyard/engine/ports.py
+++ b/woadyard/engine/ports.py
@@ -5,9 +5,19 @@
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
-from woadyard.engine.call import Attempt, Front, Handle
-
-__all__ = ["Clock", "Front", "Handle", "Log", "MemberSink", "MemberSource", "Upstream"]
+from woadyard.engine.call import Answer, Attempt, Call, Front, Handle
+
+__all__ = [
+    "Clock",
+    "Front",
+    "Handle",
+    "Log",
+    "MemberSink",
+    "MemberSource",
+    "Recorded",
+    "Recorder",
+    "Upstream",
+]
 
 # Takes one line for the operator.
 Log = Callable[[str], None]
@@ -67,3 +77,31 @@
     def watch(self, on: bool) -> None: ...
 
     def fetch(self) -> None: ...
+
+
+class Recorded(Protocol):
+    """The engine, as a recorder knows it."""
+
+    def admit(self, call: Call) -> None:
+        """The module is told of it now. Nothing happens if it is no longer open."""
+
+    def settle(self, call: Call, answer: Answer) -> None:
+        """Its final answer, of which the module hears nothing."""
+
+    def deliver(self, call: Call, answer: Answer) -> None:
+        """The final answer that was handed to `Recorder.finish` leaves, or another in its
+        place. Only the first for a call counts."""
+
+
+class Recorder(Protocol):
+    """Keeps what must be known of a request after a restart. Joins at three steps."""
+
+    def begin(self, call: Call, engine: Recorded) -> bool:
+        """Before the module is told. True if it is recorded: then one of `admit` and `settle`
+        is called for it, now or later."""
+
+    def finish(self, call: Call, answer: Answer, engine: Recorded) -> None:
+        """Before the final answer of a recorded call leaves: `deliver` is called, now or later."""
+
+    def gone(self, call: Call, engine: Recorded) -> None:
+        """The client of a recorded call left."""
--- a/woadyard/library/client.py
+++ b/woadyard/library/client.py
@@ -20,7 +20,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from types import TracebackType
-from typing import Any, Self
+from typing import TYPE_CHECKING, Any, Self
 
 from woadyard.engine.call import Answer, Call, Ending, Headers
 from woadyard.engine.clock import LoopClock
@@ -30,8 +30,12 @@
 from woadyard.net.message import BODY_MAX
 from woadyard.net.request import BadRequestError, call_from
 from woadyard.net.upstream import Upstream
+from woadyard.orders import open_recorder
 from woadyard.settings import Config, ConfigError, config_from, read_file
 
+if TYPE_CHECKING:
+    from woadyard.orders.recorder import OrderRecorder
+
 logger = logging.getLogger("laurelstep")
 
 
@@ -262,6 +266,9 @@
         else:
             pushed = not settings.asks_discovery
             self._source = Discovery(self._loop, config.discovery, LIST_PATH, pushed, logger.warning)
+        self._recorder: OrderRecorder | None = None
+        if config.orders is not None:
+            self._recorder = await open_recorder(config.orders, config.names.classes, logger.warning)
         self.engine = Engine(
             clock,
             config.seed,
@@ -271,6 +278,7 @@
             self._source,
             config.drain_grace_us,
             logger.warning,
+            self._recorder,
         )
         try:
             if isinstance(self._source, GivenMembers):
@@ -279,6 +287,8 @@
             else:
                 self.engine.start(config.known)
         except ValueError as error:
+            if self._recorder is not None:
+                await self._recorder.close()
             raise ConfigError(f"members: {error}") from None
         self.state = State.OPEN
 
@@ -296,6 +306,8 @@
         self._upstream.close()
         await self._source.wait_closed()
         await self._upstream.wait_closed()
+        if self._recorder is not None:
+            await self._recorder.close()
         self.state = State.CLOSED
 
     async def __aenter__(self) -> Self:
--- a/woadyard/net/request.py
+++ b/woadyard/net/request.py
@@ -123,4 +123,5 @@
         key=key_of(target.partition(b"?")[2]),
         work_us=hint(fields.get(b"x-cost-hint", b"")),
         repeated=fields.get(b"x-retry") == b"1",
+        order=fields.get(names.order_headers[cls], b"") if cls in names.order_headers else b"",
     )
--- a/woadyard/settings/config.py
+++ b/woadyard/settings/config.py
@@ -8,6 +8,7 @@
 
 from woadyard.engine.names import Names
 from woadyard.interface import Settings
+from woadyard.orders.book import Orders
 from woadyard.wire import WireError, read_settings
 
 SOCKETS_DEFAULT = SOCKETS_MOST = 1024
@@ -32,6 +33,7 @@
     names: Names
     drain_grace_us: int
     known: dict[str, Any] | None
+    orders: Orders | None = None
 
     @property
     def side_sockets(self) -> int:
@@ -48,7 +50,19 @@
     return host, int(port)
 
 
-def config_from(raw: Any, source: str) -> Config:
+def _order_headers(raw: Any, orders: Orders | None) -> dict[str, bytes]:
+    """`ConfigError` if the orders name what is no class with effects."""
+    if orders is None:
+        return {}
+    repeats = {str(entry["name"]): entry["repeat"] for entry in raw["settings"]["classes"]}
+    recorded = sorted(name for name, repeat in repeats.items() if repeat != "retryable")
+    for name in orders.classes:
+        if name not in recorded:
+            raise ConfigError(f"orders.classes: {name}: expected one of {', '.join(recorded)}")
+    return {name: one.header for name, one in orders.classes.items() if one.header}
+
+
+def config_from(raw: Any, source: str, orders: Orders | None = None) -> Config:
     """The configuration that an object in the platform's form holds; `source` is what
     its errors name. Absent `listen` and `discovery` are None here: whether they may be
     is for the caller to say."""
@@ -67,9 +81,10 @@
             seed=int(str(raw.get("seed", "0")), 16),
             sockets=int(raw.get("limits", {}).get("sockets", SOCKETS_DEFAULT)),
             settings=settings,
-            names=Names(raw["settings"], settings),
+            names=Names(raw["settings"], settings, _order_headers(raw, orders)),
             drain_grace_us=int(rules.get("drain-grace-us", 0)),
             known=known,
+            orders=orders,
         )
     except (ValueError, KeyError, TypeError, AttributeError, RecursionError, WireError) as error:
         raise ConfigError(f"{source}: {type(error).__name__}: {error}") from None
--- a/woadyard/settings/operator.py
+++ b/woadyard/settings/operator.py
@@ -12,13 +12,20 @@
 
 import msgspec
 
+from woadyard.orders.book import OrderClass, Orders
 from woadyard.settings.config import Config, ConfigError, address, config_from
 
 Effect = Literal["safe", "keyed", "unsafe"]
 Scope = Literal["all", "zone", "cell"]
 Report = Literal["inflight", "queue", "util", "latency_ms", "qps", "eps"]
 # The keys whose values are words: msgspec does not say which ones it expected.
-WORDS = {"effect": get_args(Effect), "scope": get_args(Scope), "reports": get_args(Report)}
+Unavailable = Literal["fail", "pass"]
+WORDS = {
+    "unavailable": get_args(Unavailable),
+    "effect": get_args(Effect),
+    "scope": get_args(Scope),
+    "reports": get_args(Report),
+}
 
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Whole = Annotated[int, msgspec.Meta(ge=0)]
@@ -187,16 +194,52 @@
         }
 
 
+class RecordedClass(_Table, frozen=True, kw_only=True):
+    name: Name
+    header: Annotated[str, msgspec.Meta(pattern=r"^[0-9A-Za-z-]{0,64}$")] = ""
+    body_field: str = ""
+    keep_s: Count = 86_400
+
+
+class OrdersTable(_Table, frozen=True, kw_only=True):
+    """The record of requests with effects, and the store that it is kept in."""
+
+    store_path: Annotated[str, msgspec.Meta(min_length=1)]
+    classes: Annotated[tuple[RecordedClass, ...], msgspec.Meta(min_length=1)]
+    unavailable: Unavailable = "fail"
+    max_mb: Count = 1024
+
+    def problem(self) -> str | None:
+        names = [one.name for one in self.classes]
+        if len(set(names)) < len(names):
+            return "orders.classes: expected each name once"
+        for one in self.classes:
+            if bool(one.header) == bool(one.body_field):
+                return f"orders.classes: {one.name}: expected one of header and body_field"
+        return None
+
+    def settings(self) -> Orders:
+        classes = {
+            one.name: OrderClass(one.header.lower().encode(), one.body_field, one.keep_s * 1000)
+            for one in self.classes
+        }
+        return Orders(self.store_path, classes, self.unavailable, self.max_mb << 20)
+
+
 class Operator(_Table, frozen=True, kw_only=True):
     """The whole file. An absent table is a subsystem that is off."""
 
     deployment: Deployment | None = None
+    orders: OrdersTable | None = None
+
+    def orders_settings(self) -> Orders | None:
+        return None if self.orders is None else self.orders.settings()
 
     def config(self, path: str) -> Config:
         """The configuration of `[deployment]`; `ConfigError` where the file has none."""
         if self.deployment is None:
             raise ConfigError(f"{path}: deployment: expected the table [deployment]")
-        return config_from(self.deployment.raw(), path)
+        return config_from(self.deployment.raw(), path, self.orders_settings())
 
 
 def _is_address(text: str) -> bool:
@@ -226,6 +269,8 @@
         raise ConfigError(f"{path}: {_worded(error)}") from None
     except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(f"{path}: {type(error).__name__}: {error}") from None
+    if read.orders is not None and (problem := read.orders.problem()) is not None:
+        raise ConfigError(f"{path}: {problem}")
     if read.deployment is not None:
         if (problem := read.deployment.problem()) is not None:
             raise ConfigError(f"{path}: {problem}")
--- a/woadyard/settings/platform.py
+++ b/woadyard/settings/platform.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from typing import Any
 
+from woadyard.orders.book import Orders
 from woadyard.settings.config import Config, ConfigError, config_from
 
 
@@ -27,7 +28,7 @@
     return config_from(load_json(path), path)
 
 
-def read_platform(environ: Mapping[str, str]) -> Config:
+def read_platform(environ: Mapping[str, str], orders: Orders | None = None) -> Config:
     """What a daemon under the platform needs: LB_LISTEN and LB_DISCOVERY go before the
     file's `listen` and `discovery`, and one of each there must be."""
     path = environ.get("LB_CONFIG")
@@ -37,7 +38,7 @@
     if not isinstance(raw, dict):
         raise ConfigError(f"{path}: expected an object")
     told = {"listen": environ.get("LB_LISTEN"), "discovery": environ.get("LB_DISCOVERY")}
-    config = config_from({**raw, **{key: value for key, value in told.items() if value}}, path)
+    config = config_from({**raw, **{key: value for key, value in told.items() if value}}, path, orders)
     for key, value in (("listen", config.listen), ("discovery", config.discovery)):
         if value is None:
             raise ConfigError(f"{path}: {key} is missing: expected host:port")
