Put the parts of a copy together in one place for daemon, library and tests

Need: the daemon, the client and the test rig each built clock, upstream, source and engine by themselves, and could come to differ.

net/assembly.py does it once.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -19,12 +19,11 @@
 from starlette.applications import Starlette
 from starlette.middleware import Middleware
 
-from woadyard.engine import Engine, LoopClock
-from woadyard.engine.given import GivenMembers
+from woadyard.engine import Engine
 from woadyard.interface import Action, Outcome
 from woadyard.library import BalancerMiddleware, Client
 from woadyard.library.client import State
-from woadyard.net.discovery import LIST_PATH, Discovery
+from woadyard.net.assembly import Assembly
 from woadyard.net.message import log
 from woadyard.net.server import Server
 from woadyard.net.upstream import Upstream
@@ -157,20 +156,12 @@
 @contextlib.asynccontextmanager
 async def daemon(config: Config) -> AsyncIterator[Sidecar]:
     loop = asyncio.get_running_loop()
-    settings = config.settings
-    clock = LoopClock(loop)
-    most = config.side_sockets
-    upstream = Upstream(loop, clock.now, settings.idle_us, settings.connect_timeout_us, most)
-    source: Discovery | GivenMembers = GivenMembers()
-    if config.discovery is not None:
-        source = Discovery(loop, config.discovery, LIST_PATH, True, log)
-    engine = Engine(clock, config.seed, settings, config.names, upstream, source, config.drain_grace_us, log)
-    engine.start(config.known)
-    server = Server(loop, engine, on_stop=upstream.retire)
+    parts = Assembly(loop, config, log)
+    parts.start()
+    server = Server(loop, parts.engine, on_stop=parts.upstream.retire)
     port = await server.listen("127.0.0.1", 0)
-    yield Sidecar(engine, upstream, port, daemon=server)
-    source.close()
-    upstream.close()
+    yield Sidecar(parts.engine, parts.upstream, port, daemon=server)
+    parts.close()
     if server.listener is not None:
         server.listener.close()
 
@@ -181,8 +172,8 @@
     client = Client.open(config)
     app = Starlette(middleware=[Middleware(BalancerMiddleware, client=client)])
     async with hosted(app) as (host, port):
-        yield Sidecar(client.engine, client._upstream, port, host=host)
-    assert client.state is State.CLOSED and not client._upstream.links
+        yield Sidecar(client.engine, client._parts.upstream, port, host=host)
+    assert client.state is State.CLOSED and not client._parts.upstream.links
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -70,7 +70,8 @@
     """Guards the 32 MB process: msgspec, rich and the library come when they are asked for."""
     code = (
         "import sys, woadyard.__main__\n"
-        "off = {'msgspec', 'rich', 'google_crc32c', 'woadyard.store', 'uvicorn', 'starlette', 'argparse', 'tomllib', 'logging.config',"
+        "off = {'msgspec', 'rich', 'google_crc32c', 'uvicorn', 'starlette', 'argparse', 'tomllib',"
+        " 'logging.config', 'woadyard.store',"
         " 'woadyard.library', 'woadyard.testing', 'woadyard.demo', 'woadyard.settings.operator'}\n"
         "print(sorted(off & set(sys.modules)))"
     )
--- a/tests/test_interleavings.py
+++ b/tests/test_interleavings.py
@@ -260,7 +260,7 @@
         # Only what is written already may still arrive.
         written = {
             attempt.call.name.decode()
-            for attempt, link in self.client._upstream.carrying.items()
+            for attempt, link in self.client._parts.upstream.carrying.items()
             if attempt.endpoint == number(name) and link.transport is not None
         }
         self.drained[name] = len(self.gates.arrived), written
@@ -288,7 +288,7 @@
             await played.step(words)
         await played.finish()
         assert client.state is State.CLOSED and nothing_held(client)
-        assert not client._upstream.links and not client._upstream.carrying
+        assert not client._parts.upstream.links and not client._parts.upstream.carrying
         found = await asyncio.gather(*played.asked, return_exceptions=True)
         replies = [one for one in found if isinstance(one, Reply)]
         others = [one for one in found if not isinstance(one, Reply)]
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -9,13 +9,11 @@
 import sys
 from collections.abc import Sequence
 
-from woadyard.engine import Engine, LoopClock
-from woadyard.engine.given import GivenMembers
 from woadyard.engine.ports import MemberSource
-from woadyard.net.discovery import LIST_PATH, Discovery
+from woadyard.net.assembly import Assembly
+from woadyard.net.discovery import Discovery
 from woadyard.net.message import log, unblock_log
 from woadyard.net.server import Server
-from woadyard.net.upstream import Upstream
 from woadyard.orders import open_recorder
 from woadyard.settings import Config, ConfigError, read_platform
 
@@ -59,48 +57,23 @@
 
 async def serve(config: Config, environ: dict[str, str]) -> None:
     loop = asyncio.get_running_loop()
-    most = config.side_sockets
-    settings = config.settings
-    clock = LoopClock(loop)
-    upstream = Upstream(loop, clock.now, settings.idle_us, settings.connect_timeout_us, most)
-    source: Discovery | GivenMembers = GivenMembers()
-    if config.discovery is not None:
-        source = Discovery(loop, config.discovery, LIST_PATH, not settings.asks_discovery, log)
     recorder = None
     if config.orders is not None:
         recorder = await open_recorder(config.orders, config.names.classes, log)
-    engine = Engine(
-        clock,
-        config.seed,
-        settings,
-        config.names,
-        upstream,
-        source,
-        config.drain_grace_us,
-        log,
-        recorder,
-    )
-    try:
-        if isinstance(source, GivenMembers):
-            engine.start()
-            source.give(config.known["instances"] if config.known else ())
-        else:
-            engine.start(config.known)
-    except ValueError as error:
-        raise ConfigError(f"known: {error}") from None
-    server = Server(loop, engine, most, upstream.retire)
+    parts = Assembly(loop, config, log, recorder)
+    parts.start()
+    server = Server(loop, parts.engine, config.side_sockets, parts.upstream.retire)
     assert config.listen is not None
     try:
         await server.listen(*config.listen)
     except OSError as error:
         raise ConfigError(f"can't listen: {error}") from None
     ended = asyncio.Event()
-    loop.add_signal_handler(signal.SIGHUP, reload, environ, source)
+    loop.add_signal_handler(signal.SIGHUP, reload, environ, parts.source)
     loop.add_signal_handler(signal.SIGTERM, server.stop, ended.set)
     loop.add_signal_handler(signal.SIGINT, server.stop, ended.set)
     await ended.wait()
-    source.close()
-    upstream.close()
+    parts.close()
     if recorder is not None:
         await recorder.close()
 
--- a/woadyard/library/client.py
+++ b/woadyard/library/client.py
@@ -23,13 +23,11 @@
 from typing import TYPE_CHECKING, Any, Self
 
 from woadyard.engine.call import Answer, Call, Ending, Headers
-from woadyard.engine.clock import LoopClock
 from woadyard.engine.engine import Engine
 from woadyard.engine.given import GivenMembers
-from woadyard.net.discovery import LIST_PATH, Discovery
+from woadyard.net.assembly import Assembly
 from woadyard.net.message import BODY_MAX
 from woadyard.net.request import BadRequestError, call_from
-from woadyard.net.upstream import Upstream
 from woadyard.orders import open_recorder
 from woadyard.settings import Config, ConfigError, config_from, read_file
 
@@ -222,11 +220,7 @@
     def __init__(self, config: Config, members: Iterable[Member] | None = None) -> None:
         self.config = config
         self.state = State.NEW
-        self._given: list[Any] | None = None
-        if members is not None:
-            self._given = [one.entry() for one in members]
-        elif config.discovery is None:
-            self._given = list(config.known["instances"]) if config.known else []
+        self._given = None if members is None else [one.entry() for one in members]
         self._exchanges: set[Exchange] = set()
 
     @classmethod
@@ -251,45 +245,21 @@
         if self.state not in (State.NEW, State.CLOSED):
             raise ClientError(f"the client is {self.state.value} already")
         config = self.config
-        settings = config.settings
         self._loop = asyncio.get_running_loop()
         self._pid = os.getpid()
         self._quiet = asyncio.Event()
         self._quiet.set()
-        clock = LoopClock(self._loop)
-        self._upstream = Upstream(
-            self._loop, clock.now, settings.idle_us, settings.connect_timeout_us, config.side_sockets
-        )
-        self._source: Discovery | GivenMembers
-        if self._given is not None or config.discovery is None:
-            self._source = GivenMembers()
-        else:
-            pushed = not settings.asks_discovery
-            self._source = Discovery(self._loop, config.discovery, LIST_PATH, pushed, logger.warning)
         self._recorder: OrderRecorder | None = None
         if config.orders is not None:
             self._recorder = await open_recorder(config.orders, config.names.classes, logger.warning)
-        self.engine = Engine(
-            clock,
-            config.seed,
-            settings,
-            config.names,
-            self._upstream,
-            self._source,
-            config.drain_grace_us,
-            logger.warning,
-            self._recorder,
-        )
+        self._parts = Assembly(self._loop, config, logger.warning, self._recorder, self._given)
+        self.engine = self._parts.engine
         try:
-            if isinstance(self._source, GivenMembers):
-                self.engine.start()
-                self._source.give(self._given or ())
-            else:
-                self.engine.start(config.known)
-        except ValueError as error:
+            self._parts.start()
+        except ConfigError:
             if self._recorder is not None:
                 await self._recorder.close()
-            raise ConfigError(f"members: {error}") from None
+            raise
         self.state = State.OPEN
 
     async def close(self) -> None:
@@ -300,12 +270,10 @@
             return
         self._check_place()
         self.state = State.CLOSING
-        self._upstream.retire()
+        self._parts.upstream.retire()
         await self._quiet.wait()
-        self._source.close()
-        self._upstream.close()
-        await self._source.wait_closed()
-        await self._upstream.wait_closed()
+        self._parts.close()
+        await self._parts.wait_closed()
         if self._recorder is not None:
             await self._recorder.close()
         self.state = State.CLOSED
@@ -346,9 +314,10 @@
         ValueError, with the old list kept, if it can't be read; `ClientError` where the
         list is discovery's."""
         self.usable()
-        if not isinstance(self._source, GivenMembers):
+        source = self._parts.source
+        if not isinstance(source, GivenMembers):
             raise ClientError("the members of this client come from discovery")
-        self._source.give([one.entry() for one in members])
+        source.give([one.entry() for one in members])
 
     def usable(self) -> Engine:
         """The engine, if the client is open here; `ClientError` otherwise."""
--- /dev/null
+++ b/woadyard/net/assembly.py
@@ -0,0 +1,75 @@
+"""The parts of one copy, put together from its configuration: alike for daemon and library."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any
+
+from woadyard.engine.clock import LoopClock
+from woadyard.engine.engine import Engine
+from woadyard.engine.given import GivenMembers
+from woadyard.engine.ports import Log, Recorder
+from woadyard.net.discovery import LIST_PATH, Discovery
+from woadyard.net.upstream import Upstream
+from woadyard.settings import Config, ConfigError
+
+
+class Assembly:
+    """An engine with its upstream and its source of members, which a front is plugged into.
+
+    The members are `given`, or the configuration's where it names no discovery."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        config: Config,
+        log: Log,
+        recorder: Recorder | None = None,
+        given: Sequence[Any] | None = None,
+    ) -> None:
+        self.config = config
+        settings = config.settings
+        clock = LoopClock(loop)
+        self.upstream = Upstream(
+            loop, clock.now, settings.idle_us, settings.connect_timeout_us, config.side_sockets
+        )
+        self.source: Discovery | GivenMembers
+        if given is None and config.discovery is not None:
+            self.source = Discovery(loop, config.discovery, LIST_PATH, not settings.asks_discovery, log)
+        else:
+            self.source = GivenMembers()
+        if given is None:
+            given = config.known["instances"] if config.known else ()
+        self.given = given
+        self.engine = Engine(
+            clock,
+            config.seed,
+            settings,
+            config.names,
+            self.upstream,
+            self.source,
+            config.drain_grace_us,
+            log,
+            recorder,
+        )
+
+    def start(self) -> None:
+        """`ConfigError` if the members that are known can't be read."""
+        try:
+            if isinstance(self.source, GivenMembers):
+                self.engine.start()
+                self.source.give(self.given)
+            else:
+                self.engine.start(self.config.known)
+        except ValueError as error:
+            raise ConfigError(f"members: {error}") from None
+
+    def close(self) -> None:
+        self.source.close()
+        self.upstream.close()
+
+    async def wait_closed(self) -> None:
+        """After `close`: until no task and no socket is left."""
+        await self.source.wait_closed()
+        await self.upstream.wait_closed()
