Read a stored record in one place; drop what the simulated disk does not use

Need: the store and its tool each read a record by its location in their own way, three times in all, and the simulated disk had two fields and an error of no use.

recovery.record_at does it for all.

--- a/woadyard/store/recovery.py
+++ b/woadyard/store/recovery.py
@@ -6,13 +6,18 @@
 from dataclasses import dataclass, field
 
 from woadyard.store.disk import Disk
-from woadyard.store.index import Index
+from woadyard.store.index import Index, place_of
 from woadyard.store.log import (
+    KEY_MOST,
+    RECORD_HEAD,
     SEGMENT_SIZE,
+    VALUE_MOST,
     End,
     LogError,
+    Record,
     Scan,
     encode_frame,
+    read_record,
     read_segment_head,
     records_of,
     scan,
@@ -108,6 +113,19 @@
     return opened
 
 
+def record_at(disk: Disk, where: int) -> Record:
+    """The record at a location of the index; `LogError` if it is damaged."""
+    segment, offset = place_of(where)
+    name, place = segment_name(segment), f"segment {segment}, byte {offset}"
+    data = disk.read(name, offset, RECORD_HEAD.size + 512)
+    if len(data) >= RECORD_HEAD.size:
+        *_, key_size, value_size = RECORD_HEAD.unpack_from(data)
+        size = RECORD_HEAD.size + key_size + value_size
+        if len(data) < size <= RECORD_HEAD.size + KEY_MOST + VALUE_MOST:
+            data = disk.read(name, offset, size)
+    return read_record(data, place)
+
+
 def recover(disk: Disk, salt: int, progress: Progress | None = None) -> Opened:
     """The store as it was last reported, made durable and ready to be written to.
 
--- a/woadyard/store/store.py
+++ b/woadyard/store/store.py
@@ -31,19 +31,16 @@
     DELETE,
     KEY_MOST,
     PUT,
-    RECORD_HEAD,
     SEGMENT_SIZE,
     VALUE_MOST,
     LogError,
-    Record,
     encode_frame,
     encode_record,
     read_frame,
-    read_record,
     records_of,
 )
 from woadyard.store.manifest import Manifest, Segment, segment_name
-from woadyard.store.recovery import Opened, Progress, create_segment, recover, write_manifest
+from woadyard.store.recovery import Opened, Progress, create_segment, record_at, recover, write_manifest
 
 T = TypeVar("T")
 Log = Callable[[str], None]
@@ -208,7 +205,7 @@
                 return None
             segment, offset = place_of(where)
             try:
-                record = await self._on_thread(self._read, segment, offset)
+                record = await self._on_thread(record_at, self.disk, where)
             except FileNotFoundError:
                 if self.index.where.get(key) != where:
                     continue  # compaction has moved it meanwhile
@@ -219,16 +216,6 @@
                 raise StoreError(f"segment {segment}: another key at byte {offset}")
             return None if record.expires and record.expires <= self.wall() else record.value
 
-    def _read(self, segment: int, offset: int) -> Record:
-        name, place = segment_name(segment), f"segment {segment}, byte {offset}"
-        head = self.disk.read(name, offset, RECORD_HEAD.size + 512)
-        if len(head) >= RECORD_HEAD.size:
-            *_, key_size, value_size = RECORD_HEAD.unpack_from(head)
-            size = RECORD_HEAD.size + key_size + value_size
-            if len(head) < size <= RECORD_HEAD.size + KEY_MOST + VALUE_MOST:
-                head = self.disk.read(name, offset, size)
-        return read_record(head, place)
-
     def stats(self) -> Stats:
         return Stats(
             keys=len(self.index),
--- a/woadyard/store/tool.py
+++ b/woadyard/store/tool.py
@@ -12,10 +12,8 @@
 from collections.abc import Sequence
 
 from woadyard.store.disk import FolderDisk, StoreError
-from woadyard.store.index import place_of
-from woadyard.store.log import RECORD_HEAD, LogError, read_record
-from woadyard.store.manifest import segment_name
-from woadyard.store.recovery import Opened, look, read_all
+from woadyard.store.log import LogError
+from woadyard.store.recovery import Opened, look, read_all, record_at
 from woadyard.store.store import Store
 
 BAR = 30
@@ -49,12 +47,7 @@
 def verify(disk: FolderDisk) -> None:
     opened, leftover = read(disk)
     for where in opened.index.where.values():
-        segment, offset = place_of(where)
-        head = disk.read(segment_name(segment), offset, RECORD_HEAD.size)
-        *_, key_size, value_size = RECORD_HEAD.unpack(head)
-        size = RECORD_HEAD.size + key_size + value_size
-        place = f"segment {segment}, byte {offset}"
-        read_record(disk.read(segment_name(segment), offset, size), place)
+        record_at(disk, where)
     print(f"ok: {len(opened.index)} keys in {len(opened.manifest.segments)} segments")
     if opened.torn:
         print(f"{opened.torn} bytes of a batch that was never reported; the next start cuts them off")
@@ -66,11 +59,7 @@
     """One JSON object a line for each key."""
     opened, _ = read(disk)
     for key, where in opened.index.where.items():
-        segment, offset = place_of(where)
-        head = disk.read(segment_name(segment), offset, RECORD_HEAD.size)
-        *_, key_size, value_size = RECORD_HEAD.unpack(head)
-        data = disk.read(segment_name(segment), offset, RECORD_HEAD.size + key_size + value_size)
-        record = read_record(data, f"segment {segment}, byte {offset}")
+        record = record_at(disk, where)
         told = {
             "key": key.decode("utf-8", "backslashreplace"),
             "value": record.value.decode("utf-8", "backslashreplace"),
--- a/woadyard/testing/disk.py
+++ b/woadyard/testing/disk.py
@@ -8,17 +8,12 @@
 from typing import Any
 
 
-class PowerLostError(BaseException):
-    """Nothing after this point happened."""
-
-
 @dataclass
 class Inode:
     """A file's bytes: those that are durable, and the writes since."""
 
     durable: bytearray = field(default_factory=bytearray)
     pending: list[tuple[int, bytes]] = field(default_factory=list)
-    cuts: int | None = None
 
     def view(self) -> bytearray:
         """As a process sees it."""
@@ -52,7 +47,6 @@
         self.pending_names: list[Op] = []
         self.journal: list[Op] = []
         self.faults: dict[str, list[OSError]] = {}  # by operation: raised in their turn
-        self.owner: list[SimulatedDisk] = []
 
     def mark(self, *words: Any) -> None:
         """The test's own word in the journal."""
