Add worths with fsum: compiled, the sum of a generator passed for an int

The plain module runs; compiled, mypyc takes sum() over a generator of floats divided by another for an int (_gains).

Change: fsum, a float by its type.

--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -15,7 +15,7 @@
 from collections import deque
 from collections.abc import Sequence
 from itertools import pairwise
-from math import ceil, exp, log, sqrt
+from math import ceil, exp, fsum, log, sqrt
 from typing import Final
 
 from woadyard.interface import (  # isort: skip
@@ -602,9 +602,9 @@
         takes = [1.0 if self.settings.worth_by_work else max(1.0, one.mean) for one in usual] * 2
         parts = self.mix if event.work_us else [p * t for p, t in zip(self.mix, takes, strict=True)]
         gains = self._gains(parts, [w / t for w, t in zip(self.kinds, takes, strict=True)])
-        total = sum(parts)
-        less = sum(part for part, other in zip(parts, gains, strict=True) if other < gains[kind])
-        more = sum(part for part, other in zip(parts, gains, strict=True) if other > gains[kind])
+        total = fsum(parts)
+        less = fsum(part for part, other in zip(parts, gains, strict=True) if other < gains[kind])
+        more = fsum(part for part, other in zip(parts, gains, strict=True) if other > gains[kind])
         return less / total, more / total
 
     def _gains(self, parts: list[float], worths: list[float]) -> list[float]:
@@ -612,7 +612,7 @@
         gains the mean for the whole and again for the worst class; a class gives way only
         to one that gains more than that."""
         goal, classes = self.settings.goal, len(self.settings.classes)
-        mean = sum(p * w for p, w in zip(parts, worths, strict=True)) / sum(parts)
+        mean = fsum(p * w for p, w in zip(parts, worths, strict=True)) / fsum(parts)
         alike = (goal.whole + goal.worst_class) * mean
         gains = [goal.whole * worth for worth in worths]
         if goal.worst_class > 0.0:
