Format bytes instead of adding them: compiled, each addition lost its left part

At fault: `name + b": " + value + b"\r\n"` in net/message.lines, and four more places where bytes are added. mypyc 1.18 compiles them to CPyBytes_Concat, which is declared to take over its left operand and never frees it: 12.0 blocks a call, measured alone.

--- a/woadyard/net/message.py
+++ b/woadyard/net/message.py
@@ -44,11 +44,14 @@
 
 
 def lines(headers: Iterable[tuple[bytes, bytes]], named: frozenset[bytes] | None = None) -> bytes:
-    """Header lines as they are written, of those that are named or of all."""
+    """Header lines as they are written, of those that are named or of all.
+
+    Formatted, here and wherever bytes are put together in a compiled module: `+` of two
+    `bytes` is compiled to a function that never frees the left one (mypyc 1.18)."""
     parts: list[bytes] = []
     for name, value in headers:
         if named is None or name in named:
-            parts.append(name + b": " + value + b"\r\n")
+            parts.append(b"%b: %b\r\n" % (name, value))
     return b"".join(parts)
 
 
--- a/woadyard/net/request.py
+++ b/woadyard/net/request.py
@@ -77,7 +77,7 @@
     if not TARGET.fullmatch(target):
         raise BadRequestError(400, "the target is no path")
     name = fields.get(b"x-class", b"")
-    if target != b"/" + name and not target.startswith((b"/%b?" % name, b"/%b/" % name)):
+    if target != b"/%b" % name and not target.startswith((b"/%b?" % name, b"/%b/" % name)):
         raise BadRequestError(400, "X-Class and the path differ")
     cls = classes.get(name.decode("latin-1"))
     if cls is None:
@@ -115,7 +115,7 @@
     return Call(
         cls=cls,
         expires=rules.deadline_us if wait_ms is None else min(wait_ms * 1000, rules.deadline_us),
-        start=method + b" " + target,
+        start=b"%b %b" % (method, target),
         head=lines(headers, REQUEST_HEADERS),
         body=b"",
         front=front,
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -115,7 +115,7 @@
         self.begun = True
 
     def on_url(self, url: bytes) -> None:
-        self.target += url
+        self.target = b"%b%b" % (self.target, url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.asked is None:  # not a trailer: those end here
@@ -171,7 +171,7 @@
         keep = self.keep and self.server.lifecycle.keeps
         head = lines(answer.headers)
         if answer.retry_after_us > 0:
-            head += b"Retry-After: %.3f\r\n" % (answer.retry_after_us / 1e6)
+            head = b"%bRetry-After: %.3f\r\n" % (head, answer.retry_after_us / 1e6)
         close = b"" if keep else b"Connection: close\r\n"
         self.transport.write(
             b"%bContent-Length: %d\r\n%b%b\r\n%b"
