Hand the callers' listener on to a new version that starts beside the running one

Change: the new process finds the old one by a lock of the kernel, connects to its socket in $TMPDIR, and gets the listener (SCM_RIGHTS) and the list as told. Once it takes callers, the old one's stop closes its own hold of the listener at once; what that had accepted in the same turn is served, where it was cut unread before. While both run, each keeps to half of the descriptors. Where the door is shut, both share the address (SO_REUSEPORT); with nobody there, an address in use is one line and exit 2 as ever. Path not taken: SO_REUSEPORT with an accept queue that is emptied, as between the last accept and the close more may come.

Tests: twenty upgrades in a row under load, no request refused, reset or run twice; an order, an upload and a view open in the old process; either process killed at each step; stale files, spoilt, foreign and future messages. ./check passes, plain and compiled.

--- a/tests/fronts.py
+++ b/tests/fronts.py
@@ -27,6 +27,7 @@
     "test_a_second_request_while_the_first_is_open_ends_both": _PIPELINE,
     "test_the_rest_of_a_body_too_large_is_not_read": _CONNECTIONS,
     "test_a_connection_that_comes_up_after_the_last_one_is_not_read": _CONNECTIONS,
+    "test_a_connection_accepted_in_the_turn_that_closes_the_listener_is_served": _CONNECTIONS,
     "test_a_caller_that_brings_no_request_is_ended[silent]": _CONNECTIONS,
     "test_a_caller_that_brings_no_request_is_ended[half-head]": _CONNECTIONS,
     "test_a_caller_that_brings_no_request_is_ended[half-body]": (
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,528 @@
+"""One version after the other: what the processes say, the files they meet by, and what callers
+see of upgrades under load, with either process killed at each step."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import socket
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.sockets import (
+    SETTINGS,
+    TIMEOUT_S,
+    Endpoint,
+    Message,
+    Registry,
+    Writer,
+    answer,
+    config,
+    free_port,
+    request,
+    run,
+    start,
+)
+from tests.upgrades import Load, Site, Version, kill
+from woadyard.daemon import arrive, check_free
+from woadyard.handover import giver, taker
+from woadyard.handover.giver import Giver
+from woadyard.handover.messages import (
+    HEAD_MAX,
+    HELLO,
+    READY,
+    STATE_MAX,
+    HandoverError,
+    head,
+    is_hello,
+    pack,
+    size_in,
+    unpack,
+)
+from woadyard.handover.place import Place
+from woadyard.handover.stages import HALF, Handover, Stage
+from woadyard.handover.state import with_state
+from woadyard.handover.taker import take
+from woadyard.settings import config_from
+from woadyard.testing import Effects, push
+
+# --- What is said -----------------------------------------------------------------------
+
+
+def test_what_one_writes_the_other_reads() -> None:
+    raw = pack({"known": b'{"generation":1}', "discovery": b'"127.0.0.1:1"'})
+    assert size_in(head(len(raw))) == len(raw) and is_hello(HELLO)
+    assert unpack(raw) == {"known": {"generation": 1}, "discovery": "127.0.0.1:1"}
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"\n", b"nonsense\n", b"[]\n", b"{}\n", b'{"v": 2, "size": 1}\n', b'{"v": 1, "size": -1}\n',
+        b'{"v": 1, "size": true}\n', b'{"v": 1, "size": "1"}\n', b"[" * 200 + b"\n",
+        b'{"v": 1, "size": %d}\n' % (STATE_MAX + 1),
+    ],
+)  # fmt: skip
+def test_a_head_that_is_spoilt_foreign_or_of_the_future_is_refused(line: bytes) -> None:
+    with pytest.raises(HandoverError):
+        size_in(line)
+
+
+@pytest.mark.parametrize("raw", [b"", b"[]", b"{", b"\xff", b"[" * 100_000])
+def test_a_state_that_is_spoilt_is_refused(raw: bytes) -> None:
+    with pytest.raises(HandoverError):
+        unpack(raw)
+
+
+def test_a_state_that_is_too_long_stays_behind() -> None:
+    assert pack({"known": b'"%b"' % (b"x" * STATE_MAX)}) == b"{}"
+
+
+def test_each_event_has_one_stated_result_at_each_stage() -> None:
+    moves = {
+        ("ask", Stage.ALONE): Stage.OFFERED,
+        ("ready", Stage.OFFERED): Stage.TAKEN,
+        ("lost", Stage.OFFERED): Stage.ALONE,
+        ("lost", Stage.TAKEN): Stage.ALONE,
+    }
+    for stage in Stage:
+        for event in ("ask", "ready", "lost"):
+            one = Handover()
+            one.stage = stage
+            assert one.tell(event) is ((event, stage) in moves)
+            assert one.stage == moves.get((event, stage), stage)
+            assert one.taken == (one.stage == Stage.TAKEN)
+            assert one.share == (1.0 if one.stage == Stage.ALONE else HALF)
+
+
+LIST = {"generation": 7, "reset": True, "instances": []}
+
+
+@pytest.mark.parametrize(
+    ("known", "discovery", "expected"),
+    [
+        (LIST, "127.0.0.1:1", 7),
+        ({**LIST, "generation": 3}, "127.0.0.1:1", 5),  # older than what the platform told
+        (LIST, "127.0.0.1:2", 0),  # another source's versions say nothing
+        (None, "127.0.0.1:1", 5),
+        ({**LIST, "generation": "7"}, "127.0.0.1:1", 5),
+        ({**LIST, "instances": 7}, "127.0.0.1:1", 5),
+    ],
+)
+def test_the_newer_list_is_used(known: Any, discovery: str, expected: int) -> None:
+    raw = {"settings": SETTINGS, "discovery": "127.0.0.1:1", "known": {**LIST, "generation": 5}}
+    found = with_state(config_from(raw, "test"), {"known": known, "discovery": discovery})
+    assert found.known is not None and found.known["generation"] == expected
+
+
+# --- Where they meet --------------------------------------------------------------------
+
+ADDRESS = ("127.0.0.1", 7070)
+
+
+def test_a_lock_tells_who_is_alive_and_goes_with_its_process(tmp_path: Path) -> None:
+    first, second = Place(ADDRESS, str(tmp_path)), Place(ADDRESS, str(tmp_path))
+    other = Place(("127.0.0.1", 7071), str(tmp_path))
+    assert not first.enter() and second.enter() and not other.enter()
+    first.leave()
+    third = Place(ADDRESS, str(tmp_path))
+    assert third.enter(), "the second is still there"
+    second.leave()
+    third.leave()
+    assert not Place(ADDRESS, str(tmp_path)).enter()
+
+
+def test_a_stale_socket_file_is_nobody_and_is_replaced(tmp_path: Path) -> None:
+    place = Place(ADDRESS, str(tmp_path))
+    gone = place.listen()
+    gone.close()
+    with pytest.raises(ConnectionRefusedError):
+        place.connect(1.0)
+    door = place.listen()
+    place.connect(1.0).close()
+    newer = Place(ADDRESS, str(tmp_path))
+    newer_door = newer.listen()
+    place.leave()
+    newer.connect(1.0).close()
+    newer.leave()
+    assert [path.suffix for path in tmp_path.iterdir()] == [".lock"]
+    door.close()
+    newer_door.close()
+
+
+def test_a_folder_with_a_long_name_is_no_hindrance(tmp_path: Path) -> None:
+    folder = tmp_path / ("x" * 200)
+    folder.mkdir()
+    place = Place(ADDRESS, str(folder))
+    door = place.listen()
+    place.connect(1.0).close()
+    door.close()
+    place.leave()
+
+
+def test_a_folder_that_can_not_be_used_is_done_without(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str]
+) -> None:
+    raw = {"settings": SETTINGS, "listen": "127.0.0.1:7070", "management": "127.0.0.1:7071"}
+    environ = {"TMPDIR": str(tmp_path / "nowhere")}
+    assert arrive(config_from(raw, "test"), environ) is None
+    assert capfd.readouterr().err.count("no handover") == 1
+    assert arrive(config_from({**raw, "management": None}, "test"), {"TMPDIR": str(tmp_path)}) is None
+
+
+class Peer:
+    """A process that serves, as far as the one that comes can tell."""
+
+    def __init__(self, place: Place, *parts: bytes, fds: list[int] | None = None) -> None:
+        self.door = place.listen()
+        self.door.setblocking(True)
+        self.parts = parts
+        self.fds = fds or []
+        self.thread = threading.Thread(target=self._serve)
+        self.thread.start()
+
+    def _serve(self) -> None:
+        one, _ = self.door.accept()
+        with one:
+            one.recv(100)
+            for at, part in enumerate(self.parts):
+                socket.send_fds(one, [part], self.fds if at == 0 else [])
+            if not self.parts:
+                one.recv(1)  # silent, until the other gives up
+
+    def close(self) -> None:
+        self.thread.join()
+        self.door.close()
+
+
+@pytest.fixture
+def place(tmp_path: Path) -> Iterator[Place]:
+    one = Place(ADDRESS, str(tmp_path))
+    yield one
+    one.leave()
+
+
+def listener() -> socket.socket:
+    return socket.create_server(("127.0.0.1", 0))
+
+
+@pytest.mark.parametrize(
+    ("parts", "what", "problem"),
+    [
+        ([b'{"v": 2, "size": 2}\n', b"{}"], "listener", "version 2"),
+        ([b"x" * (HEAD_MAX + 1)], "listener", "too long"),
+        ([head(2)], "listener", "ended"),
+        ([b'{"v"'], "listener", "ended"),
+        ([head(2), b"{}"], "none", "0 descriptors"),
+        ([head(2), b"{}"], "two", "2 descriptors"),
+        ([head(2), b"{}"], "bound", "no listener"),
+        ([head(2), b"{}"], "other", "another address"),
+        ([head(2), b"[]"], "listener", "no object"),
+        ([], "none", "too long|timed out"),
+    ],
+)
+def test_what_is_no_handover_is_refused_and_leaves_no_descriptor(
+    place: Place, parts: list[bytes], what: str, problem: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(taker, "TAKE_S", 0.2 if not parts else 5.0)
+    with listener() as good, listener() as other, socket.socket() as bound:
+        fds = {
+            "listener": [good.fileno()], "none": [], "two": [good.fileno(), good.fileno()],
+            "bound": [bound.fileno()], "other": [other.fileno()],
+        }[what]  # fmt: skip
+        peer = Peer(place, *parts, fds=fds)
+        before = len(os.listdir("/proc/self/fd"))
+        address = good.getsockname()
+        with pytest.raises(HandoverError, match=problem):
+            take(place, address)
+        peer.close()
+        assert len(os.listdir("/proc/self/fd")) < before  # the door and its connection are closed
+
+
+def test_nobody_at_the_place_is_no_handover(place: Place) -> None:
+    with pytest.raises(HandoverError, match="FileNotFoundError"):
+        take(place, ADDRESS)
+
+
+def test_one_successor_at_a_time_and_alone_again_when_it_is_lost(place: Place) -> None:
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        changed: list[Stage] = []
+        with listener() as good:
+            one = Giver(
+                loop, place, good, lambda give: give({}), lambda: changed.append(one.handover.stage), print
+            )
+
+            async def come() -> socket.socket:
+                channel = place.connect(1.0)
+                channel.setblocking(False)
+                await loop.sock_sendall(channel, HELLO)
+                return channel
+
+            first = await come()
+            assert await loop.sock_recv(first, 100)
+            second = await come()
+            assert await loop.sock_recv(second, 100) == b"", "one is there already"
+            first.close()
+            while one.handover.stage != Stage.ALONE:
+                await asyncio.sleep(0)
+            third = await come()
+            assert await loop.sock_recv(third, 100)
+            await loop.sock_sendall(third, READY)
+            while not one.handover.taken:
+                await asyncio.sleep(0)
+            assert changed == [Stage.OFFERED, Stage.ALONE, Stage.OFFERED, Stage.TAKEN]
+            one.close()
+            assert await loop.sock_recv(third, 100) in (b"", b"{}")
+            for channel in (second, third):
+                channel.close()
+
+    run(main())
+
+
+@pytest.mark.parametrize("said", [b"GET / HTTP/1.1\r\n", READY, b"x" * (HEAD_MAX + 1), HELLO + HELLO, b""])
+def test_one_that_says_something_else_is_cut(
+    place: Place, said: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(giver, "HELLO_S", 0.0 if not said else 5.0)
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        with listener() as good:
+            one = Giver(loop, place, good, lambda give: None, lambda: None, print)
+            channel = place.connect(1.0)
+            channel.setblocking(False)
+            await loop.sock_sendall(channel, said)
+            with contextlib.suppress(ConnectionResetError):  # it had not read all of it
+                assert await loop.sock_recv(channel, 100) == b""
+            while one.successors:
+                await asyncio.sleep(0)
+            assert one.handover.stage == Stage.ALONE
+            channel.close()
+            one.close()
+
+    run(main())
+
+
+# --- Processes --------------------------------------------------------------------------
+
+
+def test_twenty_upgrades_under_load_lose_nothing(tmp_path: Path) -> None:
+    async def main() -> None:
+        effects = Effects()
+        async with Site(tmp_path, *(Endpoint(effects=effects) for _ in range(3))) as site:
+            version = await site.version()
+            load = Load(site.port)
+            for _ in range(20):
+                newer = await site.version()
+                assert await version.stop() == b""
+                version = newer
+            met = await load.stop()
+            assert await version.stop() == b""
+        assert set(met) <= {"200", "crossed"} and met["200"] > 200, met
+        assert met["crossed"] <= 5, met
+        assert not [rid for rid in effects.twice() if int(rid[1:]) % 3 != 0]
+        assert [path.suffix for path in tmp_path.iterdir() if path.suffix != ".json"] == [".lock"]
+
+    run(main())
+
+
+def test_what_is_open_in_the_old_process_is_answered_by_it(tmp_path: Path) -> None:
+    async def main() -> None:
+        release = asyncio.Event()
+
+        async def slow(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+            if message.headers["x-request-id"].startswith("slow"):
+                await release.wait()
+            endpoint.effects.execute(message)
+            writer.write(answer())
+
+        endpoint = Endpoint(slow)
+        async with Site(tmp_path, endpoint) as site:
+            old = await site.version()
+            open_ones = [
+                asyncio.create_task(site.ask(raw))
+                for raw in (
+                    request("pay", b"order", rid="slow-pay"),
+                    request("put", b"x" * 60_000, rid="slow-put"),
+                    request(rid="slow-page"),
+                )
+            ]
+            for _ in open_ones:
+                await endpoint.arrived.acquire()
+            new = await site.version()
+            stopping = asyncio.create_task(old.stop())
+            assert (await site.ask(request(rid="new"))).body == b"ok"
+            release.set()
+            for back in await asyncio.gather(*open_ones):
+                assert back.status == 200 and back.headers["connection"] == "close"
+            assert await stopping == b""
+            await new.stop()
+        assert not endpoint.effects.twice() and sum(endpoint.effects.by_id.values()) == 4
+
+    run(main())
+
+
+def test_the_new_process_has_the_list_that_the_old_one_was_told(tmp_path: Path) -> None:
+    """A drain that was told, and a change since the configuration was written."""
+
+    async def main() -> None:
+        first = Endpoint()
+        async with Endpoint() as second, Site(tmp_path, first) as site:
+            old = await site.version()
+            _, writer = await site.registry.asked.get()
+            push(writer, 2, True, second.entry("s-2"))
+            while not second.got:  # until it was told
+                await site.ask(request(rid=os.urandom(4).hex()))
+            new = await site.version()
+            target, _ = await site.registry.asked.get()
+            assert "from=2" in target, "it goes on from there"
+            count = len(first.got)
+            await old.stop()
+            await site.ask(request(rid="a"))
+            assert len(first.got) == count
+            await new.stop()
+
+    run(main())
+
+
+@pytest.mark.parametrize("step", ["starting", "ready", "stopping"])
+def test_the_new_process_goes_on_when_the_old_one_is_killed(tmp_path: Path, step: str) -> None:
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with Site(tmp_path, endpoint) as site:
+            old = await site.version()
+            if step == "starting":
+                new = await site.start()
+                kill(old)
+                await old.process.wait()
+                await new.until_ready()
+            else:
+                new = await site.version()
+                if step == "stopping":
+                    old.process.terminate()
+                kill(old)
+                await old.process.wait()
+            for n in range(20):
+                assert (await site.ask(request(rid=f"r{n}"))).body == b"ok"
+            newer = await site.version()
+            await new.stop()
+            assert (await site.ask(request(rid="last"))).body == b"ok"
+            await newer.stop()
+
+    run(main())
+
+
+@pytest.mark.parametrize("step", ["starting", "offered", "ready"])
+def test_the_old_process_goes_on_when_the_new_one_dies(tmp_path: Path, step: str) -> None:
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with Site(tmp_path, endpoint) as site:
+            old = await site.version()
+            if step == "offered":
+                place = Place(("127.0.0.1", site.port), str(tmp_path))
+                taken = await asyncio.to_thread(take, place, ("127.0.0.1", site.port))
+                taken.listener.close()
+                taken.channel.close()
+                os.close(place._lock)
+            else:
+                new = await (site.version() if step == "ready" else site.start())
+                kill(new)
+                await new.process.wait()
+            for n in range(20):
+                assert (await site.ask(request(rid=f"r{n}"))).body == b"ok"
+            # Alone again: a stop still waits for late callers, and a next version comes as ever.
+            newer = await site.version()
+            await old.stop()
+            assert (await site.ask(request(rid="last"))).body == b"ok"
+            await newer.stop()
+
+    run(main())
+
+
+def test_where_the_door_is_shut_the_address_is_shared(tmp_path: Path) -> None:
+    """The older process lives and does not answer at its socket: SO_REUSEPORT."""
+
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with Site(tmp_path, endpoint) as site:
+            old = await site.version()
+            (door,) = tmp_path.glob("*.sock")
+            door.unlink()
+            new = await site.version()
+            await old.stop()
+            assert (await site.ask(request(rid="a"))).body == b"ok"
+            errors = await new.stop()
+            assert errors.count(b"\n") == 1 and b"the address is shared" in errors
+
+    run(main())
+
+
+def test_an_address_in_use_by_no_predecessor_is_one_line_and_status_2(tmp_path: Path) -> None:
+    async def main() -> None:
+        first, second = tmp_path / "1", tmp_path / "2"
+        first.mkdir()
+        second.mkdir()
+        async with Site(first) as site:
+            old = await site.version()
+            other = await site.start(TMPDIR=str(second))
+            _, errors = await other.process.communicate()
+            assert other.process.returncode == 2
+            assert errors.count(b"\n") == 1 and b"can't listen" in errors
+            await old.stop()
+
+    run(main())
+
+
+def test_a_free_address_is_free_and_one_in_use_is_not() -> None:
+    check_free("127.0.0.1", free_port())
+    check_free("127.0.0.1", 0)
+    with listener() as one:
+        one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        with pytest.raises(OSError, match="in use"):
+            check_free(*one.getsockname())
+
+
+def test_without_a_second_address_nothing_is_put_into_the_folder(tmp_path: Path) -> None:
+    async def main() -> None:
+        registry = Registry()
+        async with await registry.start(), asyncio.timeout(TIMEOUT_S):
+            told = {**config(tmp_path, registry), "TMPDIR": str(tmp_path)}
+            process = await start({**told, "LB_LISTEN": f"127.0.0.1:{free_port()}"})
+            await registry.asked.get()
+            assert [path.name for path in tmp_path.iterdir()] == ["config.json"]
+            process.terminate()
+            await process.wait()
+
+    run(main())
+
+
+def test_evacuate_and_rejoin_while_two_versions_are_up(tmp_path: Path) -> None:
+    """Each speaks for itself: the old one's drain does not send the new one's callers away."""
+
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with Site(tmp_path, endpoint) as site:
+            old = await site.version()
+            new = await site.version()
+            assert await old.call("POST /api/evacuate") == 200
+            assert await old.call("GET /api/ready") == 503 and await new.call("GET /api/ready") == 200
+            assert await old.call("POST /api/rejoin") == 200
+            await stop_both(old, new)
+
+    async def stop_both(old: Version, new: Version) -> None:
+        assert await old.stop() == b"" and await new.stop() == b""
+
+    run(main())
+
+
+def test_two_versions_together_keep_to_one_limit() -> None:
+    raw = {"settings": SETTINGS, "limits": {"sockets": 384}, "management": "127.0.0.1:1"}
+    found = config_from(json.loads(json.dumps(raw)), "test")
+    assert 2 * 2 * found.shared_side_sockets < 384 and found.shared_side_sockets < found.side_sockets
--- /dev/null
+++ b/woadyard/daemon.py
@@ -0,0 +1,233 @@
+"""One daemon's process: its parts wired, from the first listener to the end of the last request."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING, Any
+
+from woadyard.engine.listing import dump_in_steps
+from woadyard.engine.ports import MemberSource
+from woadyard.lifecycle import Lifecycle
+from woadyard.net.assembly import Assembly
+from woadyard.net.collector import Collector
+from woadyard.net.discovery import Discovery
+from woadyard.net.message import log
+from woadyard.net.server import Server
+from woadyard.net.slices import Slices
+from woadyard.orders import open_recorder
+from woadyard.settings import Config, ConfigError
+
+if TYPE_CHECKING:
+    from woadyard.handover.giver import Giver
+    from woadyard.handover.place import Place
+    from woadyard.handover.taker import Taken
+    from woadyard.management.server import Management
+    from woadyard.workers.child import Seat
+
+ReadConfig = Callable[[dict[str, str]], Config]
+
+
+class Arrival:
+    """How a process comes: alone, or beside one that serves at the same addresses."""
+
+    def __init__(self, place: Place, others: bool, taken: Taken | None) -> None:
+        self.place = place
+        self.others = others
+        self.taken = taken
+
+    def config(self, config: Config) -> Config:
+        """With the list that the other process had, where there is one."""
+        from woadyard.handover.state import with_state
+
+        return config if self.taken is None else with_state(config, self.taken.state)
+
+
+def arrive(config: Config, environ: Mapping[str, str]) -> Arrival | None:
+    """None where no process can take over: without a second address, which tells one version
+    from the next, or with a record of orders, whose store has one owner."""
+    if config.management is None or config.listen is None or config.orders is not None:
+        return None
+    from woadyard.handover.messages import HandoverError
+    from woadyard.handover.place import Place
+    from woadyard.handover.taker import take
+
+    try:
+        place = Place(config.listen, environ.get("TMPDIR") or "/tmp")
+        others = place.enter()
+    except OSError as error:
+        log(f"no handover: {error}")
+        return None
+    try:
+        return Arrival(place, others, take(place, config.listen) if others else None)
+    except HandoverError as error:
+        log(f"no handover, the address is shared: {error}")
+        return Arrival(place, others, None)
+
+
+class Daemon:
+    def __init__(self, config: Config, environ: Mapping[str, str], arrival: Arrival | None) -> None:
+        self.config = config
+        self.environ = environ
+        self.arrival = arrival
+        self.loop = asyncio.get_running_loop()
+        self.lifecycle = Lifecycle()
+        self.slices = Slices(self.loop)
+        self.ended = asyncio.Event()
+        self.management: Management | None = None
+        self.giver: Giver | None = None
+        self.has_predecessor = False
+
+    async def run(self, read_config: ReadConfig, seat: Seat | None = None) -> None:
+        """Until a stop is over. `ConfigError` if it can't begin."""
+        config = self.config
+        recorder = None
+        if config.orders is not None:
+            recorder = await open_recorder(config.orders, config.names.classes, log)
+        self.parts = Assembly(self.loop, config, log, recorder, collector=Collector())
+        self.parts.start()
+        self.server = Server(
+            self.loop, self.parts.engine, config.side_sockets, self.parts.upstream.retire, self.lifecycle
+        )
+        try:
+            await self._listen(shared=seat is not None)
+        except OSError as error:
+            raise ConfigError(f"can't listen: {error}") from None
+        self._heed_signals(read_config)
+        if seat is not None:
+            from woadyard.workers.child import join
+
+            await join(self.loop, seat, self.parts.engine, self.stop)
+        await self.ended.wait()
+        self._close()
+        if recorder is not None:
+            await recorder.close()
+
+    def stop(self) -> None:
+        self.server.stop(self.ended.set)
+
+    def _heed_signals(self, read_config: ReadConfig) -> None:
+        self.loop.add_signal_handler(
+            signal.SIGHUP, reload, dict(self.environ), self.parts.source, read_config
+        )
+        self.loop.add_signal_handler(signal.SIGTERM, self.stop)
+        self.loop.add_signal_handler(signal.SIGINT, self.stop)
+
+    def _close(self) -> None:
+        self.slices.close()
+        self.parts.close()
+        if self.giver is not None:
+            self.giver.close()
+        if self.management is not None:
+            self.management.close()
+
+    # --- Listening ------------------------------------------------------------------
+
+    async def _listen(self, shared: bool) -> None:
+        config, arrival = self.config, self.arrival
+        assert config.listen is not None
+        # The second address answers before callers are taken: a start can be watched.
+        if config.management is not None:
+            await self._manage(*config.management)
+        if arrival is None:
+            await self.server.listen(*config.listen, shared=shared)
+            return
+        if arrival.taken is not None:
+            await self.server.listen(*config.listen, handed=arrival.taken.listener)
+        else:
+            if not arrival.others:
+                check_free(*config.listen)
+            # Shared with the process that comes next, should that not get the listener.
+            await self.server.listen(*config.listen, shared=True)
+        self._be_succeeded(arrival)
+
+    async def _manage(self, host: str, port: int) -> None:
+        # Imported where it is on, as all that a plain daemon does without.
+        from woadyard.management.calls import Reply, reply_to
+        from woadyard.management.server import Management
+        from woadyard.management.telemetry import figures
+
+        def asked(method: bytes, path: bytes) -> Reply:
+            now = self.loop.time()
+            return reply_to(method, path, self.lifecycle, now, lambda: figures(self.parts.engine))
+
+        self.management = Management(self.loop, asked)
+        await self.management.listen(host, port)
+
+    # --- One version after the other ------------------------------------------------
+
+    def _be_succeeded(self, arrival: Arrival) -> None:
+        """Serving: tell the process before this one, and wait for the one after it."""
+        from woadyard.handover.giver import Giver
+
+        if arrival.taken is not None:
+            self.has_predecessor = True
+            self.loop.add_reader(arrival.taken.channel.fileno(), self._predecessor_ended, arrival.taken)
+            arrival.taken.say_ready()
+        listener: Any = self.server.listener
+        try:
+            self.giver = Giver(self.loop, arrival.place, listener.sockets[0], self._collect, self._share, log)
+        except OSError as error:
+            log(f"no handover to a next version: {error}")
+        else:
+            self.server.succeeded = lambda: self.giver is not None and self.giver.handover.taken
+        self._share()
+
+    def _predecessor_ended(self, taken: Taken) -> None:
+        self.loop.remove_reader(taken.channel.fileno())
+        taken.channel.close()
+        self.has_predecessor = False
+        self._share()
+
+    def _share(self) -> None:
+        """Two processes have one sidecar's descriptors."""
+        alone = not self.has_predecessor and (self.giver is None or self.giver.handover.share == 1.0)
+        most = self.config.side_sockets if alone else self.config.shared_side_sockets
+        self.server.most = self.parts.upstream.most = most
+
+    def _collect(self, give: Callable[[dict[str, bytes]], None]) -> None:
+        """What the next process would have to learn anew."""
+        from woadyard.handover.state import state_of
+
+        source, known = self.parts.source, list[bytes]()
+        generation = source.generation if isinstance(source, Discovery) else 0
+
+        def ended(error: Exception | None) -> None:
+            give({} if error is not None else state_of(self.config, source, known[0]))
+
+        self.slices.run(dump_in_steps(self.parts.engine.members, generation, known), ended)
+
+
+def check_free(host: str, port: int) -> None:
+    """OSError if somebody listens there. Guards against another daemon's callers: the address is
+    then bound so that a next version may share it, and so would anybody's daemon."""
+    if port == 0:
+        return
+    family, kind, _, _, found = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM)[0]
+    with socket.socket(family, kind) as one:
+        one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        one.bind(found)
+
+
+def reload(environ: dict[str, str], source: MemberSource, read_config: ReadConfig) -> None:
+    """SIGHUP: what the file now says of discovery holds, also against the
+    environment of the start; a file that can't be used changes nothing."""
+    try:
+        config = read_config({name: value for name, value in environ.items() if name != "LB_DISCOVERY"})
+    except ConfigError as error:
+        log(f"not reloaded: {error}")
+    else:
+        if isinstance(source, Discovery) and config.discovery is not None:
+            source.move(config.discovery)
+
+
+async def serve(
+    config: Config,
+    environ: Mapping[str, str],
+    read_config: ReadConfig,
+    seat: Seat | None = None,
+    arrival: Arrival | None = None,
+) -> None:
+    await Daemon(config, environ, arrival).run(read_config, seat)
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import select
+import socket
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Final, cast
@@ -28,9 +29,14 @@
 LINGER_S: Final = 1.0
 # Refused before all of it came: more may be on its way.
 MORE_COMES = (408, 413, 431, 503)
+BACKLOG: Final = 1024
 # New connections come for this long after SIGTERM, and a last one gets this
 # long to bring its request.
 ACCEPT_S, LAST_S = 0.4, 0.15
+# Where another process takes the callers: so long their next answer ends their connections,
+# then they are closed. Not longer: a request may come until the last moment, and what is open
+# at the end of a stop is lost unless it came within 0.7 s.
+LEAVE_S: Final = 0.5
 
 
 class Caller:
@@ -260,15 +266,25 @@
         self.lingering: Sweep[Caller] = Sweep(loop, LINGER_S, Caller.cut)  # ended, not yet closed
         self.late: Sweep[Caller] = Sweep(loop, LATE_S, Caller.close)  # came when others were gone
         self.draining: asyncio.TimerHandle | None = None
+        self.closed = False  # the listener is, and what it had accepted has joined
+        self.over = False  # the process ends
+        self.succeeded: Callable[[], bool] = lambda: False  # whether another process takes callers
         self.listener: asyncio.Server | None = None
         self.on_end: Callable[[], None] = lambda: None
 
-    async def listen(self, host: str, port: int, shared: bool = False) -> int:
-        """The port it listens at; `shared` with other processes that say so too."""
+    async def listen(
+        self, host: str, port: int, shared: bool = False, handed: socket.socket | None = None
+    ) -> int:
+        """The port it listens at; `shared` with other processes that say so too, or at a
+        listener that another process handed over."""
         # Not typed: the sockets of uvloop's are a list, where asyncio's are a tuple.
-        listener: Any = await self.loop.create_server(
-            self._caller, host, port, backlog=1024, reuse_port=shared or None
-        )
+        listener: Any
+        if handed is not None:
+            listener = await self.loop.create_server(self._caller, sock=handed, backlog=BACKLOG)
+        else:
+            listener = await self.loop.create_server(
+                self._caller, host, port, backlog=BACKLOG, reuse_port=shared or None
+            )
         self.listener = listener
         self.lifecycle.serve(self.loop.time())
         return int(listener.sockets[0].getsockname()[1])
@@ -277,13 +293,12 @@
         return Caller(self)
 
     def joined(self, caller: Caller) -> None:
-        if self.lifecycle.stopping and self.listener is None:
-            # Guards against a request taken while the process ends: accepted in the very
-            # turn that closed the listener, it would have run and gone unanswered.
-            caller.cut()
+        if self.over:
+            caller.cut()  # guards a request that would run and go unanswered
             return
         self.callers.add(caller)
-        (self.late if self.lifecycle.is_late(self.loop.time()) else self.reading).add(caller)
+        late = self.listener is None or self.lifecycle.is_late(self.loop.time())
+        (self.late if late else self.reading).add(caller)
         if len(self.callers) > self.most:
             self._make_room()
 
@@ -335,7 +350,8 @@
         self.lifecycle.drained(self.loop.time())
 
     def _maybe_end(self) -> None:
-        if self.lifecycle.stopping and self.listener is None and not self.callers:
+        if self.closed and not self.callers and not self.over:
+            self.over = True
             self.on_end()
 
     def stop(self, on_end: Callable[[], None]) -> None:
@@ -343,17 +359,36 @@
         if not self.lifecycle.stop(self.loop.time()):
             return
         self.on_end = on_end
-        for caller in list(self.resting.since):
-            caller.close_unless_asking()
         if self.on_stop is not None:
             self.on_stop()
+        if self.succeeded():
+            self._close_listener()
+            self.loop.call_later(LEAVE_S, self._end_unsent)
+            return
+        for caller in list(self.resting.since):
+            caller.close_unless_asking()
         self.loop.call_later(ACCEPT_S + LAST_S, self._stop_listening)
 
     def _stop_listening(self) -> None:
-        """No request begins any more: half-sent ones and silent callers keep nothing up."""
+        self._close_listener()
+        self._end_unsent()
+
+    def _close_listener(self) -> None:
         assert self.listener is not None
         self.listener.close()
         self.listener = None
+        # Guards a request accepted in this very turn: its connection joins in the next.
+        self.loop.call_soon(self._listener_closed)
+
+    def _listener_closed(self) -> None:
+        self.closed = True
+        self._maybe_end()
+
+    def _end_unsent(self) -> None:
+        """No request begins any more: half-sent ones and silent callers keep nothing up."""
         for caller in [one for one in self.callers if one.call is None and not one.over]:
-            caller.close()
+            if not caller.fed:
+                caller.close_unless_asking()
+            else:
+                caller.close()
         self._maybe_end()
--- a/woadyard/settings/config.py
+++ b/woadyard/settings/config.py
@@ -42,8 +42,16 @@
     def side_sockets(self) -> int:
         """Connections that each side may hold, callers and endpoints: a crowd of the one
         must not leave none for the other, nor any of both for the watch and the loop."""
-        apart = SOCKETS_APART + (0 if self.management is None else SOCKETS_MANAGEMENT)
-        return max(16, min(self.sockets, SOCKETS_MOST) - apart) // 2
+        return max(16, min(self.sockets, SOCKETS_MOST) - self._apart) // 2
+
+    @property
+    def shared_side_sockets(self) -> int:
+        """The same while two processes are one sidecar, and share its descriptors."""
+        return max(16, min(self.sockets, SOCKETS_MOST) // 2 - self._apart) // 2
+
+    @property
+    def _apart(self) -> int:
+        return SOCKETS_APART + (0 if self.management is None else SOCKETS_MANAGEMENT)
 
 
 def address(text: Any) -> tuple[str, int]:
