Take white space around a field's value for no part of it

Seen: probe with a tab and blanks around each value on both sides: the parser cuts what leads and leaves what trails, so 'pay ' was an unknown class and a load report was not read. RFC 9110, 5.5 and 5.6.3: it is no part of the value. At fault: on_header in net/server.py and net/upstream.py, and the head of the ASGI front.

Test: both directions with tabs and blanks; it fails on the former lines.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -723,3 +723,28 @@
         assert (process.returncode, errors) == (2, b"laurelstep: LB_CONFIG is not set\n")
 
     run(main())
+
+
+def test_white_space_around_a_value_is_no_part_of_it() -> None:
+    """RFC 9110, 5.6.3: none, or any number of spaces and tabs, on both sides."""
+
+    async def main() -> None:
+        async def spaced(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+            writer.write(
+                b"HTTP/1.1 200 \r\nCONTENT-LENGTH:  2 \t\r\n"
+                b"X-Load:\t queue=2,qps=1 \r\ncontent-type:x \r\n\r\nok"
+            )
+
+        endpoint = Endpoint(spaced)
+        async with sidecar(endpoint) as one:
+            told = outcomes(one.engine)
+            raw = request("pay", b"b").replace(b": ", b":\t ").replace(b"\r\n", b" \t\r\n")
+            back = await one.ask(
+                raw.replace(b"HTTP/1.1 \t", b"HTTP/1.1").replace(b" \t\r\n \t\r\n", b" \t\r\n\r\n")
+            )
+            assert back.body == b"ok" and back.headers["content-type"] == "x"
+            (got,) = endpoint.got
+            assert got.headers["x-request-id"] == "r1" and got.headers["x-class"] == "pay"
+            assert told[0].outcome == OK and told[0].report == [2.0, 1.0]
+
+    run(main())
--- a/woadyard/library/asgi.py
+++ b/woadyard/library/asgi.py
@@ -16,7 +16,7 @@
 from woadyard.interface import SAFE
 from woadyard.library.client import Client, ClientError, Exchange, Reply, State
 from woadyard.net.errors import BadRequestError
-from woadyard.net.message import BODY_MAX, READ_S
+from woadyard.net.message import BODY_MAX, OWS, READ_S
 from woadyard.settings import ConfigError
 
 Scope = MutableMapping[str, Any]
@@ -135,7 +135,7 @@
 
 
 def _head(scope: Scope) -> Headers:
-    headers = [(bytes(name), bytes(value)) for name, value in scope["headers"]]
+    headers = [(bytes(name), bytes(value).strip(OWS)) for name, value in scope["headers"]]
     framed = any(name in (b"content-length", b"transfer-encoding") for name, _ in headers)
     if not framed and scope.get("http_version", "1.1")[0] in "23" and scope["method"] != "GET":
         # Frames of their own say how long the body is: as with chunks, it shows when it is whole.
--- a/woadyard/net/message.py
+++ b/woadyard/net/message.py
@@ -29,6 +29,10 @@
 ANSWER_HEADERS: Final = frozenset((b"content-type", b"content-encoding"))
 
 
+# Around a field's value, and no part of it (RFC 9110, 5.5 and 5.6.3): the parser leaves what trails.
+OWS: Final = b" \t"
+
+
 def log(text: str) -> None:
     """Lines for the operator. Guards the process against a log that nobody reads: with
     `unblock_log` called, what finds no room there is lost and holds nothing up."""
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -17,7 +17,7 @@
 from woadyard.lifecycle.phases import DRAIN_S, LATE_S
 from woadyard.lifecycle.phases import REST_S as DRAIN_REST_S
 from woadyard.net.errors import BadRequestError
-from woadyard.net.message import BODY_MAX, HEAD_MAX, MESSAGE_MAX, READ_S, Sweep, lines
+from woadyard.net.message import BODY_MAX, HEAD_MAX, MESSAGE_MAX, OWS, READ_S, Sweep, lines
 from woadyard.net.request import call_from, checked
 
 READY_PATH: Final = b"/health/ready"
@@ -126,7 +126,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.asked is None:  # not a trailer: those end here
-            self.headers.append((name.lower(), value))
+            self.headers.append((name.lower(), value.strip(OWS)))
 
     def on_headers_complete(self) -> None:
         if self.fed > HEAD_MAX and sum(len(n) + len(v) for n, v in self.headers) > HEAD_MAX:
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -22,6 +22,7 @@
     BODY_MAX,
     HEAD_MAX,
     MESSAGE_MAX,
+    OWS,
     Sweep,
     body_length,
     pass_on,
@@ -237,7 +238,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.fields is None:
-            self.headers.append((name.lower(), value))
+            self.headers.append((name.lower(), value.strip(OWS)))
 
     def on_headers_complete(self) -> None:
         if not self.whole and self.parser.get_status_code() >= 200:
