Give tests ports that outgoing connections never take, and each world its own orders

Ruled out: compaction (none at this size), a torn batch (it would be in the log). Not proven: that the port was another process's. At fault for what can be shown: ports from the range of outgoing connections, given back before they are used, and the same names of orders in four worlds, so that one could answer for another.

Change: ports below that range, none twice; names by world; the assertion tells the order and how often it ran.

--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -343,6 +343,7 @@
 
     def __init__(self, folder: Path, seed: int) -> None:
         self.folder = folder
+        self.seed = seed  # part of each order's name: worlds must not answer for each other
         self.draw = random.Random(seed)
         self.effects = Effects()
         self.ran: dict[str, int] = {}  # by order: how often it took effect
@@ -407,7 +408,7 @@
                 "LB_OPERATOR": file(self.folder, operator),
             }
             process = await self.start(environ)
-            clients = [asyncio.create_task(self.client(f"c{n}")) for n in range(4)]
+            clients = [asyncio.create_task(self.client(f"{self.seed}-c{n}")) for n in range(4)]
             for _ in range(kills):
                 await self.moment()
                 process.send_signal(signal.SIGKILL)
@@ -437,7 +438,7 @@
                 before = set(statuses)
                 await self.order(caller, order)
                 if 200 in before:
-                    assert statuses == before, "told served is not forgotten"
+                    assert statuses == before, f"told served is not forgotten: {order}, run {self.ran[order]}"
         process.send_signal(signal.SIGKILL)
         await process.wait()
 
--- a/woadyard/testing/messages.py
+++ b/woadyard/testing/messages.py
@@ -4,6 +4,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import random
 import socket
 from dataclasses import dataclass
 
@@ -51,8 +53,20 @@
     return head.encode() + body
 
 
+# Below what systems give to outgoing connections: one of those would take a port while the
+# process that listens there is down, or be connected to itself.
+PORTS = range(20_000, 32_000)
+_given: set[int] = set()
+
+
 def free_port() -> int:
-    """A port that nobody listens at, for a process that must be told one."""
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        return int(found.getsockname()[1])
+    """A port that nobody listens at, for a process that must be told one; none twice."""
+    for port in random.SystemRandom().sample(PORTS, len(PORTS)):
+        if port in _given:
+            continue
+        with socket.socket() as found, contextlib.suppress(OSError):
+            found.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            found.bind(("127.0.0.1", port))
+            _given.add(port)
+            return port
+    raise OSError("no port is free")
