Pass large bodies on while they come, and judge slow ones by their rate

Ruled out: the module (attempts that were sent were served), descriptors (148 of 1,024), memory (15 of 80 MB). At fault: READ_S for a whole request, BODY_MAX with 413, ANSWER_S for a whole answer, and no end but a length.

Change: engine/flow.py, a pipe with one taker and backpressure, used both ways; requests are held up to 1 MiB within a room (stream/pace.py), else taken while they come; answers over 64 KiB are passed on with their first byte. Path not taken: always passing on, as then nothing could be sent again.

--- a/setup.py
+++ b/setup.py
@@ -12,8 +12,16 @@
 
 MODULES = (
     *("interface", "policy"),
-    *("engine/call", "engine/clock", "engine/engine", "engine/members", "engine/names", "engine/tally"),
-    "lifecycle/phases",
+    *(
+        "engine/call",
+        "engine/clock",
+        "engine/engine",
+        "engine/flow",
+        "engine/members",
+        "engine/names",
+        "engine/tally",
+    ),
+    *("lifecycle/phases", "stream/pace"),
     *("net/message", "net/request", "net/server", "net/upstream"),
 )
 
--- a/woadyard/daemon.py
+++ b/woadyard/daemon.py
@@ -89,7 +89,12 @@
         self.parts = Assembly(self.loop, config, log, recorder, collector=Collector())
         self.parts.start()
         self.server = Server(
-            self.loop, self.parts.engine, config.side_sockets, self.parts.upstream.retire, self.lifecycle
+            self.loop,
+            self.parts.engine,
+            config.side_sockets,
+            self.parts.upstream.retire,
+            self.lifecycle,
+            config.memory_mb,
         )
         try:
             await self._listen(shared=seat is not None)
--- a/woadyard/engine/call.py
+++ b/woadyard/engine/call.py
@@ -16,6 +16,8 @@
 from enum import StrEnum
 from typing import Protocol
 
+from woadyard.engine.flow import Flow
+
 Headers = list[tuple[bytes, bytes]]  # names in lower case
 
 
@@ -30,7 +32,7 @@
 class Answer:
     """A final answer, in the terms that every front can word."""
 
-    __slots__ = ("body", "ending", "headers", "retry_after_us", "status")
+    __slots__ = ("body", "ending", "flow", "headers", "retry_after_us", "status")
 
     def __init__(
         self,
@@ -39,12 +41,14 @@
         headers: Sequence[tuple[bytes, bytes]] = (),
         body: bytes = b"",
         retry_after_us: int = 0,
+        flow: Flow | None = None,
     ) -> None:
         self.ending = ending
         self.status = status  # 200; 503 where refused; 500, 502 or 504 where failed
         self.headers = headers
         self.body = body
         self.retry_after_us = retry_after_us  # refused: when to come back; 0 = not told
+        self.flow = flow  # in place of the body, where that is still coming
 
 
 class Front(Protocol):
@@ -75,7 +79,8 @@
 
     __slots__ = (
         "attempts", "body", "cls", "endpoint", "expires", "front", "head", "held", "id", "key",
-        "name", "open", "order", "recorded", "repeated", "start", "tenant", "timer", "tried", "work_us",
+        "name", "open", "order", "recorded", "repeated", "span", "start", "streams", "tenant", "timer",
+        "tried", "upload", "work_us",
     )  # fmt: skip
 
     def __init__(
@@ -113,6 +118,9 @@
         self.endpoint = ""  # the instance id of the last of them
         self.recorded = False  # a recorder sees its answer before its front does
         self.held = False  # its final answer waits for the recorder
+        self.streams = False  # its front can pass on an answer that is still coming
+        self.upload: Flow | None = None  # in place of the body, where that is still coming
+        self.span = 0  # upload: the time it has from its last byte on
 
 
 class Attempt:
--- a/woadyard/engine/engine.py
+++ b/woadyard/engine/engine.py
@@ -19,6 +19,7 @@
 from typing import Any
 
 from woadyard.engine.call import Answer, Attempt, Call, Ending
+from woadyard.engine.flow import Flow
 from woadyard.engine.listing import apply_in_steps
 from woadyard.engine.members import Members
 from woadyard.engine.names import Names
@@ -91,6 +92,7 @@
         self.calls: dict[int, Call] = {}
         self.open_names: set[bytes] = set()  # the ids of the requests that are open
         self.tally = Tally(len(settings.classes))
+        self.passing: dict[Flow, int] = {}  # answers on their way to a caller, and their class
         self.next_id = 0
         self.events: deque[tuple[Method, object, Call | None]] = deque()
         self.telling = False
@@ -165,6 +167,7 @@
         call.timer = self.clock.at(call.expires, self._expire, call)
         if self.recorder is not None:
             call.recorded = True
+            call.streams = False  # the record holds whole answers
             if self.recorder.begin(call, self):
                 return
             call.recorded = False
@@ -177,6 +180,17 @@
         event = Arrival(call.id, call.cls, call.expires, call.tenant, call.key, call.work_us, call.repeated)
         self._tell(self.decisions.request, event, call)
 
+    def whole(self, call: Call) -> None:
+        """The last byte of a call's upload has come: its time counts from now."""
+        if not call.open:
+            return
+        call.expires = min(call.expires, self.now() + call.span)
+        if call.timer is not None:
+            call.timer.cancel()
+        call.timer = self.clock.at(call.expires, self._expire, call)
+        for attempt in call.attempts:
+            attempt.until = min(attempt.until, call.expires)
+
     def gone(self, call: Call) -> None:
         """The client left: nothing more is owed. Nothing happens if it was answered."""
         if call.held:
@@ -221,12 +235,25 @@
 
     def _final(self, call: Call, answer: Answer) -> None:
         """The one place where a final answer leaves."""
-        self.tally.end(call.cls, answer.ending)
+        flow = answer.flow
+        if flow is None or flow.over:
+            self.tally.end(call.cls, answer.ending)
+        else:
+            flow.watcher = self
+            self.passing[flow] = call.cls
         call.front.answered(call, answer)
 
+    def passed(self, flow: Flow) -> None:
+        """The last of an answer that was passed on while it came has left, or never will."""
+        cls = self.passing.pop(flow)
+        if flow.left:
+            self.tally.abandoned[cls] += 1
+        else:
+            self.tally.end(cls, Ending.SERVED if flow.whole else Ending.FAILED)
+
     def current(self) -> int:
         """Requests taken that have no final answer yet, their clients still there."""
-        return sum(1 for call in self.calls.values() if call.open or call.held)
+        return len(self.passing) + sum(1 for call in self.calls.values() if call.open or call.held)
 
     def _let_go(self, call: Call) -> None:
         call.held = False
@@ -267,7 +294,9 @@
         until = min(call.expires, now + action.timeout_us) if action.timeout_us else call.expires
         attempt = Attempt(self, call, len(call.attempts), action.endpoint, now, until)
         call.attempts.append(attempt)
-        if attempt.copy >= self.settings.max_attempts or not self.may_start(attempt, now):
+        # An upload that an endpoint had the beginning of is not here any more.
+        spent = call.upload is not None and call.upload.begun
+        if spent or attempt.copy >= self.settings.max_attempts or not self.may_start(attempt, now):
             self.ended(attempt, MOOT, None, b"")
             return
         call.tried += 1
@@ -279,6 +308,8 @@
     def written(self, attempt: Attempt) -> None:
         """The last byte of an attempt was written: from now on it may run."""
         self.tally.sends += 1
+        if attempt.call.upload is not None:
+            attempt.sent = self.now()  # what the endpoint takes counts from here
 
     def _time_out(self, attempt: Attempt) -> None:
         if attempt.out:
--- a/woadyard/net/message.py
+++ b/woadyard/net/message.py
@@ -14,9 +14,14 @@
 if TYPE_CHECKING:
     from asyncio import AbstractEventLoop, TimerHandle
 
+# Bodies up to BODY_MAX are held whole; larger ones, up to LARGE_MAX, may be passed on while
+# they come.
 BODY_MAX = HEAD_MAX = 64 * 1024
-# All of one message with its framing; guards against chunks that are mostly framing.
-MESSAGE_MAX = HEAD_MAX + 2 * BODY_MAX
+LARGE_MAX: Final = 32 << 20
+# Of one message beside its body, and for each byte of that (chunks of one byte take six);
+# guards against chunks that are mostly framing.
+FRAMING_MAX: Final = HEAD_MAX + BODY_MAX
+FRAMING_EACH: Final = 8
 # A request must be whole so long after its connection came or its first byte: guards
 # descriptors and memory against callers that say nothing or never end.
 READ_S: Final = 2.2
@@ -92,6 +97,14 @@
     return int(length)
 
 
+def declared_length(headers: Headers) -> int:
+    """What a head that was checked declares; -1 for chunks."""
+    for name, value in headers:
+        if name == b"content-length":
+            return int(value)
+    return -1
+
+
 T = TypeVar("T")
 
 
--- a/woadyard/net/request.py
+++ b/woadyard/net/request.py
@@ -55,7 +55,7 @@
     return 0
 
 
-def checked(headers: Headers) -> dict[bytes, bytes]:
+def checked(headers: Headers, most: int = BODY_MAX) -> dict[bytes, bytes]:
     """The fields of a head whose framing has one reading and whose body is not too
     large: judged by what it declares, before any of the body is read."""
     try:
@@ -63,7 +63,7 @@
         length = body_length(fields)
     except ValueError as error:
         raise BadRequestError(400, str(error)) from None
-    if length is not None and length > BODY_MAX:
+    if length is not None and length > most:
         raise BadRequestError(413, "the body is too large")
     return fields
 
@@ -97,11 +97,17 @@
 
 
 def call_from(
-    method: bytes, target: bytes, headers: Headers, names: Names, settings: Settings, front: Front
+    method: bytes,
+    target: bytes,
+    headers: Headers,
+    names: Names,
+    settings: Settings,
+    front: Front,
+    most: int = BODY_MAX,
 ) -> Call:
     """The call that a head asks for; `expires` is still a span, which counts from the
-    request's last byte on, and the body is still to come."""
-    fields = checked(headers)
+    request's last byte on, and the body, `most` bytes of it, is still to come."""
+    fields = checked(headers, most)
     cls = class_of(target, fields, names.classes)
     rules = settings.classes[cls]
     check_form(method, fields, rules)
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -13,12 +13,25 @@
 
 from woadyard.engine.call import Answer, Call, Ending, Headers
 from woadyard.engine.engine import Engine
+from woadyard.engine.flow import Flow
 from woadyard.lifecycle import Lifecycle, Phase
 from woadyard.lifecycle.phases import DRAIN_S, LATE_S
 from woadyard.lifecycle.phases import REST_S as DRAIN_REST_S
 from woadyard.net.errors import BadRequestError
-from woadyard.net.message import BODY_MAX, HEAD_MAX, MESSAGE_MAX, OWS, READ_S, Sweep, lines
+from woadyard.net.message import (
+    BODY_MAX,
+    FRAMING_EACH,
+    FRAMING_MAX,
+    HEAD_MAX,
+    LARGE_MAX,
+    OWS,
+    READ_S,
+    Sweep,
+    declared_length,
+    lines,
+)
 from woadyard.net.request import call_from, checked
+from woadyard.stream.pace import FREE, Room, keeps_pace, room_for
 
 READY_PATH: Final = b"/health/ready"
 REASONS: Final = {status.value: status.phrase.encode() for status in HTTPStatus}
@@ -29,6 +42,10 @@
 LINGER_S: Final = 1.0
 # Refused before all of it came: more may be on its way.
 MORE_COMES = (408, 413, 431, 503)
+# A caller that does not read what it is sent is cut after this.
+STUCK_S: Final = 10.0
+# An upload's provisional time: it counts from the last byte, once that has come.
+UPLOAD_MOST_US: Final = 600_000_000
 BACKLOG: Final = 1024
 # New connections come for this long after SIGTERM, and a last one gets this
 # long to bring its request.
@@ -51,6 +68,11 @@
         self.call: Call | None = None
         self.over = False  # nothing more is read
         self.keep = True
+        self.upload: Flow | None = None  # a request that is passed on while it comes
+        self.answer: Flow | None = None  # an answer that is
+        self.chunks = False  # the answer goes out in chunks
+        self.behind = b""  # what came meanwhile: the next request waits for its end
+        self.held = 0  # of the room for bodies
         self.parser: Any = httptools.HttpRequestParser(self)
         self._begin()
 
@@ -60,6 +82,7 @@
         self.body: list[bytes] = []
         self.size = self.fed = 0
         self.asked: Call | Answer | None = None  # what the head says
+        self.head_at = 0.0  # when it had come
         self.begun = self.whole = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -70,38 +93,59 @@
         self.over = True
         self.parser = None  # it holds this object's methods: the cycle ends here
         self._leave()
+        answer, self.answer = self.answer, None
+        if answer is not None:
+            answer.leave()
         self.server.left(self)
 
     def eof_received(self) -> None:
         """The caller has ended its side: the transport closes."""
 
     def pause_writing(self) -> None:
-        """A caller has one answer of bounded size at a time: nothing to hold back."""
+        self.server.stuck.add(self)
+        if self.answer is not None:
+            self.answer.pause()
 
-    def resume_writing(self) -> None: ...
+    def resume_writing(self) -> None:
+        self.server.stuck.discard(self)
+        if self.answer is not None:
+            self.answer.resume()
 
     def _leave(self) -> None:
         call, self.call = self.call, None
         if call is not None:
             self.server.engine.gone(call)
+        self._forget_body()
+
+    def _forget_body(self) -> None:
+        """Of the request in hand nothing more is held here."""
+        upload, self.upload = self.upload, None
+        if upload is not None:
+            upload.leave()
+        held, self.held = self.held, 0
+        self.server.room.give_back(held)
 
     # --- Reading --------------------------------------------------------------------
 
     def data_received(self, data: bytes) -> None:
         if self.over:
             return
+        if self.answer is not None:
+            self._keep_behind(data)
+            return
         if not self.fed and self.call is None:
             self.server.resting.discard(self)
+            self.server.reading.discard(self)  # its time counts from the first byte
         self.fed += len(data)
         try:
-            if self.call is not None:
+            if self.call is not None and self.upload is None:
                 # Guards against a request hidden behind another: callers send one at a time.
                 raise BadRequestError(400, "more than one request")
             self.parser.feed_data(data)
             if self.asked is None and self.fed > HEAD_MAX:
                 raise BadRequestError(431, "the head is too large")
-            if self.fed > MESSAGE_MAX:
-                raise BadRequestError(413, "the request is too large")
+            if self.fed > FRAMING_MAX + FRAMING_EACH * self.size:
+                raise BadRequestError(413, "the request is mostly framing")
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             self.refuse(cause if isinstance(cause, BadRequestError) else BadRequestError(400, "malformed"))
@@ -110,11 +154,39 @@
         except BadRequestError as error:
             self.refuse(error)
         else:
-            if self.whole:
-                self._take()
+            if not self.whole:
+                self._read_on()
+            elif self.upload is not None:
+                self._end_upload()
             else:
-                self.server.late.discard(self)
-                self.server.reading.add(self)
+                self._take()
+
+    def _read_on(self) -> None:
+        """More of the request is owed: its head by one time, its body at a pace."""
+        server = self.server
+        server.late.discard(self)
+        if self.asked is None:
+            server.reading.add(self)
+            return
+        if not keeps_pace(self.size, server.loop.time() - self.head_at):
+            self.refuse(BadRequestError(408, "the body came too slowly"))
+            return
+        if self.upload is None and not self._hold_body():
+            self._begin_upload()
+            return
+        waiting = server.uploading if self.upload is not None else server.reading
+        if self.upload is None or self in waiting.since:  # an upload that is held back is not late
+            waiting.discard(self)
+            waiting.add(self)
+
+    def _hold_body(self) -> bool:
+        """Whether the body may wait here until it is whole."""
+        if self.size <= FREE:
+            return True
+        held = self.server.room.hold(self.size, self.held)
+        if held >= 0:
+            self.held = held
+        return held >= 0
 
     def on_message_begin(self) -> None:
         if self.begun:
@@ -132,12 +204,23 @@
         if self.fed > HEAD_MAX and sum(len(n) + len(v) for n, v in self.headers) > HEAD_MAX:
             raise BadRequestError(431, "the head is too large")
         self.asked = self._asked()
+        self.head_at = self.server.loop.time()
+        if any(name == b"expect" and value.lower() == b"100-continue" for name, value in self.headers):
+            self._continue()
+
+    def _continue(self) -> None:
+        """The caller waits for a word before it sends the body (RFC 9110, 10.1.1)."""
+        if self.transport is not None and self.parser.get_http_version() == "1.1":
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
         self.size += len(data)
-        self.body.append(data)
-        if self.size > BODY_MAX:
+        if self.size > self.server.body_most:
             raise BadRequestError(413, "the body is too large")
+        if self.upload is not None:
+            self.upload.feed(data)
+        else:
+            self.body.append(data)
 
     def on_message_complete(self) -> None:
         self.whole, self.keep = True, self.parser.should_keep_alive()
@@ -148,7 +231,59 @@
             checked(self.headers)
             return Answer(Ending.SERVED, 200) if self.server.lifecycle.ready else Answer(Ending.FAILED, 503)
         engine = self.server.engine
-        return call_from(method, self.target, self.headers, engine.names, engine.settings, self)
+        most = self.server.body_most
+        return call_from(method, self.target, self.headers, engine.names, engine.settings, self, most)
+
+    # --- A request that is passed on while it comes -----------------------------------
+
+    def _begin_upload(self) -> None:
+        """Too large to be held: the first attempt takes it as it comes."""
+        server, asked = self.server, self.asked
+        if not isinstance(asked, Call):
+            self.refuse(BadRequestError(413, "the body is too large"))
+            return
+        if asked.name in server.engine.open_names:
+            self.refuse(BadRequestError(409, "X-Request-Id is that of an open request"))
+            return
+        upload = Flow(self, declared_length(self.headers))
+        for part in self.body:
+            upload.feed(part)
+        self.body = []
+        self._forget_body()
+        self.upload = asked.upload = upload
+        asked.span = asked.expires
+        asked.expires += server.engine.now() + UPLOAD_MOST_US
+        asked.streams = True
+        self.call = asked
+        server.reading.discard(self)
+        server.uploading.add(self)
+        server.engine.take(asked)
+        if self.upload is not None and not upload.begun:
+            self.hold()  # nobody takes it yet
+
+    def _end_upload(self) -> None:
+        upload, self.upload, call = self.upload, None, self.call
+        self.server.uploading.discard(self)
+        self._begin()
+        if upload is not None:
+            upload.end(True)
+        if call is not None:
+            self.server.engine.whole(call)
+
+    def hold(self) -> None:
+        self.server.uploading.discard(self)
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def go_on(self) -> None:
+        if self.transport is not None and not self.transport.is_closing() and self.upload is not None:
+            self.server.uploading.add(self)
+            self.transport.resume_reading()
+
+    def unwanted(self) -> None:
+        """The final answer comes, and ends the connection."""
+
+    # --- A request that has come whole ------------------------------------------------
 
     def _take(self) -> None:
         asked, body = self.asked, b"".join(self.body)
@@ -163,6 +298,7 @@
         elif asked is not None:
             asked.expires += engine.now()
             asked.body = body
+            asked.streams = True
             self.call = asked
             engine.take(asked)
 
@@ -170,12 +306,18 @@
 
     def answered(self, call: Call, answer: Answer) -> None:
         self.call = None
-        self._write(answer)
+        unread = self.upload is not None
+        self._forget_body()
+        if answer.flow is not None:
+            self._pass_on(answer, answer.flow, unread)
+        else:
+            self._write(answer, unread)
 
-    def _write(self, answer: Answer) -> None:
+    def _write(self, answer: Answer, unread: bool = False) -> None:
+        """`unread`: more of the request may come, and is not waited for."""
         if self.transport is None or self.transport.is_closing():
             return
-        keep = self.keep and self.server.lifecycle.keeps
+        keep = self.keep and self.server.lifecycle.keeps and not unread
         head = lines(answer.headers)
         if answer.retry_after_us > 0:
             head = b"%bRetry-After: %.3f\r\n" % (head, answer.retry_after_us / 1e6)
@@ -186,9 +328,66 @@
         )
         if keep:
             self.server.resting.add(self)
+        elif unread:
+            self._end_unread()
         else:
             self.close()
 
+    # --- An answer that is passed on while it comes -----------------------------------
+
+    def _pass_on(self, answer: Answer, flow: Flow, unread: bool) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.chunks = flow.length < 0 and self.parser.get_http_version() == "1.1"
+        self.keep = self.keep and self.server.lifecycle.keeps and not unread
+        self.keep = self.keep and (self.chunks or flow.length >= 0)
+        framing = b"Transfer-Encoding: chunked\r\n" if self.chunks else b""
+        if flow.length >= 0:
+            framing = b"Content-Length: %d\r\n" % flow.length
+        close = b"" if self.keep else b"Connection: close\r\n"
+        self.answer = flow
+        self.transport.write(
+            b"%b%b%b%b\r\n" % (START_LINES[answer.status], framing, lines(answer.headers), close)
+        )
+        flow.attach(self)
+
+    def _keep_behind(self, data: bytes) -> None:
+        """Read on until there is something: that the caller leaves is seen in this way alone."""
+        self.behind = b"%b%b" % (self.behind, data)
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def _read_behind(self) -> None:
+        data, self.behind = self.behind, b""
+        if data and self.transport is not None:
+            self.transport.resume_reading()
+            self.data_received(data)
+
+    def flow(self, data: bytes) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.chunks:
+            self.transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+        else:
+            self.transport.write(data)
+
+    def flowed(self, whole: bool) -> None:
+        self.answer = None
+        if self.transport is None or self.transport.is_closing():
+            return
+        if whole and self.chunks:
+            self.transport.write(b"0\r\n\r\n")
+        if whole and self.keep:
+            self.server.resting.add(self)
+            self._read_behind()
+        elif whole or self.chunks or self.keep:
+            # What has been given is still read; that it is not whole shows in its framing.
+            self.over = True
+            self.server.stuck.add(self)
+            self.transport.close()
+        else:
+            self.cut()
+
     def refuse(self, error: BadRequestError) -> None:
         """A plain 4xx, then the end."""
         self.over = True
@@ -200,9 +399,14 @@
             b"HTTP/1.1 %d %b\r\nContent-Type: text/plain\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%b"
             % (error.status, REASONS[error.status], len(text), text)
         )
-        if error.status not in MORE_COMES:
+        if error.status in MORE_COMES:
+            self._end_unread()
+        else:
             self.close()
-            return
+
+    def _end_unread(self) -> None:
+        self.over = True
+        assert self.transport is not None
         # Guards against the rest of a large request: it is not read, but for a moment
         # not cut off either, as closing on unread bytes resets the answer away.
         self.transport.pause_reading()
@@ -253,8 +457,12 @@
         most: int = 512,
         on_stop: Callable[[], None] | None = None,
         lifecycle: Lifecycle | None = None,
+        memory_mb: int = 0,
     ) -> None:
         self.loop = loop
+        self.room = Room(room_for(memory_mb))
+        # An order's record holds all of it.
+        self.body_most = LARGE_MAX if engine.recorder is None else BODY_MAX
         self.lifecycle = lifecycle or Lifecycle()
         self.lifecycle.watchers.append(self._moved)
         self.engine = engine
@@ -262,6 +470,8 @@
         self.on_stop = on_stop  # called when the stop begins
         self.callers: set[Caller] = set()
         self.reading: Sweep[Caller] = Sweep(loop, READ_S, Caller.time_out)  # a request is owed
+        self.uploading: Sweep[Caller] = Sweep(loop, READ_S, Caller.time_out)  # the same, being sent on
+        self.stuck: Sweep[Caller] = Sweep(loop, STUCK_S, Caller.cut)  # does not read
         self.resting: Sweep[Caller] = Sweep(loop, REST_S, Caller.close)  # between requests
         self.lingering: Sweep[Caller] = Sweep(loop, LINGER_S, Caller.cut)  # ended, not yet closed
         self.late: Sweep[Caller] = Sweep(loop, LATE_S, Caller.close)  # came when others were gone
@@ -315,13 +525,16 @@
                 return
 
     def ending(self, caller: Caller) -> None:
-        for sweep in (self.reading, self.resting, self.late):
+        for sweep in (self.reading, self.uploading, self.resting, self.late):
             sweep.discard(caller)
         self.lingering.add(caller)
 
     def left(self, caller: Caller) -> None:
         self.callers.discard(caller)
-        for sweep in (self.reading, self.resting, self.lingering, self.late):
+        for sweep in (
+            *(self.reading, self.uploading, self.stuck),
+            *(self.resting, self.lingering, self.late),
+        ):
             sweep.discard(caller)
         self._maybe_end()
 
@@ -386,7 +599,8 @@
 
     def _end_unsent(self) -> None:
         """No request begins any more: half-sent ones and silent callers keep nothing up."""
-        for caller in [one for one in self.callers if one.call is None and not one.over]:
+        idle = [one for one in self.callers if one.call is None and one.answer is None and not one.over]
+        for caller in idle:
             if not caller.fed:
                 caller.close_unless_asking()
             else:
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -15,13 +15,16 @@
 import httptools
 
 from woadyard.engine.call import Answer, Attempt, Ending, Headers
+from woadyard.engine.flow import Flow
 from woadyard.engine.members import split_address
 from woadyard.interface import ERROR, FULL, MOOT, NO_CONNECT, OK, RESET
 from woadyard.net.message import (
     ANSWER_HEADERS,
     BODY_MAX,
+    FRAMING_EACH,
+    FRAMING_MAX,
     HEAD_MAX,
-    MESSAGE_MAX,
+    LARGE_MAX,
     OWS,
     Sweep,
     body_length,
@@ -40,9 +43,15 @@
 # most of them, and one that had just started found none. Does harm where load comes in
 # waves longer than this: each pays for new connections.
 SURPLUS_S, SPARE = 1.0, 2
-# An answer that has begun must be whole so much later: guards against one that never
-# ends, which would cost the request all the time that its client has.
+# Of an answer that has begun something more must come within this: guards against one that
+# never ends, which would cost the request all the time that its client has.
 ANSWER_S: Final = 0.5
+# The same once it is passed on, and for an endpoint that does not read: nothing can be tried
+# again then, so the connection has longer.
+STALL_S: Final = 5.0
+# The length of an answer that ends with its connection (RFC 9112, 6.3, case 8), and of chunks.
+UNTIL_END: Final = -2
+CHUNKS: Final = -1
 # Where the settings name none.
 IDLE_DEFAULT_US, CONNECT_DEFAULT_US = 10_000_000, 1_000_000
 
@@ -74,17 +83,19 @@
 ONCE: Final = frozenset((b"content-length", b"transfer-encoding"))
 
 
-def checked(headers: Headers) -> dict[bytes, bytes]:
-    """The fields of an answer's head, if its end can be told and lies within the
+def checked(headers: Headers, most: int) -> tuple[dict[bytes, bytes], int]:
+    """The fields of an answer's head and the length of its body, if that lies within the
     limit: judged by what it declares, before any of the body is read."""
     try:
         fields = single(headers, ONCE)
         length = body_length(fields)
     except ValueError as error:
         raise SpoiltError(str(error)) from None
-    if length is None or length > BODY_MAX:
-        raise SpoiltError("no length, or too large")
-    return fields
+    if length is None:
+        return fields, UNTIL_END
+    if length > most:
+        raise SpoiltError("too large")
+    return fields, length
 
 
 class Link:
@@ -98,6 +109,9 @@
         self.opening: asyncio.Task[None] | None = None
         self.news = select.poll()  # made once: it is asked at each reuse
         self.unwritten = True  # the request's last byte is not yet with the system
+        self.full = False  # the transport holds bytes that the system did not take yet
+        self.upload: Flow | None = None  # a request that is passed on while it comes
+        self.answer: Flow | None = None  # an answer that is
         self.parser: Any = httptools.HttpResponseParser(self)
         self._begin()
 
@@ -105,7 +119,8 @@
         self.headers: Headers = []
         self.fields: dict[bytes, bytes] | None = None  # of the final answer's head
         self.body: list[bytes] = []
-        self.size = self.fed = self.status = 0
+        self.size = self.fed = self.fed_then = self.status = 0
+        self.length = CHUNKS
         self.whole = self.keep = False
 
     # --- Connection -----------------------------------------------------------
@@ -135,11 +150,26 @@
 
     def eof_received(self) -> None:
         """The endpoint has ended its side: the transport closes."""
+        ends_here = self.fields is not None and self.length == UNTIL_END
+        if ends_here and not self.whole and (self.attempt is not None or self.answer is not None):
+            self.whole, self.keep = True, False
+            self._finish()
 
     def pause_writing(self) -> None:
-        self.unwritten = True
+        self.full = self.unwritten = True
+        if self.upload is not None:
+            self.upload.pause()
+            self.owner.stalled.add(self)
 
     def resume_writing(self) -> None:
+        self.full = False
+        self.owner.stalled.discard(self)
+        if self.upload is not None:
+            self.upload.resume()
+        else:
+            self._written()
+
+    def _written(self) -> None:
         self.unwritten = False
         if self.attempt is not None:
             self.attempt.written()
@@ -156,6 +186,10 @@
             self.rest()
             attempt.end(MOOT)
             return
+        upload = attempt.call.upload
+        if upload is not None:
+            self._write_upload(attempt, upload, now)
+            return
         self.unwritten = False
         transport.write(request_bytes(attempt, now))
         if transport.is_closing():
@@ -163,6 +197,80 @@
         elif not self.unwritten:
             attempt.written()
 
+    # --- A request that is passed on while it comes -----------------------------------
+
+    def _write_upload(self, attempt: Attempt, upload: Flow, now: int) -> None:
+        assert self.transport is not None
+        self.unwritten = True
+        self.upload = upload
+        self.transport.write(upload_head(attempt, upload, now))
+        upload.attach(self)
+        if self.upload is not None and not self.full:
+            upload.resume()
+
+    def flow(self, data: bytes) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.upload is not None and self.upload.length < 0:
+            self.transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+        else:
+            self.transport.write(data)
+
+    def flowed(self, whole: bool) -> None:
+        upload, self.upload = self.upload, None
+        self.owner.stalled.discard(self)
+        if self.transport is None or self.transport.is_closing():
+            return
+        if not whole:
+            self.close()
+            return
+        if upload is not None and upload.length < 0:
+            self.transport.write(b"0\r\n\r\n")
+        if not self.full and not self.transport.is_closing():
+            self._written()
+
+    def _leave_upload(self) -> None:
+        upload, self.upload = self.upload, None
+        if upload is not None:
+            upload.leave()
+
+    # --- An answer that is passed on while it comes -----------------------------------
+
+    def _pass_on(self) -> None:
+        """Large: its head is the final answer, and what follows goes the same way. There is
+        no other attempt from here on."""
+        attempt, self.attempt = self.attempt, None
+        assert attempt is not None
+        self.owner.carrying.pop(attempt, None)
+        self.owner.answering.discard(self)
+        self._leave_upload()
+        answer = self.answer = Flow(self, max(self.length, CHUNKS))
+        for part in self.body:
+            answer.feed(part)
+        self.body = []
+        self.owner.passing.add(self)
+        passed = pass_on(self.headers, ANSWER_HEADERS)
+        final = Answer(Ending.SERVED, 200, passed, flow=answer)
+        attempt.end(OK, final, (self.fields or {}).get(b"x-load", b""))
+        if not answer.begun:
+            answer.leave()  # nobody waits for it any more
+
+    def hold(self) -> None:
+        self.owner.passing.discard(self)
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def go_on(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.owner.passing.add(self)
+            self.transport.resume_reading()
+
+    def unwanted(self) -> None:
+        self.answer = None
+        self.close()
+
+    # --- At rest ------------------------------------------------------------------
+
     def fit(self) -> bool:
         """Whether a resting connection may carry a request. Guards against bytes that
         came behind an earlier answer and would answer the next request, and against
@@ -196,6 +304,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.owner.gone(self)
+        answer, self.answer = self.answer, None
+        if answer is not None:
+            answer.end(False)
+        self._leave_upload()
         self._end(NO_CONNECT if self.unwritten else RESET)
         self.parser = None  # it holds this object's methods: the cycle ends here
 
@@ -209,25 +321,43 @@
         """No answer of this protocol: the request may have run, and the connection is of
         no more use. That it came says that the connection did not die, so no reset."""
         self.close()
+        self._leave_upload()
         self._end(ERROR)
 
+    def late(self) -> None:
+        """Nothing whole for `ANSWER_S`: it may go on as long as something comes."""
+        if self.fed == self.fed_then:
+            self.spoil()
+            return
+        self.fed_then = self.fed
+        self.owner.answering.add(self)
+
     # --- Answers ------------------------------------------------------------------
 
     def data_received(self, data: bytes) -> None:
-        if self.attempt is None:  # nobody asked: whatever it is, it ends the connection
-            self.close()
+        if self.attempt is None and self.answer is None:
+            self.close()  # nobody asked: whatever it is, it ends the connection
             return
         self.fed += len(data)
-        spoilt = self.fed > MESSAGE_MAX
+        spoilt = False
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             spoilt, self.keep = True, False
+        spoilt = spoilt or self.fed > FRAMING_MAX + FRAMING_EACH * self.size
         if self.whole:
             self._finish()
         elif spoilt or (self.fields is None and self.fed > HEAD_MAX):
             self.spoil()
+        elif self.answer is not None:
+            if self in self.owner.passing.since:  # it is not held
+                self.owner.passing.discard(self)
+                self.owner.passing.add(self)
+        elif self.status == 200 and max(self.length, self.size) > BODY_MAX:
+            self._pass_on()
         else:
+            if self not in self.owner.answering.since:
+                self.fed_then = self.fed
             self.owner.answering.add(self)
 
     def on_message_begin(self) -> None:
@@ -243,20 +373,45 @@
     def on_headers_complete(self) -> None:
         if not self.whole and self.parser.get_status_code() >= 200:
             self.status = self.parser.get_status_code()
-            self.fields = checked(self.headers)
+            self.fields, self.length = checked(self.headers, self._most())
 
     def on_body(self, data: bytes) -> None:
         if not self.whole:
             self.size += len(data)
-            self.body.append(data)
-            if self.size > BODY_MAX:
+            if self.size > self._most():
                 raise SpoiltError("too large")
+            if self.answer is not None:
+                self.answer.feed(data)
+            else:
+                self.body.append(data)
+
+    def _most(self) -> int:
+        if self.attempt is not None and not self.attempt.call.streams:
+            return BODY_MAX
+        return LARGE_MAX
 
     def on_message_complete(self) -> None:
         if self.fields is not None and not self.whole:
             self.whole, self.keep = True, self.parser.should_keep_alive()
 
     def _finish(self) -> None:
+        answer, self.answer = self.answer, None
+        if answer is not None:
+            self.owner.passing.discard(self)
+            self._end_use()
+            answer.end(True)
+            return
+        self._leave_upload()
+        self._outcome()
+
+    def _end_use(self) -> None:
+        # A request not yet read whole leaves the connection unfit for the next.
+        if self.keep and not self.unwritten:
+            self.rest()
+        else:
+            self.close()
+
+    def _outcome(self) -> None:
         fields, status = self.fields or {}, self.status
         outcome, answer = ERROR, None
         if status == 200:
@@ -267,11 +422,7 @@
             outcome = FULL
         attempt, self.attempt = self.attempt, None
         self.owner.answering.discard(self)
-        # A request not yet read whole leaves the connection unfit for the next.
-        if self.keep and not self.unwritten:
-            self.rest()
-        else:
-            self.close()
+        self._end_use()
         if attempt is not None:
             self.owner.carrying.pop(attempt, None)
             attempt.end(outcome, answer, fields.get(b"x-load", b""))
@@ -287,6 +438,17 @@
     return b"%b HTTP/1.1\r\n%b%b%b\r\n%b" % (call.start, call.head, wait, length, call.body)
 
 
+def upload_head(attempt: Attempt, upload: Flow, now: int) -> bytes:
+    """The head of a request whose body follows as it comes."""
+    call = attempt.call
+    # Counted by the endpoint from the last byte on, as by the caller.
+    wait = b"X-Deadline-Ms: %d\r\n" % max(1, min(call.span, call.expires - now) // 1000)
+    framing = b"Transfer-Encoding: chunked\r\n"
+    if upload.length >= 0:
+        framing = b"Content-Length: %d\r\n" % upload.length
+    return b"%b HTTP/1.1\r\n%b%b%b\r\n" % (call.start, call.head, wait, framing)
+
+
 class Upstream:
     """All pools and open connections of this sidecar."""
 
@@ -308,7 +470,9 @@
         idle_s = min(IDLE_MOST_S, IDLE_PART * (idle_us or IDLE_DEFAULT_US) / 1e6)
         self.resting: Sweep[Link] = Sweep(loop, idle_s, Link.close)
         self.surplus: Sweep[Link] = Sweep(loop, SURPLUS_S, Link.close_surplus)
-        self.answering: Sweep[Link] = Sweep(loop, ANSWER_S, Link.spoil)  # begun, not yet whole
+        self.answering: Sweep[Link] = Sweep(loop, ANSWER_S, Link.late)  # begun, not yet whole
+        self.passing: Sweep[Link] = Sweep(loop, STALL_S, Link.close)  # the same, passed on
+        self.stalled: Sweep[Link] = Sweep(loop, STALL_S, Link.close)  # does not read its request
         self.carrying: dict[Attempt, Link] = {}
         self.emptied: asyncio.Event | None = None
 
@@ -382,7 +546,7 @@
         self.links.discard(link)
         if not self.links and self.emptied is not None:
             self.emptied.set()
-        for sweep in (self.resting, self.surplus, self.answering):
+        for sweep in (self.resting, self.surplus, self.answering, self.passing, self.stalled):
             sweep.discard(link)
         if link in link.pool.idle:
             link.pool.idle.remove(link)
@@ -391,7 +555,7 @@
         self.retiring = True
         for link in list(self.links):
             link.close()
-        for sweep in (self.resting, self.surplus, self.answering):
+        for sweep in (self.resting, self.surplus, self.answering, self.passing, self.stalled):
             sweep.close()
 
     async def wait_closed(self) -> None:
--- a/woadyard/settings/config.py
+++ b/woadyard/settings/config.py
@@ -36,6 +36,7 @@
     drain_grace_us: int
     known: dict[str, Any] | None
     orders: Orders | None = None
+    memory_mb: int = 0  # the limit of the process's memory; 0 = none is told
     management: tuple[str, int] | None = None  # the second address, for the operators' calls
 
     @property
@@ -102,6 +103,7 @@
             discovery=None if discovery is None else str(discovery),
             seed=int(str(raw.get("seed", "0")), 16),
             sockets=int(raw.get("limits", {}).get("sockets", SOCKETS_DEFAULT)),
+            memory_mb=int(raw.get("limits", {}).get("memory_mb", 0)),
             settings=settings,
             names=Names(raw["settings"], settings, _order_headers(raw, orders)),
             drain_grace_us=int(rules.get("drain-grace-us", 0)),
--- /dev/null
+++ b/woadyard/stream/pace.py
@@ -0,0 +1,61 @@
+"""How fast a body must come, and how much of bodies is held in memory. Pure; time passed in, in s.
+
+Rules that everything here serves:
+
+1. A body goes on as long as bytes keep coming and their mean rate is not under `RATE_LEAST`,
+   counted from the end of the head, with `GRACE_S` to begin.
+2. A body is held whole, so that it can be sent again, up to `HOLD_EACH` and while all that are
+   held fit into the room. Past that it is passed on while it comes.
+3. What was taken of the room is given back once, when its request is over.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+# Callers may send 64 kB/s: half of that allows for pauses and for what is on its way.
+RATE_LEAST: Final = 32_000.0
+GRACE_S: Final = 2.2
+# Held whole at most; up to `FREE` it does not count: each connection may hold that.
+HOLD_EACH: Final = 1 << 20
+FREE: Final = 64 * 1024
+# What a process needs beside bodies, and the part of the rest that bodies may have: two
+# processes share the memory during an upgrade.
+BASE_MB: Final = 20
+PART: Final = 0.25
+ROOM_LEAST: Final = 1 << 20
+# Where no limit of memory is told.
+MEMORY_DEFAULT_MB: Final = 128
+
+
+def keeps_pace(size: int, since_s: float) -> bool:
+    """Whether a body of which so much has come in that time may go on."""
+    return since_s <= GRACE_S or size >= RATE_LEAST * (since_s - GRACE_S)
+
+
+def room_for(memory_mb: int) -> int:
+    """Bytes of bodies that may be held with that limit of memory; 0 = none is told."""
+    left = (memory_mb or MEMORY_DEFAULT_MB) - BASE_MB
+    return max(ROOM_LEAST, int(left * PART) << 20)
+
+
+class Room:
+    """Bytes of bodies that are held, past what each connection has anyway."""
+
+    __slots__ = ("most", "used")
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.used = 0
+
+    def hold(self, size: int, held: int) -> int:
+        """What a body of that size takes of the room in all, `held` of it so far; -1 if it
+        may not be held any longer."""
+        want = max(0, size - FREE)
+        if size > HOLD_EACH or self.used + want - held > self.most:
+            return -1
+        self.used += want - held
+        return want
+
+    def give_back(self, held: int) -> None:
+        self.used -= held
