Read no attribute again that a call may have emptied: compiled, an upload was cut off

At fault: self.upload is read after engine.take, which may answer within; mypy has narrowed it to what was assigned, so the compiled read of None is a TypeError. The same form stood in Link._write_upload.

Change: the flow itself is asked.

Test: an upload that is refused at once; plain it passed before as well, compiled it did not.

--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -241,6 +241,22 @@
     run(main())
 
 
+def test_an_upload_that_is_refused_at_once_ends_its_connection() -> None:
+    """Compiled, the answer that came within `take` was once a TypeError."""
+
+    async def main() -> None:
+        async with sidecar() as one:
+            reader, writer = await one.connect()
+            writer.write(head(len(BIG)) + BIG[: 2 * MB])
+            back = await read_message(reader)
+            assert back.status in (502, 503) and back.headers["connection"] == "close"
+            assert sum(counted(one)[1:3]) == 1 and not one.engine.calls
+            nothing_held(one)
+            writer.close()
+
+    run(main())
+
+
 def test_an_upload_that_broke_behind_its_last_byte_may_have_run() -> None:
     async def main() -> None:
         async def broken(endpoint: Endpoint, message: Message, writer: Writer) -> None:
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -258,7 +258,8 @@
         server.reading.discard(self)
         server.uploading.add(self)
         server.engine.take(asked)
-        if self.upload is not None and not upload.begun:
+        # Not `self.upload` again: to the compiler that is what was assigned above.
+        if not upload.over and not upload.begun:
             self.hold()  # nobody takes it yet
 
     def _end_upload(self) -> None:
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -205,8 +205,8 @@
         self.upload = upload
         self.transport.write(upload_head(attempt, upload, now))
         upload.attach(self)
-        if self.upload is not None and not self.full:
-            upload.resume()
+        if not self.full:
+            upload.resume()  # does nothing if it was whole already
 
     def flow(self, data: bytes) -> None:
         if self.transport is None or self.transport.is_closing():
