--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -610,3 +610,67 @@
             admission._full((30 + k) * SECOND, 1)
         bounds.append(next(held for held in range(1, 99) if admission._full(90 * SECOND, held)))
     assert bounds[1] < bounds[0]
+
+
+def test_the_pace_of_an_upload_tells_admission_nothing() -> None:
+    balancer = started()
+    driver, now = Driver(balancer), 0
+    for _ in range(200):
+        now += 30 * MS
+        assert driver.serve(now, 20 * MS)
+    usual = balancer.admission.took
+    for _ in range(20):
+        now += 30 * MS
+        driver.next += 1
+        asked = Arrival(driver.next, 0, now + 600 * SECOND, coming=True)
+        (send,) = sends(balancer.request(now, asked))
+        now += 8 * SECOND  # its body comes slowly
+        balancer.whole(now, driver.next, now + SECOND)
+        assert balancer.requests[driver.next].expires == now + SECOND
+        now += 20 * MS
+        balancer.outcome(now, Outcome(driver.next, 0, send.endpoint, OK, 20 * MS, over=True))
+    assert balancer.admission.took < 1.1 * usual and balancer.admission.share >= 1.0
+    count = balancer.admission.count
+    balancer.request(now, Arrival(9_999, 0, now + 600 * SECOND, coming=True))
+    balancer.gone(now + 8 * SECOND, 9_999)
+    assert balancer.admission.count == count, "its client left before it was whole"
+    balancer.whole(now, 9_999, now)  # of one that is over: nothing
+
+
+def test_an_upload_counts_at_its_endpoint_once_it_is_whole() -> None:
+    balancer = started(2)
+    driver, now = Driver(balancer), 0
+    for _ in range(200):
+        now += 30 * MS
+        assert driver.serve(now, 20 * MS)
+    (send,) = sends(balancer.request(now, Arrival(5_000, 0, now + 600 * SECOND, coming=True)))
+    endpoint = balancer.endpoints[send.endpoint]
+    now += 8 * SECOND  # longer than any answer takes, and its endpoint owes none
+    assert endpoint.inflight == 0 and balancer.avoided(now) == 0
+    for _ in range(40):
+        now += 30 * MS
+        assert driver.serve(now, 20 * MS)
+    assert balancer.wary_for < 1.0, "its connection is not lost"
+    balancer.whole(now, 5_000, now + SECOND)
+    assert endpoint.inflight == 1 and balancer.avoided(now) == 0
+    assert balancer.avoided(now + SECOND) == 1
+    balancer.outcome(now + SECOND, Outcome(5_000, 0, send.endpoint, OK, SECOND, over=True))
+    assert endpoint.inflight == 0 and balancer.partial == 0
+
+
+def test_uploads_on_their_way_turn_nothing_away() -> None:
+    balancer = started()
+    driver, now = Driver(balancer), 0
+    for _ in range(200):
+        now += 30 * MS
+        assert driver.serve(now, 20 * MS)
+    for _ in range(300):
+        driver.next += 1
+        balancer.request(now, Arrival(driver.next, 0, now + 600 * SECOND, coming=True))
+    assert balancer.partial == 300
+    now += 30 * MS
+    assert driver.serve(now, 20 * MS), "what is still coming is no load yet"
+    for rid in list(balancer.requests):
+        balancer.gone(now, rid)
+    assert balancer.partial == 0
+    assert all(endpoint.inflight == 0 for endpoint in balancer.endpoints.values())
--- a/woadyard/engine/engine.py
+++ b/woadyard/engine/engine.py
@@ -177,7 +177,10 @@
         """The module is told of a call that is open."""
         if not call.open:
             return
-        event = Arrival(call.id, call.cls, call.expires, call.tenant, call.key, call.work_us, call.repeated)
+        coming = call.upload is not None and not call.upload.over
+        event = Arrival(
+            call.id, call.cls, call.expires, call.tenant, call.key, call.work_us, call.repeated, coming
+        )
         self._tell(self.decisions.request, event, call)
 
     def whole(self, call: Call) -> None:
@@ -190,6 +193,10 @@
         call.timer = self.clock.at(call.expires, self._expire, call)
         for attempt in call.attempts:
             attempt.until = min(attempt.until, call.expires)
+        self._tell(self._tell_whole, call, call)
+
+    def _tell_whole(self, now: int, call: Call) -> list[Action]:
+        return self.decisions.whole(now, call.id, call.expires)
 
     def gone(self, call: Call) -> None:
         """The client left: nothing more is owed. Nothing happens if it was answered."""
--- a/woadyard/interface.py
+++ b/woadyard/interface.py
@@ -9,6 +9,7 @@
     start(now)                the sidecar is up; a cached list follows
     members(now, mode, list)  discovery's view: LIST_FULL, _DELTA, _CACHED, _FAILED, _PART
     request(now, Arrival)     a request to be answered exactly once
+    whole(now, id, expires)   a request told as `coming` has its last byte
     outcome(now, Outcome)     how one attempt ended; each `Send` gets one
     head(now, Outcome)        the answer of a streamed class has started
     gone(now, request)        the client left; nothing more is owed
@@ -220,6 +221,7 @@
     key: int  # what it is about; 0 = none
     work_us: int  # hint of its cost; 0 = none given
     repeated: bool  # the client marked it as a further try
+    coming: bool  # its body is not whole: `Balancer.whole` tells when it is, and what `expires` is then
 
     def __init__(
         self,
@@ -230,7 +232,9 @@
         key: int = 0,
         work_us: int = 0,
         repeated: bool = False,
+        coming: bool = False,
     ) -> None:
+        self.coming = coming
         self.request = request
         self.cls = cls
         self.expires = expires
--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -355,10 +355,11 @@
 
 
 class Attempt:
-    __slots__ = ("cell", "endpoint", "never_ran", "out", "rested", "sent", "wary", "zone")
+    __slots__ = ("cell", "coming", "endpoint", "never_ran", "out", "rested", "sent", "wary", "zone")
 
-    def __init__(self, endpoint: Endpoint, now: int) -> None:
+    def __init__(self, endpoint: Endpoint, now: int, coming: bool) -> None:
         self.endpoint = endpoint
+        self.coming = coming  # the endpoint has not all of it yet: it counts there once it has
         self.cell, self.zone = endpoint.cell, endpoint.zone
         self.sent = now
         self.rested = -1  # how long its connection was idle; a new one was not
@@ -369,7 +370,7 @@
 
 class Request:
     __slots__ = (
-        "arrived", "attempts", "cls", "expires", "id", "key", "kind", "sort",
+        "arrived", "attempts", "cls", "coming", "expires", "id", "key", "kind", "sort",
         "streaming", "tenant",
     )  # fmt: skip
 
@@ -384,6 +385,7 @@
         self.expires = event.expires
         self.attempts: list[Attempt] = []
         self.streaming = False
+        self.coming = event.coming  # its last byte is still to come
 
     def outstanding(self) -> bool:
         return any(attempt.out for attempt in self.attempts)
@@ -646,7 +648,8 @@
         self.groups: list[Group] = []
         self.home: list[Group] = []  # two halves of the own zone, where crossing has a price
         self.arc_size, self.depth = 1.0, 1
-        self.requests: dict[int, Request] = {}
+        self.requests: dict[int, Request] = {}  # in the order in which they came whole
+        self.partial = 0  # of these, those whose last byte is still to come
         self.ended: dict[int, Request] = {}  # over, but with attempts still out
         self.turns: dict[int, Turn] = {}
         self.moved: list[int] = []  # keys that may have a next to go
@@ -1012,17 +1015,24 @@
             if self._cold_budget(now, endpoint) < 1.0:
                 return False
             endpoint.budget -= 1.0
-        request.attempts.append(attempt := Attempt(endpoint, now))
+        request.attempts.append(attempt := Attempt(endpoint, now, request.coming))
         self._connect(now, attempt)
-        if not endpoint.inflight:
-            endpoint.quiet_since = now
-        endpoint.inflight += 1
+        if not request.coming:
+            self._begin(now, attempt)
         if request.key:
             self.turns[request.key].out += 1
         self.sends.add(now)
         self.out.append(Send(request.id, endpoint.id, request.expires - now))
         return True
 
+    def _begin(self, now: int, attempt: Attempt) -> None:
+        """The endpoint has all of it, or will at once: it counts there until its outcome."""
+        attempt.sent, attempt.coming = now, False
+        if not attempt.endpoint.inflight:
+            attempt.endpoint.quiet_since = now
+        attempt.endpoint.inflight += 1
+        self.reused.append(attempt)
+
     # --- Connections ------------------------------------------------------------------
 
     def _connect(self, now: int, attempt: Attempt) -> None:
@@ -1042,7 +1052,6 @@
             links.clear()
         elif rest and (not self.s.idle_us or rest < self.s.idle_us):
             attempt.rested = rest
-        self.reused.append(attempt)
 
     def _wary(self, attempt: Attempt, lost: bool) -> None:
         """Evidence of connections that die at rest, counted in the new ones that
@@ -1124,6 +1133,7 @@
     def request(self, now: int, event: Arrival) -> list[Action]:
         request = Request(now, event, self.s.classes[event.cls], max(1, len(self.s.tenants)))
         self.requests[request.id] = request
+        self.partial += request.coming
         self.retry_tokens = min(RETRY_CAP, self.retry_tokens + RETRY_EARN)
         # Nothing was spent on a request yet where it enters; further down, a
         # refusal would waste what the tiers above have done for it.
@@ -1136,7 +1146,7 @@
         return self._taken(now)
 
     def _admits(self, now: int, event: Arrival) -> bool:
-        held = len(self.requests) - self._stuck(now)
+        held = len(self.requests) - self.partial - self._stuck(now)
         place = self.worth.place(now, event, self.latencies)
         return self.admission.admits(now, held, place, self.rng.random())
 
@@ -1148,24 +1158,28 @@
         that follows them stays shut until the last deadline. Where all queue at once for
         long, it lets in one more bound's worth in each such span.
         """
-        for stuck, request in enumerate(self.requests.values()):  # the oldest first
+        stuck = 0
+        for request in self.requests.values():  # the oldest first
             held = now - request.arrived
+            if request.coming:
+                continue
             if held < STUCK_LEAST * self.longest_aim or not self._overdue(held, WARY_DEVIATIONS):
-                return stuck
-        return len(self.requests)
+                break
+            stuck += 1
+        return stuck
 
     def outcome(self, now: int, event: Outcome) -> list[Action]:
         outcome = event.outcome
         endpoint = self.endpoints.get(event.endpoint)
-        if endpoint is not None:
+        request = self.requests.get(event.request) or self.ended.get(event.request)
+        attempt = request.attempts[event.copy] if request and event.copy < len(request.attempts) else None
+        if endpoint is not None and not (attempt is not None and attempt.coming):
             self._settle(endpoint)
             endpoint.quiet_since = now
         if endpoint is not None and event.report and self.waiting_at < len(event.report):
             waiting = event.report[self.waiting_at]
             if 0.0 <= waiting < MAX_HELD:
                 endpoint.waiting, endpoint.told_at = waiting, now
-        request = self.requests.get(event.request) or self.ended.get(event.request)
-        attempt = request.attempts[event.copy] if request and event.copy < len(request.attempts) else None
         # Turned away on a new connection: there may be no room for just that, and those at
         # rest still serve. Guards against copies that leave an endpoint alone, wait together
         # and rush; also against idle capacity where another copy keeps the rest of the room.
@@ -1175,10 +1189,10 @@
             self._blame(now, endpoint, outcome, request.sort if request else 0, packed)
         if request is None or attempt is None:
             return self._taken(now)
-        if self.home and outcome != CANCELLED:
+        if self.home and outcome != CANCELLED and not request.coming:
             took = event.delay_us if outcome == OK else max(event.delay_us, request.cls.aim_us)
             self.crossing.note(now, attempt.zone == self.s.zone, took)
-        if endpoint is not None and outcome == OK:
+        if endpoint is not None and outcome == OK and not request.coming:
             self._praise(now, endpoint, request, event.delay_us)
         attempt.out = False
         attempt.never_ran = outcome in self.proofs
@@ -1226,7 +1240,7 @@
     def _result(self, now: int, request: Request, outcome: int) -> None:
         """Tell admission how a request ended. Errors and resets are left out:
         they tell of broken endpoints, which fewer requests would not mend."""
-        if outcome not in (ERROR, RESET):
+        if outcome not in (ERROR, RESET) and not request.coming:
             took = now - request.arrived
             good = outcome == OK and took <= self.good_part * request.cls.aim_us
             self.admission.note(now, took, good, outcome == OK, request.cls.aim_us)
@@ -1237,6 +1251,21 @@
             request.streaming = True
         return self._taken(now)
 
+    def whole(self, now: int, rid: int, expires: int) -> list[Action]:
+        """The last byte of a request that was taken while it came: from now on its time counts.
+        Guards what is learned of endpoints, and the bound on what is held, against the pace of
+        a caller: until then it loads no endpoint, and nothing of how long it takes tells."""
+        request = self.requests.pop(rid, None)
+        if request is not None:
+            self.requests[rid] = request
+        if request is not None and request.coming:
+            request.arrived, request.expires, request.coming = now, expires, False
+            self.partial -= 1
+            for attempt in request.attempts:
+                if attempt.out and attempt.coming:
+                    self._begin(now, attempt)
+        return self._taken(now)
+
     def gone(self, now: int, rid: int) -> list[Action]:
         request = self.requests.get(rid)
         if request is not None:
@@ -1282,6 +1311,7 @@
     def _forget(self, now: int, request: Request) -> None:
         """The request is over: nothing more is sent; stop what is still out."""
         del self.requests[request.id]
+        self.partial -= request.coming
         if request.outstanding():
             self.ended[request.id] = request
         if request.key and (turn := self.turns.get(request.key)) and request in turn.line:
