Give descriptors one owner, and count half-written heads and answers in the rooms

Need: less room. Ruled out by reading and tests: that a request which was taken gives way.

Change: room/descriptors.py (shares, who gives way; pure), heads in the room for requests, answers in one of their own and passed on past it, bodies in one buffer; a renewal of the watch is drawn between half and all of its pause. Path not taken: borrowing places between callers and endpoints, as what is lent can't be asked back from a request that was taken.

--- a/setup.py
+++ b/setup.py
@@ -21,7 +21,7 @@
         "engine/names",
         "engine/tally",
     ),
-    *("lifecycle/phases", "stream/pace"),
+    *("lifecycle/phases", "room/descriptors", "stream/pace"),
     *("net/message", "net/request", "net/server", "net/upstream"),
 )
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -526,3 +526,26 @@
     raw = {"settings": SETTINGS, "limits": {"sockets": 384}, "management": "127.0.0.1:1"}
     found = config_from(json.loads(json.dumps(raw)), "test")
     assert 2 * 2 * found.shared_side_sockets < 384 and found.shared_side_sockets < found.side_sockets
+
+
+def test_descriptors_that_are_used_up_hinder_no_upgrade(tmp_path: Path) -> None:
+    """A crowd holds every place of the callers while the new version starts; both keep to their
+    halves, and requests on new connections go on being served."""
+
+    async def main() -> None:
+        async with Site(tmp_path, Endpoint(), limits={"sockets": 128}) as site:
+            old = await site.version()
+            crowd = [await asyncio.open_connection("127.0.0.1", site.port) for _ in range(200)]
+            new = await site.version()
+            for n in range(30):
+                crowd.append(await asyncio.open_connection("127.0.0.1", site.port))
+                assert (await site.ask(request(rid=f"r{n}"))).body == b"ok"
+            held = sum(len(os.listdir(f"/proc/{one.process.pid}/fd")) for one in (old, new))
+            assert held <= 128
+            assert await old.stop() == b""
+            assert (await site.ask(request(rid="last"))).body == b"ok"
+            for _, writer in crowd:
+                writer.transport.abort()
+            assert await new.stop() == b""
+
+    run(main())
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -267,6 +267,24 @@
     run(main())
 
 
+def test_two_requests_in_one_segment_during_a_drain_are_refused_together() -> None:
+    """As ever, and neither is sent on: callers send one at a time."""
+
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with sidecar(endpoint) as one:
+            loop = asyncio.get_running_loop()
+            reader, writer = await one.connect()
+            assert one.server.lifecycle.evacuate(loop.time())
+            writer.write(request(rid="a") + request(rid="b"))
+            message = await read_message(reader)
+            assert message.status == 400 and message.headers["connection"] == "close"
+            assert await reader.read() == b"" and not endpoint.got
+            writer.close()
+
+    run(main())
+
+
 def test_a_connection_that_comes_late_and_says_nothing_is_ended_soon() -> None:
     async def main() -> None:
         async with desk() as one:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import socket
 from dataclasses import replace
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
@@ -278,6 +280,54 @@
     assert "bad line from discovery" in logged()
 
 
+def test_a_watch_that_breaks_in_a_line_is_renewed_and_what_was_told_holds() -> None:
+    """A drain and a new endpoint, told before the break, hold across it; of the line that
+    broke nothing is used, and the watch goes on from the last whole version."""
+
+    async def main() -> None:
+        registry = Registry()
+        old, new, later = Endpoint(), Endpoint(), Endpoint()
+        async with sidecar(old, new, later, registry=registry) as one:
+            _, watch = await registry.asked.get()
+            leaving = {**old.entry("s-0"), "lifecycle": "draining"}
+            push(watch, 42, True, leaving, new.entry("s-1"))
+            while one.engine.members.size() != 2:
+                await asyncio.sleep(0)
+            line = json.dumps({"generation": 43, "reset": False, "instances": [later.entry("s-9")]})
+            push_raw(watch, line[:-20].encode())
+            watch.close()
+            start, watch = await registry.asked.get()
+            assert "from=42 " in start
+            assert one.engine.members.size() == 2 and endpoint_number("s-9") not in one.engine.members.places
+            for n in range(20):
+                assert (await one.ask(request(rid=f"r{n}"))).body == b"ok"
+            assert not old.got and len(new.got) == 20
+            push(watch, 43, False, later.entry("s-9"))
+            while one.engine.members.size() != 3:
+                await asyncio.sleep(0)
+
+    run(main())
+
+
+def test_a_fleet_that_lost_its_discovery_does_not_come_back_at_once() -> None:
+    waits: list[list[float]] = []
+    for seed in range(8):
+        told: list[float] = []
+        loop = cast(
+            asyncio.AbstractEventLoop,
+            SimpleNamespace(call_later=lambda delay, *_, told=told: told.append(delay)),
+        )
+        discovery = Discovery(loop, "127.0.0.1:1", "/x", True, print, seed=seed)
+        discovery.sink = cast(Any, object())
+        for _ in range(6):
+            discovery.stream = cast(Any, object())
+            discovery.lost(discovery.stream)
+        waits.append(told)
+    for step, most in enumerate((0.1, 0.2, 0.4, 0.8, 1.6, 2.0)):
+        waited = [told[step] for told in waits]
+        assert all(most / 2 <= wait <= most for wait in waited) and len(set(waited)) == 8
+
+
 def test_endpoints_that_left_are_forgotten_after_the_grace() -> None:
     async def main() -> None:
         endpoint = Endpoint()
--- a/woadyard/net/assembly.py
+++ b/woadyard/net/assembly.py
@@ -34,12 +34,17 @@
         settings = config.settings
         clock = LoopClock(loop)
         self.upstream = Upstream(
-            loop, clock.now, settings.idle_us, settings.connect_timeout_us, config.side_sockets
+            loop,
+            clock.now,
+            settings.idle_us,
+            settings.connect_timeout_us,
+            config.side_sockets,
+            config.memory_mb,
         )
         self.source: Discovery | GivenMembers
         if given is None and config.discovery is not None:
             self.source = Discovery(
-                loop, config.discovery, LIST_PATH, not settings.asks_discovery, log, collector
+                loop, config.discovery, LIST_PATH, not settings.asks_discovery, log, collector, config.seed
             )
         else:
             self.source = GivenMembers()
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import json
+import random
 from collections.abc import Iterator
 from typing import Any, cast
 
@@ -19,6 +20,9 @@
 # watch is taken for dead, as a network that is cut off says nothing.
 SILENT_S = 5.0
 RETRY_S, RETRY_MOST_S = 0.1, 2.0
+# A renewal waits for a part of that between half and all of it, drawn by each sidecar for itself:
+# when discovery comes back, a fleet must not ask at once.
+RETRY_PART = 0.5
 CONNECT_S = 2.0
 LIST_PATH = "/registry/instances"
 LINE_MAX = 64 * 1024 * 1024  # of some 300,000 endpoints
@@ -154,8 +158,10 @@
         pushed: bool,
         log: Log,
         collector: Collector | None = None,
+        seed: int = 0,
     ) -> None:
         self.loop = loop
+        self.draw = random.Random(seed)
         self.address = address
         self.path = path
         self.pushed = pushed
@@ -275,7 +281,8 @@
         if not self.pushed:
             self.sink.list_failed()  # the module says when to ask again
         elif stream is self.stream:
-            self.loop.call_later(self.retry_s, self._again, stream)
+            part = RETRY_PART + (1.0 - RETRY_PART) * self.draw.random()
+            self.loop.call_later(part * self.retry_s, self._again, stream)
             self.retry_s = min(RETRY_MOST_S, 2.0 * self.retry_s)
 
     def _again(self, stream: Stream) -> None:
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -31,7 +31,8 @@
     lines,
 )
 from woadyard.net.request import call_from, checked
-from woadyard.stream.pace import FREE, Room, keeps_pace, room_for
+from woadyard.room.descriptors import ENDED, RESTING, giving_way
+from woadyard.stream.pace import Room, keeps_pace, room_for
 
 READY_PATH: Final = b"/health/ready"
 REASONS: Final = {status.value: status.phrase.encode() for status in HTTPStatus}
@@ -72,14 +73,14 @@
         self.answer: Flow | None = None  # an answer that is
         self.chunks = False  # the answer goes out in chunks
         self.behind = b""  # what came meanwhile: the next request waits for its end
-        self.held = 0  # of the room for bodies
+        self.held = 0  # of the room for requests
         self.parser: Any = httptools.HttpRequestParser(self)
         self._begin()
 
     def _begin(self) -> None:
         self.target = b""
         self.headers: Headers = []
-        self.body: list[bytes] = []
+        self.body = bytearray()  # not a list of parts: of one byte each they would take forty
         self.size = self.fed = 0
         self.asked: Call | Answer | None = None  # what the head says
         self.head_at = 0.0  # when it had come
@@ -167,6 +168,7 @@
         server.late.discard(self)
         if self.asked is None:
             server.reading.add(self)
+            server.hold_head(self)
             return
         if not keeps_pace(self.size, server.loop.time() - self.head_at):
             self.refuse(BadRequestError(408, "the body came too slowly"))
@@ -181,9 +183,10 @@
 
     def _hold_body(self) -> bool:
         """Whether the body may wait here until it is whole."""
-        if self.size <= FREE:
-            return True
-        held = self.server.room.hold(self.size, self.held)
+        return self.hold_bytes(self.size)
+
+    def hold_bytes(self, size: int) -> bool:
+        held = self.server.room.hold(size, self.held)
         if held >= 0:
             self.held = held
         return held >= 0
@@ -220,7 +223,7 @@
         if self.upload is not None:
             self.upload.feed(data)
         else:
-            self.body.append(data)
+            self.body += data
 
     def on_message_complete(self) -> None:
         self.whole, self.keep = True, self.parser.should_keep_alive()
@@ -246,9 +249,9 @@
             self.refuse(BadRequestError(409, "X-Request-Id is that of an open request"))
             return
         upload = Flow(self, declared_length(self.headers))
-        for part in self.body:
-            upload.feed(part)
-        self.body = []
+        if self.body:
+            upload.feed(bytes(self.body))
+            self.body = bytearray()
         self._forget_body()
         self.upload = asked.upload = upload
         asked.span = asked.expires
@@ -287,18 +290,21 @@
     # --- A request that has come whole ------------------------------------------------
 
     def _take(self) -> None:
-        asked, body = self.asked, b"".join(self.body)
+        asked, body = self.asked, bytes(self.body)
         self._begin()
         self.server.reading.discard(self)
         self.server.late.discard(self)
         engine = self.server.engine
         if isinstance(asked, Answer):
+            self._forget_body()
             self._write(asked)
         elif asked is not None and asked.name in engine.open_names:
             self.refuse(BadRequestError(409, "X-Request-Id is that of an open request"))
         elif asked is not None:
             asked.expires += engine.now()
             asked.body = body
+            if body:
+                self.held = self.server.room.count(len(body), self.held)
             asked.streams = True
             self.call = asked
             engine.take(asked)
@@ -514,17 +520,25 @@
             self._make_room()
 
     def _make_room(self) -> None:
-        """Guards the limit on descriptors against a crowd. Those that were told the end
-        go first; silent ones may take a third from those that rest, no more."""
-        silent = len(self.reading.since) > self.most // 3
-        order = (self.reading, self.resting) if silent else (self.resting, self.reading)
-        for sweep in (self.lingering, *order):
+        """Guards the limit on descriptors against a crowd."""
+        for waits in giving_way(len(self.reading.since), self.most):
+            sweep = self.lingering if waits == ENDED else self.resting if waits == RESTING else self.reading
             if (oldest := sweep.oldest()) is not None:
                 sweep.discard(oldest)
                 oldest.cut()
                 self.callers.discard(oldest)  # its descriptor is freed in this turn of the loop
                 return
 
+    def hold_head(self, caller: Caller) -> None:
+        """Guards memory against a crowd of half-written heads: there the one that has been
+        owed for longest gives way. Refused, as nothing of it was sent on."""
+        while not caller.hold_bytes(caller.fed):
+            held = (one for one in self.reading.since if one.held > 0 and one.asked is None)
+            oldest = next(held, caller)
+            oldest.refuse(BadRequestError(503, "too much is half-written"))
+            if oldest is caller:
+                return
+
     def ending(self, caller: Caller) -> None:
         for sweep in (self.reading, self.uploading, self.resting, self.late):
             sweep.discard(caller)
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -32,6 +32,7 @@
     single,
 )
 from woadyard.net.opening import open_connection
+from woadyard.stream.pace import ANSWERS_PART, Room, room_for
 
 # Part of an endpoint's idle time for which a connection is kept: the rest guards
 # against a request that crosses the endpoint's own close. No longer than IDLE_MOST_S:
@@ -112,16 +113,22 @@
         self.full = False  # the transport holds bytes that the system did not take yet
         self.upload: Flow | None = None  # a request that is passed on while it comes
         self.answer: Flow | None = None  # an answer that is
+        self.held = 0  # of the room for answers
         self.parser: Any = httptools.HttpResponseParser(self)
         self._begin()
 
     def _begin(self) -> None:
         self.headers: Headers = []
         self.fields: dict[bytes, bytes] | None = None  # of the final answer's head
-        self.body: list[bytes] = []
+        self.body = bytearray()
         self.size = self.fed = self.fed_then = self.status = 0
         self.length = CHUNKS
         self.whole = self.keep = False
+        self._give_back()
+
+    def _give_back(self) -> None:
+        held, self.held = self.held, 0
+        self.owner.room.give_back(held)
 
     # --- Connection -----------------------------------------------------------
 
@@ -245,9 +252,10 @@
         self.owner.answering.discard(self)
         self._leave_upload()
         answer = self.answer = Flow(self, max(self.length, CHUNKS))
-        for part in self.body:
-            answer.feed(part)
-        self.body = []
+        if self.body:
+            answer.feed(bytes(self.body))
+            self.body = bytearray()
+        self._give_back()
         self.owner.passing.add(self)
         passed = pass_on(self.headers, ANSWER_HEADERS)
         final = Answer(Ending.SERVED, 200, passed, flow=answer)
@@ -304,6 +312,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.owner.gone(self)
+        self._give_back()
         answer, self.answer = self.answer, None
         if answer is not None:
             answer.end(False)
@@ -353,7 +362,7 @@
             if self in self.owner.passing.since:  # it is not held
                 self.owner.passing.discard(self)
                 self.owner.passing.add(self)
-        elif self.status == 200 and max(self.length, self.size) > BODY_MAX:
+        elif self.status == 200 and not self._holds():
             self._pass_on()
         else:
             if self not in self.owner.answering.since:
@@ -383,7 +392,18 @@
             if self.answer is not None:
                 self.answer.feed(data)
             else:
-                self.body.append(data)
+                self.body += data
+
+    def _holds(self) -> bool:
+        """Whether the answer may wait here until it is whole."""
+        if max(self.length, self.size) > BODY_MAX:
+            return False
+        room = self.owner.room
+        held = room.hold(self.size, self.held)
+        if held < 0 and self.attempt is not None and self.attempt.call.streams:
+            return False
+        self.held = room.count(self.size, self.held) if held < 0 else held
+        return True
 
     def _most(self) -> int:
         if self.attempt is not None and not self.attempt.call.streams:
@@ -417,7 +437,7 @@
         if status == 200:
             outcome = OK
             passed = pass_on(self.headers, ANSWER_HEADERS)
-            answer = Answer(Ending.SERVED, 200, passed, b"".join(self.body))
+            answer = Answer(Ending.SERVED, 200, passed, bytes(self.body))
         elif status in (503, 504) and fields.get(b"x-not-run", b"").strip() == b"1":
             outcome = FULL
         attempt, self.attempt = self.attempt, None
@@ -459,8 +479,10 @@
         idle_us: int,
         connect_us: int,
         most: int,
+        memory_mb: int = 0,
     ) -> None:
         self.loop, self.now = loop, now
+        self.room = Room(room_for(memory_mb, ANSWERS_PART))
         self.connect_s = (connect_us or CONNECT_DEFAULT_US) / 1e6
         self.most = most  # connections to endpoints
         self.addresses: dict[int, str] = {}
--- a/woadyard/settings/config.py
+++ b/woadyard/settings/config.py
@@ -9,14 +9,9 @@
 from woadyard.engine.names import Names
 from woadyard.interface import Settings
 from woadyard.orders.book import Orders
+from woadyard.room.descriptors import SOCKETS_DEFAULT, side_share
 from woadyard.wire import WireError, read_settings
 
-SOCKETS_DEFAULT = SOCKETS_MOST = 1024
-# Descriptors for the listener, the watch, the loop and standard streams.
-SOCKETS_APART = 24
-# Those kept for the second address, where there is one: a crowd of callers must not shut it out.
-SOCKETS_MANAGEMENT = 16
-
 
 class ConfigError(Exception):
     """The configuration can't be used; the text says why, on one line."""
@@ -41,18 +36,13 @@
 
     @property
     def side_sockets(self) -> int:
-        """Connections that each side may hold, callers and endpoints: a crowd of the one
-        must not leave none for the other, nor any of both for the watch and the loop."""
-        return max(16, min(self.sockets, SOCKETS_MOST) - self._apart) // 2
+        """Connections that each side may hold, callers and endpoints."""
+        return side_share(self.sockets, self.management is not None)
 
     @property
     def shared_side_sockets(self) -> int:
         """The same while two processes are one sidecar, and share its descriptors."""
-        return max(16, min(self.sockets, SOCKETS_MOST) // 2 - self._apart) // 2
-
-    @property
-    def _apart(self) -> int:
-        return SOCKETS_APART + (0 if self.management is None else SOCKETS_MANAGEMENT)
+        return side_share(self.sockets, self.management is not None, processes=2)
 
 
 def address(text: Any) -> tuple[str, int]:
