--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -100,9 +100,14 @@
             del self.out[sent.attempt]
             sent.attempt.end(MOOT)
             return
+        call = sent.attempt.call
+        if call.upload is not None and not call.upload.over:
+            call.upload.begun = True  # a part of it has gone; the rest is still to come
+            return
+        if call.upload is not None:
+            call.upload.begun = True
         sent.written, sent.ran = True, runs
         sent.attempt.written()
-        call = sent.attempt.call
         self.writes.append((now, sent.attempt.endpoint, call))
         if runs:
             self.ran.setdefault(call.name, []).append(sent.attempt.endpoint)
--- a/tests/test_interleavings.py
+++ b/tests/test_interleavings.py
@@ -18,6 +18,7 @@
 from tests.sockets import SETTINGS, TIMEOUT_S
 from tests.test_library import member, nothing_held
 from woadyard.engine import Call, Ending, Engine
+from woadyard.engine.flow import Flow
 from woadyard.engine.given import GivenMembers
 from woadyard.interface import ERROR, FULL, KEYED, OK, RESET, UNSAFE
 from woadyard.library import Client, Member, Reply, Request
@@ -31,6 +32,16 @@
 CLASSES = ("page", "put", "pay")
 
 
+class Pace:
+    """Where an upload comes from: it does not mind."""
+
+    def hold(self) -> None: ...
+
+    def go_on(self) -> None: ...
+
+    def unwanted(self) -> None: ...
+
+
 class Interleaving(RuleBasedStateMachine):
     """One engine, four endpoints in two cells, and a world that does what it likes."""
 
@@ -75,6 +86,28 @@
         self.calls.append(call)
         self.engine.take(call)
 
+    @rule(cls=st.integers(1, 2), span_ms=st.integers(1, 3_000))
+    def arrive_while_it_comes(self, cls: int, span_ms: int) -> None:
+        """An upload: its time counts from its last byte, which may never come."""
+        name = b"r%d" % len(self.calls)
+        call = Call(cls, self.clock.now() + 8_000_000, b"POST /x", b"", b"", self.front, name)
+        call.upload, call.span = Flow(Pace(), -1), span_ms * 1000
+        self.calls.append(call)
+        self.engine.take(call)
+
+    def _coming(self) -> list[Call]:
+        return [call for call in self.calls if call.open and call.upload and not call.upload.over]
+
+    @precondition(lambda self: self._coming())
+    @rule(at=st.integers(0, 1_000), span_ms=st.sampled_from([0, 700, 2_900]))
+    def end_upload(self, at: int, span_ms: int) -> None:
+        self.clock.advance(span_ms * 1000)
+        if coming := self._coming():
+            call = coming[at % len(coming)]
+            assert call.upload is not None
+            call.upload.end(True)
+            self.engine.whole(call)
+
     @precondition(lambda self: self.upstream.out)
     @rule(at=st.integers(0, 1_000), runs=st.booleans())
     def write(self, at: int, runs: bool) -> None:
@@ -141,8 +174,21 @@
         assert self.engine.tally.sends == len(self.upstream.writes)
         assert self.engine.members.size() == sum(phase != "gone" for phase in self.listed.values())
 
+    @invariant()
+    def the_module_counts_what_endpoints_have_whole(self) -> None:
+        """Each call that is out and whole counts at its endpoint, once; an upload on its way
+        counts nowhere."""
+        balancer = self.engine.balancer
+        held = [*balancer.requests.values(), *balancer.ended.values()]
+        out = [one for request in held for one in request.attempts if one.out]
+        for endpoint in balancer.endpoints.values():
+            assert endpoint.inflight == sum(one.endpoint is endpoint and not one.coming for one in out)
+        assert balancer.partial == sum(request.coming for request in balancer.requests.values())
+        coming = {call.id for call in self._coming()}
+        assert {request.id for request in balancer.requests.values() if request.coming} == coming
+
     def teardown(self) -> None:
-        self.clock.advance(6_000_000)
+        self.clock.advance(9_000_000)
         for sent in list(self.upstream.out.values()):
             self.upstream.answer(sent, RESET)
         self.clock.advance(6_000_000)
