Take lists however they are laid out, and ask again in time what falls silent

Seen: a list over several lines was refused as a bad line on a watch and on a poll; a poll whose answer never came was never given up; a watch was given up after 5 s of silence and opened anew after a pause of up to 2 s, while what it misses counts as told 6 s after the silence began.

Cause, in net/discovery.py: `Stream.read` cut at newlines; `_connect` bounded the connect alone and `_check` looked at watches alone; SILENT_S 5.0 with RETRY_MOST_S 2.0 left no second try. Found while reading: an answer that was over with half a list said nothing while its connection stayed open, a fetched list that came after newer changes of the watch took them back, and one whose connection ended behind it while it was applied was told as failed.

Change: net/objects.py, pure, finds where objects end, in parts of 64 KiB; what can be no JSON is an error at once, what stops short is judged by its silence, which empty lines do not break. One clock for watch and poll: 1 s for the first byte of an agent (2 s where calls are served in turn), 3 s of silence after it (empty lines come every 2 s), spread by up to 0.3 s; the first silence is asked again at once on a fresh connection from the last whole version, the second after a pause of 0.5 s at most, or by the module.

--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,418 @@
+"""The list's clock: objects in any layout, silence on a watch and on a poll, and who hears of it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+from typing import Any, Self
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.conftest import Logged
+from tests.sockets import run
+from woadyard.net import discovery as module
+from woadyard.net.discovery import LIST_PATH, Discovery
+from woadyard.net.message import log
+from woadyard.net.objects import SCAN, Objects
+from woadyard.testing import Listener, Reader, Writer, push, push_raw, read_message
+
+MOST = 1 << 20
+
+
+def entry(name: str, lifecycle: str = "ready") -> dict[str, Any]:
+    return {"instanceId": name, "hostPort": "127.0.0.1:9", "lifecycle": lifecycle}
+
+
+def listing(version: int, *entries: dict[str, Any], whole: bool = False) -> dict[str, Any]:
+    return {"generation": version, "reset": whole, "instances": list(entries)}
+
+
+# --- Objects in a stream ----------------------------------------------------------------
+
+
+def taken(objects: Objects) -> list[Any]:
+    found = []
+    while (raw := objects.take()) is not None or objects.more:
+        if raw is not None:
+            found.append(json.loads(raw))
+    return found
+
+
+TWO = (listing(1, entry('a "quoted\\" {name}')), listing(2, entry("b"), whole=True))
+
+
+@pytest.mark.parametrize("indent", [None, 2])
+def test_objects_cut_at_every_byte(indent: int | None) -> None:
+    raw = "\n".join(json.dumps(one, indent=indent) for one in TWO).encode() + b"\n\n"
+    for cut in range(len(raw) + 1):
+        objects = Objects(MOST)
+        objects.feed(raw[:cut])
+        found = taken(objects)
+        objects.feed(raw[cut:])
+        assert [*found, *taken(objects)] == list(TWO) and not objects.begun
+
+
+def test_two_objects_in_one_chunk_need_no_line_between_them() -> None:
+    objects = Objects(MOST)
+    objects.feed(b"".join(json.dumps(one).encode() for one in TWO))
+    assert taken(objects) == list(TWO)
+
+
+TEXT = st.text('ab\\"{}[]:,\n é', max_size=4)
+VALUE = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False, allow_infinity=False) | TEXT,
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(TEXT, inner, max_size=3),
+    max_leaves=6,
+)
+
+
+@given(
+    st.lists(st.dictionaries(TEXT, VALUE, max_size=3), max_size=3),
+    st.integers(0, 3),
+    st.booleans(),
+    st.lists(st.integers(1, 40), max_size=8),
+)
+def test_any_objects_in_any_chunks(
+    values: list[dict[str, Any]], indent: int, ascii_only: bool, sizes: list[int]
+) -> None:
+    raw = " \n".join(
+        json.dumps(one, indent=indent or None, ensure_ascii=ascii_only) for one in values
+    ).encode()
+    objects, found = Objects(MOST), []
+    for size in sizes:
+        objects.feed(raw[:size])
+        raw = raw[size:]
+        found += taken(objects)
+    objects.feed(raw)
+    assert found + taken(objects) == values
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [b"[1]", b"x", b"}", b'{"a": nope}', b"{not json", b'{"a": tru, ', b'{"a": Infinity}', b'{"a" \x00'],
+)
+def test_what_can_be_no_json_is_an_error_at_once(raw: bytes) -> None:
+    objects = Objects(MOST)
+    objects.feed(raw)
+    with pytest.raises(ValueError):
+        taken(objects)
+
+
+@pytest.mark.parametrize("raw", [b'{"a": t', b'{"a": "x', b'{"a": "x\\', b'{"a": 1', b"{", b'{"a": nul'])
+def test_what_only_stops_short_is_waited_for(raw: bytes) -> None:
+    objects = Objects(MOST)
+    objects.feed(raw)
+    assert taken(objects) == [] and objects.begun
+
+
+def test_what_is_kept_is_bounded() -> None:
+    endless = Objects(1000)
+    endless.feed(b'{"instances": [' + b"{}," * 400)
+    deep = Objects(MOST)
+    deep.feed(b'{"a":' * 100)
+    wordy = Objects(MOST)
+    wordy.feed(b'{"a": "' + b"x" * SCAN)
+    for objects, match in ((endless, "more than 1000"), (deep, "deeper"), (wordy, "without a brace")):
+        with pytest.raises(ValueError, match=match):
+            taken(objects)
+
+
+def test_a_call_looks_at_a_part_of_an_indented_list_of_10_000() -> None:
+    value = listing(1, *(entry(f"s-{n}") for n in range(10_000)), whole=True)
+    objects = Objects(MOST * 64)
+    objects.feed(json.dumps(value, indent=2).encode())
+    calls, found, before = 0, None, 0
+    while found is None:
+        found = objects.take()
+        calls += 1
+        if found is None:
+            assert objects.more and objects.at - before <= 2 * SCAN
+            before = objects.at
+    assert json.loads(found) == value and calls > 10
+
+
+# --- Silence ----------------------------------------------------------------------------
+
+
+@dataclass(eq=False)
+class Agent(Listener):
+    """Each call is put into `asked`, unanswered, with its request line and its writer."""
+
+    asked: asyncio.Queue[tuple[str, Writer]] = field(default_factory=asyncio.Queue)
+    open: set[Writer] = field(default_factory=set)
+
+    async def __aenter__(self) -> Self:
+        self.server = await self.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.server.close()
+
+    async def _serve(self, reader: Reader, writer: Writer) -> None:
+        message = await read_message(reader)
+        self.open.add(writer)
+        await self.asked.put((message.start, writer))
+        with contextlib.suppress(ConnectionResetError):
+            await reader.read()
+        self.open.discard(writer)
+        writer.close()
+
+
+@dataclass(eq=False)
+class Sink:
+    """Takes lists, and remembers them."""
+
+    told: asyncio.Queue[tuple[int, list[str]]] = field(default_factory=asyncio.Queue)
+    failed: asyncio.Queue[None] = field(default_factory=asyncio.Queue)
+
+    def now(self) -> int:
+        return int(asyncio.get_running_loop().time() * 1e6)
+
+    def listed(self, version: int, whole: bool, entries: Sequence[Any]) -> None:
+        self.told.put_nowait((version, [one["instanceId"] for one in entries]))
+
+    def list_in_steps(self, whole: bool, entries: list[Any], told_at: int) -> Iterator[None]:
+        names = [one["instanceId"] for one in entries]
+        yield
+        self.told.put_nowait((-1, names))
+
+    def list_failed(self) -> None:
+        self.failed.put_nowait(None)
+
+
+def begin(writer: Writer) -> None:
+    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+
+
+def reply(writer: Writer, raw: bytes, declared: int | None = None, more: bytes = b"") -> None:
+    size = len(raw) if declared is None else declared
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%b\r\n%b" % (size, more, raw))
+
+
+def source(
+    agent: Agent, sink: Sink, pushed: bool, silent_s: float = 0.05, answer_s: float = 0.05
+) -> Discovery:
+    """One that loses patience soon; how soon it does in service is another test's."""
+    one = Discovery(asyncio.get_running_loop(), f"127.0.0.1:{agent.port}", LIST_PATH, pushed, print)
+    one.silent_s, one.answer_s, one.spread_s = silent_s, answer_s, 0.0
+    one.start(sink, 41)
+    return one
+
+
+def test_the_times_leave_room_for_a_second_try_before_the_list_counts_as_told() -> None:
+    for answer_s in (module.ANSWER_S, module.ANSWER_ASKED_S):
+        assert module.SILENT_S + module.SPREAD_S + answer_s < 6.0
+    three = module.SILENT_S + module.ANSWER_S + 2 * module.SPREAD_S + module.RETRY_S
+    assert three < 6.0, "an agent is asked a third time"
+    assert module.SILENT_S > 2.0, "an empty line comes every 2 s"
+
+
+@pytest.mark.parametrize("pushed", [True, False])
+def test_a_watch_that_falls_silent_in_an_object_is_asked_again_at_once(pushed: bool) -> None:
+    async def main() -> None:
+        sink = Sink()
+        async with Agent() as agent:
+            one = source(agent, sink, pushed)
+            if not pushed:
+                one.watch(True)
+            _, watch = await agent.asked.get()
+            begin(watch)
+            push(watch, 42, False, entry("s-1"))
+            assert await sink.told.get() == (42, ["s-1"])
+            push_raw(watch, json.dumps(listing(43, entry("s-2")), indent=1).encode()[:-9])
+            push_raw(watch, b"\n")  # an empty line is no rest of an object
+            start, watch = await agent.asked.get()
+            assert "from=42 " in start, "from the last version that was whole"
+            begin(watch)
+            push(watch, 43, False, entry("s-2"))
+            assert await sink.told.get() == (43, ["s-2"])
+            assert sink.failed.empty()
+            one.close()
+            await one.wait_closed()
+
+    run(main())
+
+
+@pytest.mark.parametrize("pushed", [True, False])
+def test_a_poll_that_is_never_answered_is_asked_again_and_then_told(pushed: bool) -> None:
+    async def main() -> None:
+        sink = Sink()
+        async with Agent() as agent:
+            one = source(agent, sink, pushed)
+            one.fetch()
+            polls = 0
+            while polls < (3 if pushed else 2):
+                start, watch = await agent.asked.get()
+                if "watch" in start:
+                    begin(watch)
+                else:
+                    polls += 1
+            if not pushed:
+                await sink.failed.get()  # the module says when to ask again
+            one.close()
+            await one.wait_closed()
+
+    run(main())
+
+
+@pytest.mark.parametrize("tail", [b"", b'{"instanceId": "s-1"'])
+def test_a_poll_answered_with_half_a_list_is_asked_again(tail: bytes) -> None:
+    async def main() -> None:
+        sink = Sink()
+        async with Agent() as agent:
+            one = source(agent, sink, pushed=False)
+            one.fetch()
+            _, first = await agent.asked.get()
+            reply(first, b'{"generation": 50, "reset": true, "instances": [' + tail, declared=500)
+            _, second = await agent.asked.get()
+            reply(second, json.dumps(listing(50, entry("s-1"), whole=True), indent=2).encode())
+            assert await sink.told.get() == (50, ["s-1"])
+            one.close()
+            await one.wait_closed()
+
+    run(main())
+
+
+@pytest.mark.parametrize("kept", [b"", b"Connection: close\r\n"])
+def test_an_answer_that_is_over_with_half_a_list_is_told_once(kept: bytes, logged: Logged) -> None:
+    """Its connection may stay open, and nothing more would come on it."""
+
+    async def main() -> None:
+        sink = Sink()
+        async with Agent() as agent:
+            one = source(agent, sink, pushed=False, silent_s=60.0, answer_s=60.0)
+            one.log = log
+            one.fetch()
+            _, first = await agent.asked.get()
+            reply(first, b'{"generation": 50, "reset": true, "instances": [', more=kept)
+            await sink.failed.get()
+            assert sink.told.empty()
+            one.close()
+            await one.wait_closed()
+
+    run(main())
+    assert logged().count("bad line from discovery") == 1
+
+
+def test_a_long_poll_whose_connection_ends_behind_it_is_taken() -> None:
+    async def main() -> None:
+        sink = Sink()
+        async with Agent() as agent:
+            one = source(agent, sink, pushed=False, silent_s=60.0, answer_s=60.0)
+            one.fetch()
+            _, first = await agent.asked.get()
+            names = [f"s-{n}" for n in range(3_000)]
+            raw = json.dumps(listing(50, *map(entry, names), whole=True), indent=2).encode()
+            reply(first, raw, more=b"Connection: close\r\n")
+            first.close()
+            version, told = await sink.told.get()
+            assert version == -1 and sorted(told) == sorted(names)
+            while one.streams:
+                await asyncio.sleep(0)
+            assert sink.failed.empty() and one.generation == 50
+            one.close()
+            await one.wait_closed()
+
+    run(main())
+
+
+def test_a_poll_answered_after_a_newer_line_of_the_watch_is_passed_over() -> None:
+    async def main() -> None:
+        sink = Sink()
+        async with Agent() as agent:
+            one = source(agent, sink, pushed=True, silent_s=60.0, answer_s=60.0)
+            _, watch = await agent.asked.get()
+            one.fetch()
+            _, poll = await agent.asked.get()
+            begin(watch)
+            push(watch, 44, False, entry("s-1", "draining"))
+            assert await sink.told.get() == (44, ["s-1"])
+            reply(poll, json.dumps(listing(43, entry("s-1"), whole=True)).encode())
+            while len(one.streams) > 1:
+                await asyncio.sleep(0)
+            assert sink.told.empty() and one.generation == 44
+            push(watch, 1, True, entry("s-9"))  # a watch may begin anew
+            assert await sink.told.get() == (1, ["s-9"])
+            one.close()
+            await one.wait_closed()
+
+    run(main())
+
+
+def test_a_move_while_a_poll_is_out_asks_the_new_address() -> None:
+    async def main() -> None:
+        sink = Sink()
+        async with Agent() as old, Agent() as new:
+            one = source(old, sink, pushed=True, silent_s=60.0, answer_s=60.0)
+            _, watch = await old.asked.get()
+            one.fetch()
+            _, poll = await old.asked.get()
+            begin(watch)
+            push(watch, 90, True, entry("s-old"))
+            reply(poll, json.dumps(listing(91, entry("s-old"), whole=True)).encode())
+            one.move(f"127.0.0.1:{new.port}")
+            starts = {(await new.asked.get())[0].split()[1] for _ in range(2)}
+            assert starts == {LIST_PATH, f"{LIST_PATH}?watch=1&from=0"}
+            while old.open:
+                await asyncio.sleep(0)
+            assert sink.told.empty(), "nothing of the old address is taken"
+            one.close()
+            await one.wait_closed()
+
+    run(main())
+
+
+def test_changes_missed_in_a_silence_are_told_by_the_next_answer() -> None:
+    """Six in ten endpoints are replaced while the watch is silent."""
+
+    async def main() -> None:
+        sink = Sink()
+        async with Agent() as agent:
+            one = source(agent, sink, pushed=True)
+            _, watch = await agent.asked.get()
+            begin(watch)
+            push(watch, 42, True, *(entry(f"s-{n}") for n in range(10)))
+            await sink.told.get()
+            start, watch = await agent.asked.get()  # nothing came, not even an empty line
+            assert "from=42 " in start
+            begin(watch)
+            gone = [entry(f"s-{n}", "gone") for n in range(6)]
+            push(watch, 48, False, *gone, *(entry(f"t-{n}") for n in range(6)))
+            version, names = await sink.told.get()
+            assert version == 48 and len(names) == 12
+            one.close()
+            await one.wait_closed()
+
+    run(main())
+
+
+def test_empty_lines_keep_a_watch_open() -> None:
+    async def main() -> None:
+        sink = Sink()
+        async with Agent() as agent:
+            one = source(agent, sink, pushed=True, silent_s=60.0, answer_s=60.0)
+            _, watch = await agent.asked.get()
+            begin(watch)
+            stream = one.stream
+            assert stream is not None
+            push_raw(watch, b"\n")
+            while not stream.answered:
+                await asyncio.sleep(0)
+            stream.heard = 0.0
+            push_raw(watch, b"\n")
+            while stream.heard == 0.0:
+                await asyncio.sleep(0)
+            push_raw(watch, b"{")  # but once an object has begun they say nothing
+            push_raw(watch, b"\n")
+            while not stream.objects.begun:
+                await asyncio.sleep(0)
+            assert one.stream is stream
+            one.close()
+            await one.wait_closed()
+
+    run(main())
