Count what a made fleet sends to a cold endpoint, up to 200 copies

Change: many modules in one process, one pool of endpoints, one seed a case. The most that a cold endpoint gets within a span is held against N + 3 root N + 3; one copy against 1 + 2a.

--- /dev/null
+++ b/tests/test_cold.py
@@ -0,0 +1,295 @@
+"""What a whole fleet sends to a cold endpoint: many modules in one process, one pool of endpoints.
+
+Each case is drawn from its seed and played on a clock of its own, in µs. Counted is what each
+cold endpoint gets within any span of `tip_for_us`, against the bound under which it stands
+(docs/design/cold.md): N + 3 x root of N + 3 requests, N being
+`tip_multiple` x (`cold_share` + (1 - `cold_share`) x age / `cold_us`) x capacity x `tip_for_us`.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, deque
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from heapq import heapify, heappop, heappush, heapreplace
+from itertools import accumulate
+from math import sqrt
+
+import pytest
+
+from tests.helpers import MS, SECOND, Driver, started
+from woadyard.interface import (
+    FULL,
+    GONE,
+    LIST_DELTA,
+    LIST_FULL,
+    OK,
+    READY,
+    SAFE,
+    TIMEOUT,
+    Action,
+    Arrival,
+    Entry,
+    Outcome,
+    RequestClass,
+    Send,
+    Settings,
+    Timer,
+)
+from woadyard.policy import Balancer
+
+VIEW = RequestClass(effect=SAFE, aim_us=SECOND, deadline_us=3 * SECOND)
+SETTINGS = Settings(
+    classes=(VIEW,), stage=1, stages=3, max_attempts=3,
+    cold_share=0.13, cold_us=23 * SECOND, tip_multiple=3.0, tip_for_us=SECOND,
+)  # fmt: skip
+CORES = 2
+WARM_UP = 3 * SECOND  # all is warm before this: the copies learn what they serve
+ROOM = 40  # requests that an endpoint holds at most; one more is turned away
+
+
+@dataclass(frozen=True)
+class Case:
+    """A made fleet. `capacities` are in requests a second, dealt out in turn."""
+
+    copies: int
+    endpoints: int
+    replaced: int  # so many endpoints give way, at once, to new ones that start cold
+    load: float = 0.6  # of what all endpoints can do while warm
+    skew: float = 1.0  # one copy of ten gets this multiple of what each other one gets
+    capacities: tuple[float, ...] = (20.0,)
+    late_us: int = 0  # the list reaches each copy within this
+    surge: float = 1.0  # the traffic grows by this factor as they start
+    steps: int = 1  # the replaced ones go in so many steps
+    lost: int = 0  # so many of the others leave the list a second later, and nothing comes for them
+    span_us: int = 6 * SECOND  # played past the start
+    settings: Settings = SETTINGS
+    seed: int = 1
+
+
+class Server:
+    """One endpoint: cores that serve in turn, at the share of their speed that is warm."""
+
+    def __init__(self, boot: int, capacity: float) -> None:
+        self.boot, self.capacity = boot, capacity
+        self.free = [0] * CORES
+        self.ends: list[int] = []  # when each request in hand will have been served
+        self.got: list[int] = []
+
+    def warmth(self, now: int, settings: Settings) -> float:
+        """The least that the settings allow it."""
+        if not self.boot:
+            return 1.0
+        age = max(0, now - self.boot) / settings.cold_us
+        return min(1.0, settings.cold_share + (1.0 - settings.cold_share) * age)
+
+    def take(self, now: int, work: float, settings: Settings) -> int | None:
+        """When the request, `work` times the mean, will have been served; None if there is no room."""
+        self.got.append(now)
+        while self.ends and self.ends[0] <= now:
+            heappop(self.ends)
+        if len(self.ends) >= ROOM:
+            return None
+        begin = max(now, self.free[0])
+        end = begin + int(work * CORES / self.capacity * SECOND / self.warmth(begin, settings))
+        heapreplace(self.free, end)
+        heappush(self.ends, end)
+        return end
+
+    def allowed(self, now: int, settings: Settings) -> float:
+        number = settings.tip_multiple * self.warmth(now, settings) * self.capacity
+        number *= settings.tip_for_us / SECOND
+        return number + 3.0 * sqrt(number) + 3.0
+
+    def fullest(self, settings: Settings) -> float:
+        """The most that it got within a span, as a part of what it stood then. Counted by what
+        the span's beginning allows, which is the least."""
+        span: deque[int] = deque()
+        worst = 0.0
+        for at in self.got:
+            span.append(at)
+            while span[0] <= at - settings.tip_for_us:
+                span.popleft()
+            worst = max(worst, len(span) / self.allowed(at - settings.tip_for_us, settings))
+        return worst
+
+
+class Fleet:
+    """Plays a case: `Balancer`s, endpoints, and one heap of what is to come."""
+
+    def __init__(self, case: Case) -> None:
+        self.case = case
+        self.rng = random.Random(case.seed)
+        self.copies = [
+            Balancer(case.seed * 1009 + me, replace(case.settings, me=me, instances=case.copies))
+            for me in range(case.copies)
+        ]
+        self.servers: dict[int, Server] = {}
+        self.due: list[tuple[int, int, int, object]] = []  # when, in which order, to which copy, what
+        self.count = 0
+        self.asked: dict[int, tuple[int, float]] = {}  # when each request expires, and its work
+        self.tries: Counter[int] = Counter()
+        self.ended: Counter[str] = Counter()
+        listed = [self._server(100 + n, 0) for n in range(case.endpoints)]
+        for copy in self.copies:
+            copy.start(0)
+            copy.members(0, LIST_FULL, listed)
+
+    def _server(self, number: int, boot: int) -> Entry:
+        capacities = self.case.capacities
+        self.servers[number] = Server(boot, capacities[number % len(capacities)])
+        return Entry(number, READY, boot, 1.0, number, 0, number % len(capacities))
+
+    def _at(self, when: int, copy: int, what: object) -> None:
+        self.count += 1
+        heappush(self.due, (when, self.count, copy, what))
+
+    def _replace(self) -> None:
+        """Old ones go and new ones start, some in each step, told to each copy in its time."""
+        case = self.case
+        olds = self.rng.sample(sorted(self.servers), case.replaced)
+        others = sorted(set(self.servers) - set(olds))
+        lost = [Entry(other, GONE, 0, 1.0, other, 0, 0) for other in others[: case.lost]]
+        for copy in range(case.copies if lost else 0):
+            self._at(WARM_UP + SECOND + self.rng.randrange(case.late_us + 1), copy, lost)
+        for step in range(case.steps):
+            at = WARM_UP + step * SECOND
+            some = olds[step :: case.steps]
+            listed = [Entry(old, GONE, 0, 1.0, old, 0, 0) for old in some]
+            # New numbers, and the capacities of those that went.
+            listed += [self._server(old + 7 * len(case.capacities) * 1000, at) for old in some]
+            for copy in range(case.copies):
+                self._at(at + self.rng.randrange(case.late_us + 1), copy, listed)
+
+    def _arrivals(self) -> None:
+        case = self.case
+        rate = case.load * sum(server.capacity for server in self.servers.values()) / SECOND
+        shares = [case.skew if me % 10 == 3 else 1.0 for me in range(case.copies)]
+        self.rng.shuffle(shares)
+        weights, now, number, surged = list(accumulate(shares)), 0.0, 0, False
+        while (now := now + self.rng.expovariate(rate)) < WARM_UP + case.span_us:
+            if now >= WARM_UP and not surged:
+                surged, rate = True, rate * case.surge
+            number += 1
+            (copy,) = self.rng.choices(range(case.copies), cum_weights=weights)
+            self.due.append((int(now), -number, copy, number))
+        heapify(self.due)
+
+    def play(self) -> list[float]:
+        """How full each cold endpoint's fullest span was: at most 1.0 where it stands."""
+        self._arrivals()
+        self._replace()
+        while self.due:
+            now, _, number, what = heappop(self.due)
+            copy = self.copies[number]
+            if isinstance(what, int):
+                work = self.rng.uniform(0.5, 1.5)
+                self.asked[what] = now + VIEW.deadline_us, work
+                self._carry_out(now, number, copy.request(now, Arrival(what, 0, now + VIEW.deadline_us)))
+            elif isinstance(what, Outcome):
+                self.ended["served" if what.outcome == OK else "failed"] += 1
+                self._carry_out(now, number, copy.outcome(now, what))
+            elif isinstance(what, Timer):
+                self._carry_out(now, number, copy.timer(now, what.token))
+            elif isinstance(what, list):
+                self._carry_out(now, number, copy.members(now, LIST_DELTA, what))
+        return [server.fullest(self.case.settings) for server in self.servers.values() if server.boot]
+
+    def _carry_out(self, now: int, copy: int, actions: Sequence[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Timer):
+                self._at(now + action.delay_us, copy, action)
+            elif isinstance(action, Send):
+                self._at(*self._sent(now, copy, action))
+
+    def _sent(self, now: int, copy: int, send: Send) -> tuple[int, int, Outcome]:
+        expires, work = self.asked[send.request]
+        attempt = self.tries[send.request]
+        self.tries[send.request] += 1
+        end = self.servers[send.endpoint].take(now, work, self.case.settings)
+        at, outcome = (now + MS, FULL) if end is None else (end, OK)
+        if at >= expires:
+            at, outcome = expires, TIMEOUT
+        over = outcome != FULL
+        return at, copy, Outcome(send.request, attempt, send.endpoint, outcome, at - now, over)
+
+
+FLEETS = [(1, 10), (3, 10), (17, 10), (60, 20), (200, 15), (200, 40)]  # copies, endpoints
+
+
+def holds(case: Case) -> None:
+    fleet = Fleet(case)
+    fullest = fleet.play()
+    assert max(fullest) <= 1.0, f"a span held {max(fullest):.2f} of what a cold endpoint stands"
+    assert fleet.ended["served"] > 0.25 * len(fleet.asked), "a fleet that sends nothing proves nothing"
+
+
+def test_what_is_counted_is_the_sum_of_all_copies_within_a_span() -> None:
+    """7.8 requests are allowed at the start, so 19 in a span stand and 20 do not."""
+    for number, stands in ((19, True), (20, False)):
+        server = Server(WARM_UP, 20.0)
+        server.got = [WARM_UP + k * SECOND // number for k in range(number)]
+        assert (server.fullest(SETTINGS) <= 1.0) == stands
+        server.got = [WARM_UP + k * SECOND for k in range(number)]
+        assert server.fullest(SETTINGS) < 0.2
+
+
+@pytest.mark.parametrize("part", [0.0, 0.4, 0.6], ids=["one", "several", "six in ten"])
+@pytest.mark.parametrize(("copies", "endpoints"), FLEETS)
+def test_equal_traffic(copies: int, endpoints: int, part: float) -> None:
+    starting = max(1, round(part * endpoints)) if part != 0.4 else 4
+    holds(Case(copies, endpoints, starting, span_us=4 * SECOND))
+
+
+@pytest.mark.parametrize(("copies", "endpoints"), FLEETS)
+def test_skewed_traffic_under_load_with_lists_of_different_age(copies: int, endpoints: int) -> None:
+    """One copy of ten has eight times as much as the others; starts come in three steps."""
+    some = Case(copies, endpoints, round(0.6 * endpoints), load=0.8, skew=8.0, steps=3)
+    holds(replace(some, late_us=SECOND, surge=1.3, span_us=4 * SECOND))
+
+
+@pytest.mark.parametrize(("copies", "endpoints"), [(3, 10), (17, 10), (60, 12), (200, 30)])
+def test_endpoints_of_several_kinds(copies: int, endpoints: int) -> None:
+    holds(
+        Case(copies, endpoints, endpoints // 2, load=0.8, capacities=(10.0, 20.0, 40.0), span_us=3 * SECOND)
+    )
+
+
+@pytest.mark.parametrize("copies", [1, 17, 60, 200])
+def test_all_start_at_once(copies: int) -> None:
+    holds(Case(copies, 6, 6, load=0.8, span_us=2 * SECOND))
+
+
+@pytest.mark.parametrize("copies", [3, 60, 200])
+def test_other_settings_and_many_requests(copies: int) -> None:
+    other = replace(SETTINGS, tip_multiple=1.5, cold_share=0.3, cold_us=10 * SECOND, tip_for_us=500 * MS)
+    holds(Case(copies, 8, 4, load=0.9, settings=other))
+    holds(Case(copies, 4, 2, load=0.9, capacities=(400.0,), span_us=SECOND))
+
+
+@pytest.mark.parametrize("gap", [4 * MS, 20 * MS, 200 * MS])
+def test_one_copy_sends_no_more_than_the_formula_says(gap: int) -> None:
+    """At most 1 + 2a in a span, a being COLD_SAFETY x tip_multiple x warmth x what an endpoint of
+    its arc serves it x tip_for_us; whatever it saved up before, and whenever it spends it."""
+    driver = Driver(balancer := started(4, tip_for_us=SECOND))
+    cold = balancer.endpoints[100]
+    cold.crowded = 10**12  # nothing is sent there but what this test takes
+    rng, spent, thrifty = random.Random(gap), list[int](), 0
+    for now in range(gap, 40 * SECOND, gap):
+        assert driver.serve(now, gap // 2)
+        if now == 5 * SECOND:
+            cold.boot = cold.budget_at = now
+        if now > thrifty + 2 * SECOND:
+            thrifty = now + rng.randrange(3 * SECOND)  # it saves up to here, and then takes all it may
+        while now > thrifty and cold.boot and balancer._is_cold(now, cold):
+            if balancer._cold_budget(now, cold) < 1.0:
+                break
+            cold.budget -= 1.0
+            spent.append(now)
+    assert len(spent) > 2
+    for at in spent:
+        # A rate that is read just after a send shows by so much more than its mean.
+        part = 0.5 * balancer.s.tip_multiple * balancer._warmth(at + SECOND, cold) / 4 * SECOND / gap
+        part = max(part * (1.0 + gap / balancer.rate_memory), 0.5 * SECOND / balancer.longest_aim)
+        assert sum(at <= other < at + SECOND for other in spent) <= 1.0 + 2.0 * part + 1e-6
