Count answers by the list of their time when cold endpoints get their part

Cause: _cold_budget divided the rate of what was served, which remembers an aim, by arc_size, and each copy counted by itself, while _cut changes both at once. So each one left stood for what five had served, or five times as many copies had it on their arcs. With a price of crossing zones the floor counted with COVERAGE copies, however many have it on their arcs. Change: answers are counted as parts of an endpoint by the list then in force, those of endpoints that left not at all; depth goes, its place is taken by own / arc_size.

--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -18,7 +18,7 @@
 
 import pytest
 
-from tests.helpers import MS, SECOND, Driver, started
+from tests.helpers import MS, SECOND, Driver, fleet, started
 from woadyard.interface import (
     FULL,
     GONE,
@@ -293,3 +293,34 @@
         part = 0.5 * balancer.s.tip_multiple * balancer._warmth(at + SECOND, cold) / 4 * SECOND / gap
         part = max(part * (1.0 + gap / balancer.rate_memory), 0.5 * SECOND / balancer.longest_aim)
         assert sum(at <= other < at + SECOND for other in spent) <= 1.0 + 2.0 * part + 1e-6
+
+
+@pytest.mark.parametrize(
+    ("copies", "endpoints", "capacity"), [(17, 10, 100.0), (60, 20, 20.0), (200, 20, 20.0)]
+)
+def test_most_of_the_warm_ones_leave_beside_cold_ones(copies: int, endpoints: int, capacity: float) -> None:
+    """What each one left stood for grew at once by what the others had served, and each was on more
+    copies' arcs: the copies sent twice what a cold one stands, until the memory of it faded."""
+    some = Case(copies, endpoints, endpoints // 10, load=0.8, capacities=(capacity,))
+    holds(replace(some, lost=round(0.8 * endpoints), span_us=3 * SECOND))
+
+
+def test_a_shorter_list_makes_no_part_of_an_endpoint_larger() -> None:
+    """With and without a price of crossing zones: what all copies may send follows from the time
+    at which it was served, not from the list that came since."""
+    for changes in (
+        {"instances": 6},
+        {"instances": 60},
+        {"instances": 6, "zones": 2, "cross_zone_price": 0.1},
+    ):
+        driver = Driver(balancer := started(20, **changes))
+        assert all(driver.serve(now, 5 * MS) for now in range(20 * MS, 5 * SECOND, 20 * MS))
+        parts = []
+        for size in (20, 4):
+            balancer.members(5 * SECOND, LIST_FULL, fleet(size))
+            cold = next(one for one in balancer.endpoints.values() if balancer.groups[0].holds(one))
+            holders = balancer.arc_size * balancer.s.instances / size
+            cold.boot = cold.budget_at = 5 * SECOND
+            cold.budget = 0.0
+            parts.append(balancer._cold_budget(5 * SECOND + 10 * MS, cold) * holders)
+        assert parts[1] <= 1.1 * parts[0], changes
--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -650,7 +650,7 @@
         self.staged: list[Endpoint] = []  # those that only it has
         self.groups: list[Group] = []
         self.home: list[Group] = []  # two halves of the own zone, where crossing has a price
-        self.arc_size, self.depth = 1.0, 1
+        self.arc_size = self.own = 1.0  # endpoints on its arc; and for each copy
         self.requests: dict[int, Request] = {}  # in the order in which they came whole
         self.partial = 0  # of these, those whose last byte is still to come
         self.ended: dict[int, Request] = {}  # over, but with attempts still out
@@ -781,7 +781,7 @@
         copies, and in the right groups too. An endpoint that an edge cuts
         stands in the group with the share that lies inside.
         """
-        own = len(self.order.ring) / self.s.instances  # endpoints that fall to a copy
+        own = self.own = max(1, len(self.order.ring)) / self.s.instances  # endpoints that fall to a copy
         self.admission.least = max(HELD_FEW, HELD_MIN * own)
         self.admission.first = HELD_FIRST * max(1.0, own)
         ring, far = self.order.ring, self.order.far
@@ -792,7 +792,7 @@
             start, end = self.groups[0].start, self.groups[0].end
             middle = start + ceil((end - start) / 2.0)
             self.home = [Group(near, start, middle), Group(near, middle, end)]
-            self.arc_size, self.depth = float(sum(group.count for group in self.groups)), COVERAGE
+            self.arc_size = float(sum(group.count for group in self.groups))
             return
         self.home = []
         size, copies = len(self.order.ring), self.s.instances
@@ -803,7 +803,7 @@
         if depth >= count:  # whole spacings, all groups alike
             parts = [float(round(part)) for part in parts]
         self.groups = [Group(self.order.ring, start + a * step, start + b * step) for a, b in pairwise(parts)]
-        self.arc_size, self.depth = max(1.0, depth * step), max(1, depth)
+        self.arc_size = max(1.0, depth * step)
 
     def _arc(self, ring: Ring, copies: float) -> Group:
         """One group on a part of the ring, from the copy's own offset there."""
@@ -934,7 +934,7 @@
             health = self._health(now, endpoint, kind)
             health += REPAIR * (1.0 - health)
             endpoint.health[kind] = 1.0 if health > 0.99 else health, now, endpoint.health[kind][2] / 2.0
-        self.served.add(now)
+        self.served.add(now, endpoint.ready / self.own)
         usual = self.latencies[request.kind]
         usual.add(delay_us)
         self.latency.add(delay_us)
@@ -966,14 +966,16 @@
         multiple and the share warm so far. As each copy scales its own
         traffic, the parts add up without agreement; what is sent in vain,
         to full or choked endpoints, tells nothing of what one can bear.
+        Answers count by the list under which they came: when many leave it,
+        those left bear no more for it, and more copies have each on their arc.
         """
-        usual = min(self.sends.get(now), self.served.get(now)) / self.arc_size
+        usual = min(self.sends.get(now), self.served.get(now) * self.own) / self.arc_size
         if not any([group.holds(endpoint) for group in self.groups]):
             return 0.0  # only copies that have it on their arc share its budget
         rate = usual * COLD_SAFETY * self.s.tip_multiple * self._warmth(now, endpoint)
         # Guards against a start where all is cold: nothing sent, so nothing
         # earned. One request an aim, from all copies together, is always due.
-        rate = max(rate, COLD_SAFETY / (self.depth * self.longest_aim))
+        rate = max(rate, COLD_SAFETY * self.own / (self.arc_size * self.longest_aim))
         elapsed, endpoint.budget_at = now - endpoint.budget_at, now
         endpoint.budget += rate * elapsed
         # Guards against copies that saved up while others were drawn and then all
