--- /dev/null
+++ b/woadyard/testing/processes/files.py
@@ -0,0 +1,82 @@
+"""The files that a process is told by, and faults of the disk that it writes to."""
+
+from __future__ import annotations
+
+import json
+import random
+import resource
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+# A regular file can't grow; one that stands is written to no further than this.
+_NOTHING = 0
+
+
+def toml(tables: Mapping[str, Mapping[str, Any]]) -> str:
+    """Tables as TOML; ValueError for a value that it has no form for. Tables in lists are inline."""
+    parts = []
+    for name, table in tables.items():
+        parts += [f"[{_key(name)}]", *(f"{_key(key)} = {_value(value)}" for key, value in table.items()), ""]
+    return "\n".join(parts)
+
+
+def _key(name: str) -> str:
+    return _text(name)
+
+
+def _text(text: str) -> str:
+    """A basic string: as in JSON, with one more character that must be escaped."""
+    return json.dumps(text, ensure_ascii=False).replace("\x7f", "\\u007f")
+
+
+def _value(value: Any) -> str:
+    match value:
+        case bool():
+            return "true" if value else "false"
+        case int() | float():
+            return repr(value)
+        case str():
+            return _text(value)
+        case list() | tuple():
+            return f"[{', '.join(_value(one) for one in value)}]"
+        case dict():
+            return f"{{{', '.join(f'{_key(key)} = {_value(one)}' for key, one in value.items())}}}"
+    raise ValueError(f"no form in TOML: {value!r}")
+
+
+# --- Disks ------------------------------------------------------------------------------
+
+
+def fill_disk(pid: int) -> None:
+    """From now on no regular file takes a byte from this process: EFBIG, where a full disk says
+    ENOSPC; OSError both. What is open may still be read, and synced. Linux only."""
+    _, most = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (_NOTHING, most))
+
+
+def empty_disk(pid: int) -> None:
+    """There is room again."""
+    _, most = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (most, most))
+
+
+def tear(path: Path, draw: random.Random, most: int = 4096) -> int:
+    """Cut a part of the file's last `most` bytes off, as power that fails in a write does; gives
+    how many. For a process that is down. 0 for an empty file."""
+    size = path.stat().st_size
+    lost = draw.randint(1, min(most, size)) if size else 0
+    with path.open("r+b") as file:
+        file.truncate(size - lost)
+    return lost
+
+
+def garble(path: Path, draw: random.Random) -> int:
+    """Turn one bit of the file; gives the byte's offset. ValueError for an empty file."""
+    data = bytearray(path.read_bytes())
+    if not data:
+        raise ValueError(f"{path.name} is empty")
+    at = draw.randrange(len(data))
+    data[at] ^= 1 << draw.randrange(8)
+    path.write_bytes(data)
+    return at
