--- a/woadyard/testing/processes/files.py
+++ b/woadyard/testing/processes/files.py
@@ -62,12 +62,18 @@
 
 
 def tear(path: Path, draw: random.Random, most: int = 4096) -> int:
-    """Cut a part of the file's last `most` bytes off, as power that fails in a write does; gives
-    how many. For a process that is down. 0 for an empty file."""
-    size = path.stat().st_size
-    lost = draw.randint(1, min(most, size)) if size else 0
+    """Take away a part of the last `most` bytes that were written, as power that fails in a write does;
+    gives how many. A file that was made long before it was filled keeps its length, with zeros. For a
+    process that is down. 0 if nothing was written."""
+    data = path.read_bytes()
+    written = len(data.rstrip(b"\0"))
+    lost = draw.randint(1, min(most, written)) if written else 0
     with path.open("r+b") as file:
-        file.truncate(size - lost)
+        if written == len(data):
+            file.truncate(written - lost)
+        else:
+            file.seek(written - lost)
+            file.write(bytes(lost))
     return lost
 
 
