Let a next version follow each process of the rig, under load

Need: a release replaces processes under load, and the rig could only stop and start them. Change: Tier.replace starts the next version beside the running one, waits until it is ready and tells the older to stop. The checker allows one case more: a request that crosses the end of a kept connection meanwhile and was sent to nobody. Tested: a release over three processes under load while an endpoint drains, and made histories for the new case.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -481,6 +481,22 @@
         (UNANSWERED, [asked(600, "r3"), Turn(650, 1, What.KILLED), Broken(700, 0, "r3", "x")]),
         # Taken before it was told to stop.
         (UNANSWERED, [asked(600, "r3"), Turn(650, 0, What.STOPPING), Broken(700, 0, "r3", "x")]),
+        # A next version takes over: sent on, or on a connection of its own, or when that is over.
+        (
+            UNANSWERED,
+            [
+                Turn(550, 0, What.RETIRING), asked(600, "r3"), Sent(650, 0, "s-1", "r3"),
+                Broken(700, 0, "r3", "x", kept=True),
+            ],
+        ),
+        (UNANSWERED, [Turn(550, 0, What.RETIRING), asked(600, "r3"), Broken(700, 0, "r3", "x")]),
+        (
+            UNANSWERED,
+            [
+                Turn(550, 0, What.RETIRING), Turn(590, 0, What.RETIRED), asked(600, "r3"),
+                Broken(700, 0, "r3", "x", kept=True),
+            ],
+        ),
         (ANSWERED_TWICE, [Answered(800, 0, "r1", 200)]),
         (LATE, [asked(600, "r3"), Answered(600 + 110 * MS + 1, 0, "r3", 504)]),
         (
@@ -524,6 +540,7 @@
     "more",
     [
         [asked(600, "r3"), Turn(650, 0, What.KILLED), Broken(700, 0, "r3", "x"), Turn(700, 0, What.ENDED)],
+        [Turn(550, 0, What.RETIRING), asked(600, "r3"), Broken(700, 0, "r3", "x", kept=True)],
         [asked(600, "r3"), Turn(650, 0, What.KILLED)],  # its client still waits
         [Turn(550, 0, What.KILLED), asked(600, "r3"), Broken(700, 0, "r3", "x"), Turn(800, 0, What.READY)],
         [Turn(550, 0, What.STOPPING), asked(600, "r3"), Broken(700, 0, "r3", "x")],
@@ -744,6 +761,26 @@
     return sends(tier, "s-2", since) == {0, 1, 2}
 
 
+def test_a_release_replaces_all_processes() -> None:
+    async def main() -> None:
+        async with Tier(3) as tier, tier.load(callers=6) as load:
+            tier.tell(0, "draining")
+            await tier.until_told()
+            for number in range(3):
+                await load.more(10)
+                assert await tier.replace(number) == 0
+                await load.more(10)
+                assert (await tier.call(number, "GET", "/api/ready")).status == 200
+            tier.tell(0, "ready")
+            await tier.until_told()
+            await tier.kill(1)
+            await tier.restart(1)
+            await load.more(10)
+        tier.check()
+
+    play(main())
+
+
 def test_wall_clocks_that_differ_by_hours_and_step() -> None:
     async def main() -> None:
         async with Tier(3, clocks=True) as tier, tier.load() as load:
--- a/woadyard/testing/processes/__init__.py
+++ b/woadyard/testing/processes/__init__.py
@@ -7,7 +7,7 @@
             tier.cut({0, 1}, {2, 3, 4})             # no datagrams between these; both=False: one way
             await tier.kill(2)
             await tier.restart(2)                   # from nothing, same name and addresses
-            answer = await tier.call(2, "GET", "/api/ready")
+            answer = await tier.call(2, "GET", "/api/ready")    # tier.state(...) reads JSON
             tier.heal()
         tier.check()                                # AssertionError that names each broken rule
 
@@ -24,9 +24,9 @@
 - connections to endpoints: `tier.cut_path(endpoint, "there" | "back" | "both", processes)`, `heal_path`;
   `tier.paths[process][endpoint]` has `delay`, `reset`, `refuse`, `admit`;
 - endpoints: `hold` and `let_go` (executed, and not answered meanwhile), `stop_endpoint`, `restart_endpoint`;
-- processes: `pause`, `resume`, `kill`, `stop`, `restart`; `tier.programs[n]` has `fill_disk`,
-  `empty_disk`, `step_clock` (with `clocks=True`), `until_logged`; `tear` and `garble` spoil a file between
-  two starts.
+- processes: `pause`, `resume`, `kill`, `stop`, `restart`, `replace` (the next version follows);
+  `tier.programs[n]` has `fill_disk`, `empty_disk`, `until_logged` and, with `clocks=True`, `step_clock`;
+  `tear` and `garble` spoil a file between two starts.
 
 What waits, waits for an event, and fails with its name if that does not come: `load.more`, `until_told`,
 `until_logged`, `until_passed`, and `until(look, what)` for what can only be asked for.
--- a/woadyard/testing/processes/load.py
+++ b/woadyard/testing/processes/load.py
@@ -65,12 +65,12 @@
         cls, effect = CLASSES[number % len(CLASSES)]
         name, key = f"r{number}", f"k{number}" if effect == "keyed" else None
         raw = request(cls, b"" if effect == "safe" else b"body", "", self.deadline_ms, name, key)
-        process, now = program.number, self.history.now
+        process, now, kept = program.number, self.history.now, caller.streams is not None
         self.history.add(Asked(now(), process, name, effect, key, self.deadline_ms * 1000))
         try:
             message = await caller.ask(raw)
         except (OSError, asyncio.IncompleteReadError) as error:
-            self.history.add(Broken(now(), process, name, type(error).__name__))
+            self.history.add(Broken(now(), process, name, type(error).__name__, kept))
             self.broken[process] += 1
         else:
             # Served by an endpoint of the tier, which answers with the id.
--- a/woadyard/testing/processes/tier.py
+++ b/woadyard/testing/processes/tier.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 import random
 import socket
 import tempfile
@@ -195,6 +196,10 @@
         """SIGTERM, until it is gone; its exit status."""
         return await self.programs[process].stop()
 
+    async def replace(self, process: int) -> int:
+        """The next version follows this one at its address; the exit status of the older one."""
+        return await self.programs[process].replace()
+
     def pause(self, process: int) -> None:
         """SIGSTOP."""
         self.programs[process].pause()
@@ -207,6 +212,12 @@
         """A call at a process's second address."""
         return await self.programs[process].call(method, target)
 
+    async def state(self, process: int, target: str) -> Any:
+        """What a process answers there in JSON. AssertionError for another status than 200."""
+        message = await self.call(process, "GET", target)
+        assert message.status == 200, f"process {process}, {target}: {message.status} {message.body!r}"
+        return json.loads(message.body)
+
     # --- Faults ---------------------------------------------------------------------
 
     def cut(self, some: Iterable[int], others: Iterable[int], both: bool = True) -> None:
