--- a/woadyard/testing/processes/tier.py
+++ b/woadyard/testing/processes/tier.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import random
 import socket
 import tempfile
+from collections import Counter
 from collections.abc import AsyncIterator, Iterable, Mapping, Sequence
 from functools import partial
 from pathlib import Path
@@ -360,6 +362,28 @@
         """It may be sent to again."""
         self.history.add(Returned(self.history.now(), name_of(endpoint)))
 
+    def sent(self, since: int = 0) -> Counter[tuple[int, int]]:
+        """How many requests left which process for which endpoint, from that event on."""
+        later = itertools.islice(self.history.events, since, None)
+        return Counter(
+            (event.process, number_of(event.endpoint)) for event in later if isinstance(event, Sent)
+        )
+
+    def most_used(self, process: int) -> int:
+        """The endpoint that a process has sent most to."""
+        own = {at: count for (one, at), count in self.sent().items() if one == process}
+        return max(own, key=lambda at: (own[at], -at))
+
+    async def until_sent(self, endpoint: int, *processes: int) -> None:
+        """Until each of these has sent another request there."""
+        since = len(self.history.events)
+
+        async def look() -> bool:
+            sent = self.sent(since)
+            return all(sent[process, endpoint] for process in processes)
+
+        await until(look, f"requests of {processes} at {name_of(endpoint)}")
+
     async def until_passed(self, at_us: int) -> None:
         """Until the machine's monotonic time is this, as a deadline needs it."""
 
