Find a program that repeats beyond the scope of a key

Need: the rig's checker should find a program that repeats too widely, not only a test that lies. Change: a test tells the program that all endpoints know a key where only those of one cell do. An endpoint holds its answers, its connections are reset, and a repeat in the other cell must be found as run twice, and as nothing else.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -62,6 +62,7 @@
 )
 from woadyard.testing.processes.launch import make_clock, step_clock
 from woadyard.testing.processes.relays import DATAGRAM_MOST
+from woadyard.testing.processes.tier import SETTINGS
 
 TEST_S = 60.0  # for a test that hangs; nothing is measured by it
 
@@ -914,6 +915,29 @@
     play(main())
 
 
+def test_a_program_that_repeats_too_widely_is_found() -> None:
+    """It is told that all endpoints know a key, where only those of one cell do."""
+
+    async def main() -> None:
+        classes = [{**one, "dedup-scope": "all"} for one in SETTINGS["classes"]]
+        async with Tier(2, settings={"classes": classes}) as tier, tier.load() as load:
+            await load.more(10)
+            held = tier.most_used(0)
+            tier.hold(held)
+            await until(lambda: run_twice(tier, held), "a repeat in the other cell")
+            tier.let_go(held)
+        assert names(tier) == {RUN_TWICE}
+
+    play(main())
+
+
+async def run_twice(tier: Tier, held: int) -> bool:
+    """What was executed there, and is not answered, breaks off."""
+    for paths in tier.paths:
+        paths[held].reset()
+    return RUN_TWICE in names(tier)
+
+
 def test_a_tier_that_can_not_start_leaves_nothing_behind() -> None:
     async def main() -> None:
         tier = Tier(2, operator_tables={"nonsense": {"a": 1}})
