Leave a request that never ends to the rig's checker, which names it

Cause: the load's end failed by a time-out of its own when a request never ended, before the rig's checker could name that request. Change: stop waits for as long as before, then gives up what has neither answer nor end, and leaves it to the checker; a caller that failed still raises. No test was added.

--- a/woadyard/testing/processes/load.py
+++ b/woadyard/testing/processes/load.py
@@ -108,10 +108,14 @@
             raise AssertionError(f"answers {counts}, expected {due}") from None
 
     async def stop(self) -> None:
-        """Until the last request has its answer, or its connection ended."""
+        """Until the last request has its answer, or its connection ended. What has neither when
+        patience ends is given up, for the checker to name."""
         self._stopped.set()
-        async with asyncio.timeout(PATIENCE_S):
-            await asyncio.gather(*self._tasks)
+        await asyncio.wait(self._tasks, timeout=PATIENCE_S)
+        for task in self._tasks:
+            if task.done():
+                task.result()
+        self.cancel()
 
     def cancel(self) -> None:
         for task in self._tasks:
