Kill an endpoint with what it ran unanswered: repeats of unsafe requests are found

Cause: a fault put into a copy of the program, sending again what may have run whatever its class, was not found: no test had a request run, unanswered, and then reset.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -737,23 +737,34 @@
     return False
 
 
-def test_an_endpoint_dies_and_comes_back() -> None:
+def test_an_endpoint_dies_with_what_it_ran_and_comes_back() -> None:
     async def main() -> None:
         async with Tier(3, endpoints=2) as tier, tier.load() as load:
             await load.more(20)
-            tier.stop_endpoint(0)
+            first = tier.most_used(1)
+            tier.hold(first)
+            await until(lambda: is_open(tier, "unsafe"), "an unsafe request that ran, and is not answered")
+            tier.stop_endpoint(first)
+            tier.let_go(first)
             await load.more(40)
-            await tier.restart_endpoint(0, started_ms=1)
-            tier.tell(0, "ready", startedAtMs=1)
+            await tier.restart_endpoint(first, started_ms=1)
+            tier.tell(first, "ready", startedAtMs=1)
             await tier.until_told()
-            tier.stop_endpoint(1)
-            await tier.until_sent(0, 0, 1, 2)
+            tier.stop_endpoint(1 - first)
+            await tier.until_sent(first, 0, 1, 2)
             await load.more(20)
         tier.check()
 
     play(main())
 
 
+async def is_open(tier: Tier, effect: str) -> bool:
+    events = tier.history.events
+    over = {event.request for event in events if isinstance(event, Answered)}
+    ran = {event.request for event in events if isinstance(event, Ran)} - over
+    return any(e.request in ran and e.effect == effect for e in events if isinstance(e, Asked))
+
+
 def test_a_release_replaces_all_processes() -> None:
     async def main() -> None:
         async with Tier(3) as tier, tier.load(callers=6) as load:
