Give all errors one root, each with a cause and what an operator can do

woadyard/errors.py holds the root LaurelstepError.

Not done: the daemon's line for a ConfigError does not repeat the type's remedy. The text names file, key and what was expected already, and the remedy of the type is the same for every key.

--- a/woadyard/handover/messages.py
+++ b/woadyard/handover/messages.py
@@ -21,6 +21,8 @@
 import json
 from typing import Any, Final
 
+from woadyard.errors import LaurelstepError
+
 VERSION: Final = 1
 HELLO: Final = b"laurelstep-handover %d\n" % VERSION
 READY: Final = b"ready\n"
@@ -29,9 +31,12 @@
 STATE_MAX: Final = 4 * 1024 * 1024
 
 
-class HandoverError(Exception):
+class HandoverError(LaurelstepError):
     """It can't be used; the text says why, on one line."""
 
+    cause = "the state or the listener could not be taken over from the process of the version before"
+    remedy = "nothing if it was lost once: the new process starts without it; else compare the two versions"
+
 
 def is_hello(line: bytes) -> bool:
     return line == HELLO
--- a/woadyard/library/client.py
+++ b/woadyard/library/client.py
@@ -25,6 +25,7 @@
 from woadyard.engine.call import Answer, Call, Ending, Headers
 from woadyard.engine.engine import Engine
 from woadyard.engine.given import GivenMembers
+from woadyard.errors import LaurelstepError
 from woadyard.net.assembly import Assembly
 from woadyard.net.errors import BadRequestError
 from woadyard.net.message import BODY_MAX
@@ -38,13 +39,19 @@
 logger = logging.getLogger("laurelstep")
 
 
-class ClientError(Exception):
+class ClientError(LaurelstepError):
     """The client can't be used so: it is not open, or belongs to another loop or process."""
 
+    cause = "the library's client is not open, or belongs to another event loop or process"
+    remedy = "open one client in each process, after a fork, on the loop that uses it; close it last"
 
-class RequestError(ValueError):
+
+class RequestError(LaurelstepError, ValueError):
     """The request is not as its class demands; `status` is what a caller would be told."""
 
+    cause = "a request given to the library's client is not as its class demands"
+    remedy = "correct the request by the text, or its class in [deployment]; nothing was sent"
+
     def __init__(self, status: int, text: str) -> None:
         super().__init__(text)
         self.status = status
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -18,6 +18,7 @@
 from woadyard.engine.flow import Flow
 from woadyard.engine.members import split_address
 from woadyard.interface import ERROR, FULL, MOOT, NO_CONNECT, OK, RESET
+from woadyard.net.errors import SpoiltError
 from woadyard.net.message import (
     ANSWER_HEADERS,
     BODY_MAX,
@@ -77,10 +78,6 @@
         self.free()
 
 
-class SpoiltError(Exception):
-    """An answer that is none of this protocol."""
-
-
 ONCE: Final = frozenset((b"content-length", b"transfer-encoding"))
 
 
--- a/woadyard/settings/config.py
+++ b/woadyard/settings/config.py
@@ -7,15 +7,19 @@
 from typing import Any
 
 from woadyard.engine.names import Names
+from woadyard.errors import LaurelstepError
 from woadyard.interface import Settings
 from woadyard.orders.book import Orders
 from woadyard.room.descriptors import SOCKETS_DEFAULT, side_share
 from woadyard.wire import WireError, read_settings
 
 
-class ConfigError(Exception):
+class ConfigError(LaurelstepError):
     """The configuration can't be used; the text says why, on one line."""
 
+    cause = "a configuration can't be used: a key is missing, unknown, or has a value that it can't have"
+    remedy = "correct the key that the line names, then run `laurelstep check FILE` before the next start"
+
 
 @dataclass(frozen=True)
 class Config:
--- a/woadyard/store/disk.py
+++ b/woadyard/store/disk.py
@@ -9,15 +9,19 @@
 from pathlib import Path
 from typing import Protocol
 
+from woadyard.errors import LaurelstepError
 from woadyard.store.manifest import LOCK
 
 # Descriptors kept open; a segment read again later is opened again.
 OPEN_MOST = 16
 
 
-class StoreError(Exception):
+class StoreError(LaurelstepError):
     """The store can't be used; the text says why, on one line."""
 
+    cause = "a store can't be opened or read: another process has it, or its disk or files fail"
+    remedy = "one folder for each copy; else see to the disk, then run `laurelstep store verify PATH`"
+
 
 class Disk(Protocol):
     """A folder's files. All calls may block; each raises OSError as the system does."""
--- a/woadyard/store/log.py
+++ b/woadyard/store/log.py
@@ -21,6 +21,8 @@
 
 from google_crc32c import extend
 
+from woadyard.errors import LaurelstepError
+
 FORMAT = 1
 MAGIC = b"laurelog"
 FRAME_MAGIC = b"\xf1LsF"
@@ -38,9 +40,12 @@
 PUT, DELETE = 1, 2
 
 
-class LogError(Exception):
+class LogError(LaurelstepError):
     """What is on the disk is not what this program wrote; the text names the place."""
 
+    cause = "a file of the store is damaged, missing, or of another program's version"
+    remedy = "run `laurelstep store verify PATH`; bring the folder back from a copy, or start an empty one"
+
 
 @dataclass(frozen=True, slots=True)
 class Record:
--- a/woadyard/store/store.py
+++ b/woadyard/store/store.py
@@ -54,6 +54,9 @@
 class StoreUnavailableError(StoreError):
     """It was not written: the disk fails, or the store is full or closed."""
 
+    cause = "a record was not written: the disk fails, or the store is full or closed"
+    remedy = "free the disk, or raise orders.max_mb or shorten keep_s; writing is tried again by itself"
+
 
 @dataclass(frozen=True)
 class Options:
--- a/woadyard/wire.py
+++ b/woadyard/wire.py
@@ -12,6 +12,7 @@
 from typing import Any, BinaryIO
 
 from woadyard import interface
+from woadyard.errors import LaurelstepError
 
 EVENT_SIZE = 48
 ACTION_SIZE = 24
@@ -85,9 +86,12 @@
 SCOPES = {"all": interface.SCOPE_ALL, "zone": interface.SCOPE_ZONE, "cell": interface.SCOPE_CELL}
 
 
-class WireError(Exception):
+class WireError(LaurelstepError):
     """What was read is not a frame of this wire."""
 
+    cause = "settings, or a batch from the simulator, are not in the form that this version reads"
+    remedy = "correct the settings that the text names; else run a simulator and an adapter of one version"
+
 
 def _read_exactly(stream: BinaryIO, size: int) -> bytes:
     parts = []
