Hold every disk, clock, upstream, source and recorder to a written contract

Found: the simulated disk had no lock at all, and told KeyError for a file that is not there; both mended, and `another` opens the same disk once more.

--- /dev/null
+++ b/tests/test_contracts.py
@@ -0,0 +1,981 @@
+"""Every implementation in the repository, the fakes too, through the contracts; and, for each contract,
+faulty ones that it catches."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import itertools
+import random
+import subprocess
+import sys
+import tempfile
+from collections.abc import AsyncIterator, Callable, Iterator, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, ClassVar
+
+import pytest
+import uvloop
+
+from tests.fakes import Due, ManualClock, PlayedUpstream, Sent
+from woadyard.engine import Answer, Attempt, Call, Ending, LoopClock
+from woadyard.engine.given import GivenMembers
+from woadyard.engine.ports import Clock, MemberSink, MemberSource, Recorded, Recorder
+from woadyard.engine.ports import Upstream as UpstreamSide
+from woadyard.interface import ERROR, FULL, NO_CONNECT, OK, RESET
+from woadyard.net.discovery import Discovery
+from woadyard.net.upstream import Upstream
+from woadyard.orders import OrderClass, Orders
+from woadyard.orders.recorder import Hand, OrderRecorder
+from woadyard.store import FolderDisk, Options, Store
+from woadyard.store.disk import Disk
+from woadyard.testing import Endpoint, Message, Reader, Writer, answer, free_port, push, read_message
+from woadyard.testing.contracts.base import Contract, raises
+from woadyard.testing.contracts.clock import ClockContract, Running
+from woadyard.testing.contracts.disk import DiskContract
+from woadyard.testing.contracts.members import (
+    AskedSourceContract,
+    Beyond,
+    BreakableBeyond,
+    Entries,
+    MemberSourceContract,
+)
+from woadyard.testing.contracts.recorder import Life, RecorderContract
+from woadyard.testing.contracts.upstream import Stage, UpstreamContract, Way
+from woadyard.testing.disk import SimulatedDisk
+from woadyard.testing.endpoints import Listener, reset_connection
+
+ROOT = Path(__file__).parent.parent
+
+
+def caught(contract: Contract, *names: str) -> None:
+    """The contract fails, and in these tests among others."""
+    found = contract.failures()
+    assert set(names) <= set(found), f"expected {names}, found {found}"
+    # A test that fails by its own fault says nothing of the implementation.
+    wrong = {name: error for name, error in found.items() if isinstance(error, NameError | AttributeError)}
+    assert not wrong
+
+
+# --- The contracts themselves ---------------------------------------------------------------
+
+
+def test_the_contracts_do_not_import_pytest_nor_more_than_their_side() -> None:
+    code = (
+        "import sys, woadyard.testing.contracts.clock as one, woadyard.testing.contracts.members\n"
+        "assert not {'pytest', 'google_crc32c', 'woadyard.store', 'woadyard.net'} & set(sys.modules)\n"
+        "import woadyard.testing.contracts.disk, woadyard.testing.contracts.upstream\n"
+        "import woadyard.testing.contracts.recorder\n"
+        "assert not {'pytest', '_pytest'} & set(sys.modules)"
+    )
+    subprocess.run([sys.executable, "-c", code], check=True, cwd=ROOT)
+
+
+def test_an_error_that_does_not_come_is_told() -> None:
+    with pytest.raises(AssertionError, match="no error: a refusal"), raises(OSError, "a refusal"):
+        pass
+    with pytest.raises(ValueError, match="another"), raises(OSError, "a refusal"):
+        raise ValueError("another")
+
+
+class Waits(Contract):
+    patience_s = 0.01
+
+    def test_waits(self) -> None:
+        self.run(self.soon(asyncio.Event().wait(), "an event"))  # type: ignore[arg-type]
+
+    def test_raises_in_a_callback(self) -> None:
+        async def main() -> None:
+            def fail() -> None:
+                raise ZeroDivisionError
+
+            asyncio.get_running_loop().call_soon(fail)
+            await asyncio.sleep(0)
+
+        self.run(main())
+
+    def test_holds(self) -> None:
+        self.run(asyncio.sleep(0))
+
+
+def test_failures_tells_what_failed_and_why() -> None:
+    found = Waits().failures()
+    assert set(found) == {"test_waits", "test_raises_in_a_callback"}
+    assert str(found["test_waits"]) == "never came: an event"
+    assert isinstance(found["test_raises_in_a_callback"], ZeroDivisionError)
+
+
+# --- Clock ------------------------------------------------------------------------------------
+
+
+@dataclass
+class Passing:
+    """A loop's clock: its time passes by itself."""
+
+    clock: Clock
+
+    async def until(self, due: int) -> None:
+        loop = asyncio.get_running_loop()
+        passed = asyncio.Event()
+        # Behind every timer of the clock, which counts in whole milliseconds.
+        loop.call_at(loop.time() + max(0, due - self.clock.now()) / 1e6 + 0.005, passed.set)
+        await passed.wait()
+
+
+class TestLoopClock(ClockContract):
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[Running]:
+        yield Passing(LoopClock(asyncio.get_running_loop()))
+
+
+class TestLoopClockOnUvloop(TestLoopClock):
+    def new_loop(self) -> asyncio.AbstractEventLoop:
+        return uvloop.new_event_loop()
+
+
+class EarlyLoop(asyncio.SelectorEventLoop):
+    """Its timers come up to a millisecond early, as those of a loop that rounds may."""
+
+    def call_later(  # type: ignore[override]
+        self, delay: float, callback: Callable[..., object], *args: Any, context: Any = None
+    ) -> asyncio.TimerHandle:
+        return super().call_later(max(0.0, delay - 0.001), callback, *args, context=context)
+
+
+class TestLoopClockWokenEarly(TestLoopClock):
+    def new_loop(self) -> asyncio.AbstractEventLoop:
+        return EarlyLoop()
+
+
+@dataclass
+class Moved:
+    manual: ManualClock
+    clock: Clock
+
+    async def until(self, due: int) -> None:
+        self.manual.advance(max(0, due - self.manual.time))
+
+
+class TestManualClock(ClockContract):
+    kind: ClassVar[type[ManualClock]] = ManualClock
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[Running]:
+        one = self.kind()
+        yield Moved(one, one)
+
+
+class EarlyClock(ManualClock):
+    def at(self, due: int, callback: Callable[..., None], *args: Any) -> Due:
+        return super().at(due - 1, callback, *args)
+
+
+class DeafClock(ManualClock):
+    """Its calls can't be cancelled."""
+
+    def at(self, due: int, callback: Callable[..., None], *args: Any) -> Due:
+        super().at(due, callback, *args)
+        return Due(callback, args)
+
+
+class HastyClock(ManualClock):
+    def at(self, due: int, callback: Callable[..., None], *args: Any) -> Due:
+        if due <= self.time:
+            callback(*args)
+            return Due(callback, args)
+        return super().at(due, callback, *args)
+
+
+class TwiceClock(ManualClock):
+    def at(self, due: int, callback: Callable[..., None], *args: Any) -> Due:
+        handle = super().at(due, callback, *args)
+        self.due.append((self.due[-1][0], self.made + 1_000_000, handle))
+        return handle
+
+
+class BackwardClock(ManualClock):
+    def now(self) -> int:
+        self.time -= 1
+        return self.time
+
+
+class MillisecondClock(ManualClock):
+    def wall(self) -> int:
+        return super().wall() // 1000
+
+
+@pytest.mark.parametrize(
+    ("kind", "name"),
+    [
+        (EarlyClock, "test_calls_come_once_and_never_before_their_time"),
+        (DeafClock, "test_a_cancelled_call_never_comes"),
+        (HastyClock, "test_a_time_that_has_passed_is_soon_but_not_at_once"),
+        (TwiceClock, "test_calls_come_once_and_never_before_their_time"),
+        (BackwardClock, "test_now_never_goes_back"),
+        (MillisecondClock, "test_wall_is_unix_time_in_microseconds"),
+    ],
+)
+def test_a_faulty_clock_is_caught(kind: type[ManualClock], name: str) -> None:
+    class Faulty(TestManualClock):
+        patience_s = 0.2
+
+    Faulty.kind = kind
+    caught(Faulty(), name)
+
+
+class RearmingClock:
+    """Sets a timer that woke early anew, and leaves its handle behind."""
+
+    def __init__(self) -> None:
+        self.real = LoopClock(asyncio.get_running_loop())
+        self.now, self.wall = self.real.now, self.real.wall
+
+    def at(self, due: int, callback: Callable[..., None], *args: Any) -> asyncio.TimerHandle:
+        delay = max(0, due - self.now() + 999) // 1000 / 1000
+        return self.real.loop.call_later(delay, self._due, due, callback, args)
+
+    def _due(self, due: int, callback: Callable[..., None], args: tuple[Any, ...]) -> None:
+        if self.now() < due:
+            self.at(due, callback, *args)
+        else:
+            callback(*args)
+
+
+def test_a_clock_that_loses_the_handle_of_a_timer_set_anew_is_caught() -> None:
+    class Faulty(TestLoopClockWokenEarly):
+        @contextlib.asynccontextmanager
+        async def running(self) -> AsyncIterator[Running]:
+            yield Passing(RearmingClock())
+
+    caught(Faulty(), "test_a_call_cancelled_shortly_before_its_time_never_comes")
+
+
+# --- Disk -------------------------------------------------------------------------------------
+
+
+class TestFolderDisk(DiskContract):
+    kind: ClassVar[type[FolderDisk]] = FolderDisk
+
+    @contextlib.contextmanager
+    def empty(self) -> Iterator[Callable[[], Disk]]:
+        with tempfile.TemporaryDirectory() as folder:
+            yield lambda: self.kind(folder)
+
+
+class TestSimulatedDisk(DiskContract):
+    """Loses all that was not synced."""
+
+    kind: ClassVar[type[SimulatedDisk]] = SimulatedDisk
+
+    @contextlib.contextmanager
+    def empty(self) -> Iterator[Callable[[], Disk]]:
+        yield self.kind().another
+
+    def after_power_loss(self, disk: Disk, opener: Callable[[], Disk]) -> Disk:
+        assert isinstance(disk, SimulatedDisk)
+        return disk.lose_power()
+
+
+class TestSimulatedDiskThatLosesNothing(TestSimulatedDisk):
+    def after_power_loss(self, disk: Disk, opener: Callable[[], Disk]) -> Disk:
+        assert isinstance(disk, SimulatedDisk)
+        return disk.lose_power(all_=True)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_simulated_disk_that_loses_parts(seed: int) -> None:
+    draw = random.Random(seed)
+
+    class Parts(TestSimulatedDisk):
+        def after_power_loss(self, disk: Disk, opener: Callable[[], Disk]) -> Disk:
+            assert isinstance(disk, SimulatedDisk)
+            return disk.lose_power(draw)
+
+    assert Parts().failures() == {}
+
+
+class Unsynced(SimulatedDisk):
+    def sync(self, name: str) -> None: ...
+
+
+class UnsyncedFolder(SimulatedDisk):
+    def sync_folder(self) -> None: ...
+
+
+class UnsyncedCut(SimulatedDisk):
+    def cut(self, name: str, size: int) -> None:
+        data = self.read(name)[:size]
+        super().create(name, data)
+
+
+class Unowned(SimulatedDisk):
+    def lock(self) -> None: ...
+
+
+class Careless(SimulatedDisk):
+    """Whoever closes it unlocks it."""
+
+    def close(self) -> None:
+        self.owner.clear()
+
+
+class Torn(SimulatedDisk):
+    def create(self, name: str, data: bytes) -> None:
+        super().create(name, data[:1])
+        self.durable_names[name] = self.names[name]
+        self.write(name, 0, data)
+
+
+class Strange(SimulatedDisk):
+    """Its errors are not the system's."""
+
+    def cut(self, name: str, size: int) -> None:
+        if name not in self.names:
+            raise KeyError(name)
+        super().cut(name, size)
+
+
+class Appending(SimulatedDisk):
+    def write(self, name: str, offset: int, data: bytes) -> None:
+        super().write(name, max(offset, self.files().get(name, 0)), data)
+
+
+@pytest.mark.parametrize(
+    ("kind", "name"),
+    [
+        (Unsynced, "test_synced_bytes_stay"),
+        (UnsyncedFolder, "test_a_created_file_is_there_once_its_folder_is_synced"),
+        (UnsyncedFolder, "test_a_rename_and_a_deletion_stay_once_the_folder_is_synced"),
+        (UnsyncedCut, "test_a_cut_stays"),
+        (Unowned, "test_a_second_owner_is_refused_until_the_first_has_closed"),
+        (Careless, "test_a_second_owner_is_refused_until_the_first_has_closed"),
+        (Torn, "test_a_created_file_is_whole_or_not_there"),
+        (Strange, "test_what_is_not_there_is_an_error_of_the_system"),
+        (Appending, "test_a_write_lands_at_its_place"),
+    ],
+)
+def test_a_faulty_disk_is_caught(kind: type[SimulatedDisk], name: str) -> None:
+    class Faulty(TestSimulatedDisk):
+        pass
+
+    Faulty.kind = kind
+    caught(Faulty(), name)
+
+
+class Stale(FolderDisk):
+    """Reads a file that was renamed away, or deleted, by its old descriptor."""
+
+    def _forget(self, name: str) -> None: ...
+
+    def close(self) -> None:
+        for name in list(self.open):
+            super()._forget(name)
+        super().close()
+
+
+def test_a_disk_with_stale_descriptors_is_caught() -> None:
+    class Faulty(TestFolderDisk):
+        kind = Stale
+
+    caught(
+        Faulty(),
+        "test_a_renamed_file_takes_the_others_place",
+        "test_a_deleted_file_is_gone_and_may_come_anew",
+    )
+
+
+# --- Upstream -----------------------------------------------------------------------------------
+
+
+class Beyonds:
+    """Two endpoints on loopback."""
+
+    def __init__(self, upstream: Upstream, clock: LoopClock) -> None:
+        self.upstream: UpstreamSide = upstream
+        self.clock = clock
+        self.closed = asyncio.Semaphore(0)
+        self.reached = asyncio.Event()
+        self.runs: dict[str, list[bytes]] = {}
+        self.endpoints = [Endpoint(closed=self.closed) for _ in range(2)]
+        self.addresses = ("", "")
+        self.nowhere = f"127.0.0.1:{free_port()}"
+        self.way = Way.SERVE
+
+    async def begin(self, stack: contextlib.AsyncExitStack) -> None:
+        for one in self.endpoints:
+            await stack.enter_async_context(one)
+            one.handler = self.handler
+        first, second = (f"127.0.0.1:{one.port}" for one in self.endpoints)
+        self.addresses = (first, second)
+
+    def now(self) -> int:
+        return self.clock.now()
+
+    def script(self, way: Way) -> None:
+        self.way = way
+
+    async def handler(self, endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        way = self.way
+        if way not in (Way.TURN_AWAY, Way.FAIL):
+            name = message.headers["x-request-id"].encode()
+            self.runs.setdefault(f"127.0.0.1:{endpoint.port}", []).append(name)
+        if way is Way.SERVE:
+            writer.write(answer(200, b"ok"))
+        elif way is Way.TURN_AWAY:
+            writer.write(answer(503, headers="X-Not-Run: 1\r\n"))
+        elif way is Way.FAIL:
+            writer.write(answer(500))
+        elif way is Way.DIE:
+            reset_connection(writer)
+        else:
+            self.reached.set()
+
+    async def play(self) -> None:
+        if self.way is Way.HOLD:
+            await self.reached.wait()
+
+    async def noticed(self) -> None:
+        await self.closed.acquire()
+
+    def ran(self, address: str) -> list[bytes]:
+        return self.runs.get(address, [])
+
+
+class TestUpstream(UpstreamContract):
+    @contextlib.asynccontextmanager
+    async def stage(self) -> AsyncIterator[Stage]:
+        loop = asyncio.get_running_loop()
+        clock = LoopClock(loop)
+        upstream = Upstream(loop, clock.now, 0, 0, 64)
+        async with contextlib.AsyncExitStack() as stack:
+            one = Beyonds(upstream, clock)
+            await one.begin(stack)
+            try:
+                yield one
+            finally:
+                upstream.close()
+                await upstream.wait_closed()
+
+
+class TestUpstreamOnUvloop(TestUpstream):
+    def new_loop(self) -> asyncio.AbstractEventLoop:
+        return uvloop.new_event_loop()
+
+
+class Played:
+    """The fake, with a test's hand on it."""
+
+    addresses = ("127.0.0.1:1001", "127.0.0.1:1002")
+    nowhere = "127.0.0.1:1003"
+
+    def __init__(self, upstream: PlayedUpstream, places: dict[int, str]) -> None:
+        self.played = upstream
+        self.upstream: UpstreamSide = upstream
+        self.places = places
+        self.way = Way.SERVE
+        self.held: list[Attempt] = []
+        self.runs: dict[str, list[bytes]] = {}
+
+    def now(self) -> int:
+        return self.played.clock.now()
+
+    def script(self, way: Way) -> None:
+        self.way = way
+
+    async def play(self) -> None:
+        for sent in list(self.played.out.values()):
+            address = self.places[sent.attempt.endpoint]
+            if address == self.nowhere:
+                self.played.answer(sent, NO_CONNECT)
+                continue
+            self.played.write(sent, runs=self.way not in (Way.TURN_AWAY, Way.FAIL))
+            if sent.attempt not in self.played.out:
+                continue
+            if sent.ran:
+                self.runs.setdefault(address, []).append(sent.attempt.call.name)
+            if self.way is Way.HOLD:
+                self.held.append(sent.attempt)
+            else:
+                told = {Way.SERVE: OK, Way.TURN_AWAY: FULL, Way.FAIL: ERROR, Way.DIE: RESET}
+                self.played.answer(sent, told[self.way])
+
+    async def noticed(self) -> None:
+        assert not [one for one in self.held if one in self.played.out]
+
+    def ran(self, address: str) -> list[bytes]:
+        return self.runs.get(address, [])
+
+
+class TestPlayedUpstream(UpstreamContract):
+    kind: ClassVar[type[PlayedUpstream]] = PlayedUpstream
+
+    @contextlib.asynccontextmanager
+    async def stage(self) -> AsyncIterator[Stage]:
+        places: dict[int, str] = {}
+
+        class Placed(self.kind):  # type: ignore[misc, name-defined]
+            def place(self, endpoint: int, address: str) -> None:
+                super().place(endpoint, address)
+                places[endpoint] = address
+
+        yield Played(Placed(ManualClock()), places)
+
+
+class EndsTwice(PlayedUpstream):
+    def answer(self, sent: Sent, outcome: int) -> None:
+        super().answer(sent, outcome)
+        sent.attempt.end(outcome)
+
+
+class NeverAsks(PlayedUpstream):
+    def write(self, sent: Sent, runs: bool) -> None:
+        sent.written, sent.ran = True, runs
+        sent.attempt.written()
+
+
+class Tells(PlayedUpstream):
+    """Of what was cancelled, too."""
+
+    def cancel(self, attempt: Attempt) -> None:
+        super().cancel(attempt)
+        attempt.end(RESET)
+
+
+class Clings(PlayedUpstream):
+    """Cancelled, it goes on."""
+
+    def cancel(self, attempt: Attempt) -> None: ...
+
+
+class Repeats(PlayedUpstream):
+    """A connection that dies is tried again."""
+
+    def answer(self, sent: Sent, outcome: int) -> None:
+        if outcome == RESET:
+            sent.attempt.may_start(self.clock.now())
+            sent.attempt.written()
+        super().answer(sent, outcome)
+
+
+class Excuses(PlayedUpstream):
+    """What died after it was written was never connected, it says."""
+
+    def answer(self, sent: Sent, outcome: int) -> None:
+        if outcome == RESET:
+            del self.out[sent.attempt]
+            sent.attempt.end(NO_CONNECT)
+        else:
+            super().answer(sent, outcome)
+
+
+class Anywhere(PlayedUpstream):
+    """Sends to a place that was removed."""
+
+    def remove(self, endpoint: int) -> None: ...
+
+
+@pytest.mark.parametrize(
+    ("kind", "name"),
+    [
+        (EndsTwice, "test_what_is_served_is_told_with_its_answer"),
+        (NeverAsks, "test_what_may_not_start_any_more_is_moot"),
+        (Tells, "test_after_cancel_nothing_is_told_and_the_endpoint_notices"),
+        (Clings, "test_after_cancel_nothing_is_told_and_the_endpoint_notices"),
+        (Repeats, "test_each_way_to_fail_has_its_outcome_and_is_sent_once"),
+        (Excuses, "test_each_way_to_fail_has_its_outcome_and_is_sent_once"),
+        (Anywhere, "test_an_endpoint_without_a_place_is_not_connected"),
+    ],
+)
+def test_a_faulty_upstream_is_caught(kind: type[PlayedUpstream], name: str) -> None:
+    class Faulty(TestPlayedUpstream):
+        patience_s = 0.2
+
+    Faulty.kind = kind
+    caught(Faulty(), name)
+
+
+def test_an_upstream_that_keeps_connections_to_a_place_set_anew_is_caught() -> None:
+    class Faulty(TestUpstream):
+        @contextlib.asynccontextmanager
+        async def stage(self) -> AsyncIterator[Stage]:
+            async with super().stage() as stage:
+                stage.upstream = KeepsFirst(stage.upstream)
+                yield stage
+
+    caught(Faulty(), "test_a_place_set_anew_gets_nothing_by_its_old_address")
+
+
+class KeepsFirst:
+    """An upstream for which a place is where it was first told to be."""
+
+    def __init__(self, real: UpstreamSide) -> None:
+        self.real = real
+        self.known: set[int] = set()
+        self.remove, self.free = real.remove, real.free
+        self.send, self.cancel = real.send, real.cancel
+
+    @property
+    def idle_us(self) -> int:
+        return self.real.idle_us
+
+    def place(self, endpoint: int, address: str) -> None:
+        if endpoint not in self.known:
+            self.known.add(endpoint)
+            self.real.place(endpoint, address)
+
+
+# --- Members ------------------------------------------------------------------------------------
+
+
+def merged(entries: Entries, changes: Entries) -> Entries:
+    return list({one["instanceId"]: one for one in (*entries, *changes)}.values())
+
+
+class GivenBeyond:
+    def __init__(self, given: GivenMembers) -> None:
+        self.given = given
+        self.source: MemberSource = given
+        self.entries: Entries = []
+
+    async def set(self, version: int, entries: Entries) -> None:
+        with contextlib.suppress(ValueError):  # refused: the one who gave it hears so
+            self.given.give(entries)
+            self.entries = entries
+
+    async def change(self, version: int, entries: Entries) -> None:
+        await self.set(version, merged(self.entries, entries))
+
+
+class TestGivenMembers(MemberSourceContract):
+    kind: ClassVar[type[GivenMembers]] = GivenMembers
+
+    @contextlib.asynccontextmanager
+    async def beyond(self) -> AsyncIterator[Beyond]:
+        given = self.kind()
+        yield GivenBeyond(given)
+        given.close()
+
+
+@dataclass(eq=False)
+class Lists(Listener):
+    """Discovery itself: the list, its watches, and answers to questions."""
+
+    version: int = 0
+    entries: Entries = field(default_factory=list)
+    broken: bool = False
+    watches: set[Writer] = field(default_factory=set)
+    happened: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def news(self) -> None:
+        """A watch has begun, or an answer has ended."""
+        self.happened.clear()
+        await self.happened.wait()
+
+    async def _serve(self, reader: Reader, writer: Writer) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            message = await read_message(reader)
+            if not self.broken:
+                watch = "watch=1" in message.start
+                await self._answer(reader, writer, watch)
+        self.watches.discard(writer)
+        writer.close()
+        self.happened.set()
+
+    async def _answer(self, reader: Reader, writer: Writer, watch: bool) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        push(writer, self.version, True, *self.entries)
+        if watch:
+            self.watches.add(writer)
+            self.happened.set()
+        else:
+            writer.write(b"0\r\n\r\n")
+        await reader.read()
+
+    def tell(self, whole: bool, entries: Entries) -> None:
+        for writer in self.watches:
+            push(writer, self.version, whole, *entries)
+
+
+class DiscoveryBeyond:
+    def __init__(self, discovery: Discovery, lists: Lists) -> None:
+        self.discovery = discovery
+        self.source: MemberSource = discovery
+        self.lists = lists
+
+    async def _quiet(self) -> None:
+        """What was asked has been answered, and who watches is there."""
+        while any(not one.watch for one in self.discovery.streams):
+            await self.lists.news()
+        while (watch := self.discovery.stream) is not None and not watch.done and not self.lists.watches:
+            await self.lists.news()
+
+    async def set(self, version: int, entries: Entries) -> None:
+        await self._quiet()
+        self.lists.version, self.lists.entries = version, entries
+        self.lists.tell(True, entries)
+
+    async def change(self, version: int, entries: Entries) -> None:
+        await self._quiet()
+        self.lists.version, self.lists.entries = version, merged(self.lists.entries, entries)
+        self.lists.tell(False, entries)
+
+    def break_(self) -> None:
+        self.lists.broken = True
+
+    def mend(self) -> None:
+        self.lists.broken = False
+
+
+class OnDiscovery:
+    pushed: ClassVar[bool]
+
+    @contextlib.asynccontextmanager
+    async def beyond(self) -> AsyncIterator[BreakableBeyond]:
+        lists = Lists()
+        server = await lists.start()
+        loop = asyncio.get_running_loop()
+        source = Discovery(loop, f"127.0.0.1:{lists.port}", "/registry", self.pushed, lambda line: None)
+        try:
+            yield DiscoveryBeyond(source, lists)
+        finally:
+            source.close()
+            for stream in list(source.streams):
+                stream.stop()
+            await source.wait_closed()
+            server.close()
+
+
+class TestPushedDiscovery(OnDiscovery, MemberSourceContract):
+    pushed = True
+
+
+class TestAskedDiscovery(OnDiscovery, AskedSourceContract):
+    pushed = False
+
+
+class TestAskedDiscoveryOnUvloop(TestAskedDiscovery):
+    def new_loop(self) -> asyncio.AbstractEventLoop:
+        return uvloop.new_event_loop()
+
+
+class TellsAtStart(GivenMembers):
+    def start(self, sink: MemberSink, generation: int) -> None:
+        super().start(sink, generation)
+        self.fetch()
+
+
+class TellsChangesOnly(GivenMembers):
+    def fetch(self) -> None: ...
+
+
+class LosesTheLast(GivenMembers):
+    def fetch(self) -> None:
+        if self.sink is not None:
+            self.sink.listed(self.generation, True, self.entries[:-1])
+
+
+class Ages(GivenMembers):
+    """Its versions fall."""
+
+    def give(self, entries: Sequence[Any]) -> None:
+        self.generation -= 2
+        super().give(entries)
+
+
+class Sulks(GivenMembers):
+    """Refused once, it says no more."""
+
+    def give(self, entries: Sequence[Any]) -> None:
+        try:
+            super().give(entries)
+        except ValueError:
+            self.sink = None
+            raise
+
+
+class Rewords(GivenMembers):
+    def give(self, entries: Sequence[Any]) -> None:
+        super().give([{**one, "weight": 1.0} for one in entries])
+
+
+@pytest.mark.parametrize(
+    ("kind", "name"),
+    [
+        (TellsAtStart, "test_the_present_list_comes_whole"),
+        (TellsChangesOnly, "test_asked_again_it_tells_the_list_of_then"),
+        (LosesTheLast, "test_the_present_list_comes_whole"),
+        (Ages, "test_changes_come_while_it_is_watched"),
+        (Sulks, "test_a_list_that_is_refused_costs_that_list_alone"),
+        (Rewords, "test_the_present_list_comes_whole"),
+    ],
+)
+def test_a_faulty_source_is_caught(kind: type[GivenMembers], name: str) -> None:
+    class Faulty(TestGivenMembers):
+        patience_s = 0.1
+
+    Faulty.kind = kind
+    caught(Faulty(), name)
+
+
+class Overtaking(Discovery):
+    """Reads on while a long list is applied."""
+
+    def line(self, raw: bytearray, stream: Any, told_at: int | None) -> None:
+        super().line(raw, stream, told_at)
+        self.busy = False
+
+
+class Silent(Discovery):
+    """Doesn't say that a list did not come."""
+
+    def lost(self, stream: Any) -> None: ...
+
+
+@pytest.mark.parametrize(
+    ("kind", "name"),
+    [
+        (Overtaking, "test_a_long_list_is_whole_and_not_overtaken"),
+        (Silent, "test_a_question_without_an_answer_is_told_once"),
+    ],
+)
+def test_a_faulty_discovery_is_caught(
+    kind: type[Discovery], name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    class Faulty(TestAskedDiscovery):
+        patience_s = 0.3
+
+    monkeypatch.setitem(globals(), "Discovery", kind)
+    caught(Faulty(), name)
+
+
+# --- Recorder -----------------------------------------------------------------------------------
+
+ORDER = OrderClass(header=b"x-order-id", keep_ms=60_000)
+BROKEN = OSError(errno.EIO, "Input/output error")
+
+
+class Nobody:
+    def answered(self, call: Call, answer: Answer) -> None: ...
+
+
+class OrderLife:
+    """Orders recorded on a disk in memory."""
+
+    def __init__(self, kind: type[OrderRecorder], unavailable: Any) -> None:
+        self.kind = kind
+        self.orders = Orders("", {"pay": ORDER}, unavailable)
+        self.disk = SimulatedDisk()
+        self.names = itertools.count()
+        self.own: OrderRecorder
+        self.recorder: Recorder
+
+    async def begin(self) -> None:
+        store = await Store.open(self.disk, Options())
+        self.recorder = self.own = self.kind(store, self.orders, {"pay": 2}, lambda line: None)
+
+    def recorded(self, order: str) -> Call:
+        return self._call(order.encode())
+
+    def plain(self) -> Call:
+        return self._call(b"")
+
+    def _call(self, order: bytes) -> Call:
+        name = b"%d" % next(self.names)
+        return Call(2, 1 << 60, b"POST /pay", b"", b"sum", Nobody(), name, order=order)
+
+    async def restart(self) -> None:
+        await self.own.close()
+        await self.begin()
+
+    def break_(self) -> None:
+        for operation in ("create", "write", "sync"):
+            self.disk.fail(operation, *[BROKEN] * 1_000)
+
+
+class TestOrderRecorder(RecorderContract):
+    unavailable: ClassVar[str] = "fail"
+    kind: ClassVar[type[OrderRecorder]] = OrderRecorder
+
+    @contextlib.asynccontextmanager
+    async def life(self) -> AsyncIterator[Life]:
+        one = OrderLife(self.kind, self.unavailable)
+        await one.begin()
+        try:
+            yield one
+        finally:
+            await one.own.close()
+
+
+class TestOrderRecorderThatPasses(TestOrderRecorder):
+    unavailable = "pass"
+
+
+class TakesAll(OrderRecorder):
+    def begin(self, call: Call, engine: Recorded) -> bool:
+        return super().begin(call, engine) or True
+
+
+class Admits(OrderRecorder):
+    """Does not wait for the intent, nor for another request of the same order."""
+
+    def begin(self, call: Call, engine: Recorded) -> bool:
+        if call.order:
+            engine.admit(call)
+        return bool(call.order)
+
+    def finish(self, call: Call, answer: Answer, engine: Recorded) -> None:
+        engine.deliver(call, answer)
+
+
+class Forgets(OrderRecorder):
+    """Those that wait hear nothing."""
+
+    def _settle_all(self, hand: Hand, answer: Answer, engine: Recorded) -> None:
+        hand.followers.clear()
+        super()._settle_all(hand, answer, engine)
+
+
+class KeepsFailures(OrderRecorder):
+    """Does not deliver what it need not keep."""
+
+    def finish(self, call: Call, answer: Answer, engine: Recorded) -> None:
+        if answer.ending is not Ending.FAILED:
+            super().finish(call, answer, engine)
+
+
+class Clears(OrderRecorder):
+    """Deletes the record of an order that is over."""
+
+    async def _finish(self, hand: Hand, answer: Answer, engine: Recorded) -> None:
+        await super()._finish(hand, answer, engine)
+        await self.store.delete(hand.key)
+
+
+class Dies(OrderRecorder):
+    """Does not expect that its store fails."""
+
+    async def _finish(self, hand: Hand, answer: Answer, engine: Recorded) -> None:
+        await self.store.put(hand.key, b"", self.wall_ms() + hand.keep_ms)
+        await super()._finish(hand, answer, engine)
+
+
+@pytest.mark.parametrize(
+    ("kind", "name"),
+    [
+        (TakesAll, "test_what_it_does_not_take_is_never_heard_of"),
+        (Admits, "test_of_one_order_one_at_a_time_is_admitted"),
+        (Admits, "test_what_was_admitted_and_not_finished_is_not_admitted_by_the_next_life"),
+        (Forgets, "test_those_that_wait_hear_though_the_first_leaves"),
+        (KeepsFailures, "test_each_ending_is_delivered"),
+        (Clears, "test_what_was_served_is_not_admitted_again_nor_after_a_restart"),
+        (Dies, "test_where_nothing_can_be_kept_everybody_hears"),
+    ],
+)
+def test_a_faulty_recorder_is_caught(kind: type[OrderRecorder], name: str) -> None:
+    class Faulty(TestOrderRecorder):
+        patience_s = 0.2
+
+    Faulty.kind = kind
+    caught(Faulty(), name)
--- /dev/null
+++ b/woadyard/testing/contracts/disk.py
@@ -0,0 +1,245 @@
+"""The store's `Disk`: a folder's files, one owner, and what is left when power fails."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager
+
+from woadyard.store.disk import Disk, StoreError
+from woadyard.testing.contracts.base import Contract, raises
+
+# More files than any implementation may keep open at a time.
+MANY = 40
+
+
+class DiskContract(Contract, ABC):
+    """The rules:
+
+    1. What was written is read back, at its place, through every other call.
+    2. A file or folder that is not there is told by OSError; nothing but OSError and StoreError comes.
+    3. One owner at a time, until its `close`; a second one is refused and harms nothing.
+    4. What was synced is there after power was lost, and whole; a name after `sync_folder`.
+    """
+
+    @abstractmethod
+    def empty(self) -> AbstractContextManager[Callable[[], Disk]]:
+        """An empty folder: each call of what it gives is another opener of that folder."""
+
+    def after_power_loss(self, disk: Disk, opener: Callable[[], Disk]) -> Disk:
+        """The folder as the next start finds it. One that can't lose power is closed instead."""
+        disk.close()
+        return opener()
+
+    @contextmanager
+    def owned(self) -> Iterator[Disk]:
+        with self.empty() as opener:
+            disk = opener()
+            disk.lock()
+            try:
+                yield disk
+            finally:
+                disk.close()
+
+    @contextmanager
+    def powered(self) -> Iterator[tuple[Disk, Callable[[], Disk]]]:
+        """A disk, and what gives the one after power was lost (called once)."""
+        with self.empty() as opener:
+            disk = opener()
+            disk.lock()
+            yield disk, lambda: self._next_start(disk, opener)
+
+    def _next_start(self, disk: Disk, opener: Callable[[], Disk]) -> Disk:
+        later = self.after_power_loss(disk, opener)
+        later.lock()
+        return later
+
+    # --- 1. Reading and writing ---------------------------------------------------------
+
+    def test_a_new_folder_holds_no_file_not_even_that_of_its_lock(self) -> None:
+        with self.owned() as disk:
+            assert disk.files() == {}
+
+    def test_a_file_is_created_with_its_bytes(self) -> None:
+        with self.owned() as disk:
+            disk.create("one", b"0123456789")
+            disk.create("none", b"")
+            assert disk.files() == {"one": 10, "none": 0}
+            assert (disk.read("one"), disk.read("none")) == (b"0123456789", b"")
+
+    def test_a_part_is_read_and_no_more_than_there_is(self) -> None:
+        with self.owned() as disk:
+            disk.create("one", b"0123456789")
+            assert disk.read("one", 4) == b"456789"
+            assert disk.read("one", 4, 3) == b"456"
+            assert disk.read("one", 0, 0) == b""
+            assert disk.read("one", 8, 100) == b"89"
+            assert disk.read("one", 10, 5) == b"" == disk.read("one", 12)
+
+    def test_a_write_lands_at_its_place(self) -> None:
+        with self.owned() as disk:
+            disk.create("one", b"0123456789")
+            disk.write("one", 3, b"abc")
+            assert disk.read("one") == b"012abc6789"
+            disk.write("one", 8, b"xyz")
+            assert (disk.read("one"), disk.files()) == (b"012abc67xyz", {"one": 11})
+
+    def test_a_gap_is_zeros(self) -> None:
+        with self.owned() as disk:
+            disk.create("one", b"ab")
+            disk.write("one", 5, b"c")
+            assert disk.read("one") == b"ab\0\0\0c"
+
+    def test_a_large_write_is_whole(self) -> None:
+        data = bytes(range(256)) * 8192
+        with self.owned() as disk:
+            disk.create("one", b"")
+            disk.write("one", 1, data)
+            assert disk.read("one") == b"\0" + data
+
+    def test_created_again_it_is_another_file(self) -> None:
+        with self.owned() as disk:
+            disk.create("one", b"a long one")
+            disk.create("one", b"short")
+            assert (disk.read("one"), disk.files()) == (b"short", {"one": 5})
+
+    def test_a_cut_leaves_the_beginning(self) -> None:
+        with self.owned() as disk:
+            disk.create("one", b"0123456789")
+            disk.cut("one", 4)
+            assert (disk.read("one"), disk.files()) == (b"0123", {"one": 4})
+            disk.write("one", 4, b"x")
+            assert disk.read("one") == b"0123x"
+
+    def test_a_renamed_file_takes_the_others_place(self) -> None:
+        with self.owned() as disk:
+            disk.create("old", b"of old")
+            disk.create("new", b"of new")
+            assert disk.read("new") == b"of new"
+            disk.write("old", 6, b"!")
+            disk.rename("old", "new")
+            assert (disk.read("new"), disk.files()) == (b"of old!", {"new": 7})
+            disk.write("new", 0, b"O")
+            assert disk.read("new") == b"Of old!"
+
+    def test_a_deleted_file_is_gone_and_may_come_anew(self) -> None:
+        with self.owned() as disk:
+            disk.create("one", b"first")
+            disk.delete("one")
+            assert disk.files() == {}
+            with raises(FileNotFoundError, "a read of a deleted file"):
+                disk.read("one")
+            disk.delete("one")
+            disk.create("one", b"second")
+            assert disk.read("one") == b"second"
+
+    def test_many_files_are_used_in_turn(self) -> None:
+        with self.owned() as disk:
+            for n in range(MANY):
+                disk.create(f"f{n}", b"%d" % n)
+            for n in range(MANY):
+                disk.write(f"f{n}", 2, b"+")
+            assert [disk.read(f"f{n}") for n in range(MANY)] == [
+                (b"%d" % n).ljust(2, b"\0") + b"+" for n in range(MANY)
+            ]
+
+    # --- 2. What is not there -------------------------------------------------------------
+
+    def test_what_is_not_there_is_an_error_of_the_system(self) -> None:
+        with self.owned() as disk:
+            with raises(FileNotFoundError, "a read of no file"):
+                disk.read("none")
+            with raises(OSError, "a write to no file"):
+                disk.write("none", 0, b"x")
+            with raises(OSError, "a sync of no file"):
+                disk.sync("none")
+            with raises(OSError, "a cut of no file"):
+                disk.cut("none", 0)
+            with raises(OSError, "a rename of no file"):
+                disk.rename("none", "other")
+            assert disk.files() == {}, "a failed call leaves nothing behind"
+
+    # --- 3. One owner ---------------------------------------------------------------------
+
+    def test_a_second_owner_is_refused_until_the_first_has_closed(self) -> None:
+        with self.empty() as opener:
+            first, second = opener(), opener()
+            first.lock()
+            first.create("one", b"kept")
+            with raises(StoreError, "a second owner"):
+                second.lock()
+            second.close()  # the store does so, whatever became of the lock
+            third = opener()
+            with raises(StoreError, "a second owner, after one that was refused has closed"):
+                third.lock()
+            third.close()
+            assert first.read("one") == b"kept"
+            first.close()
+            last = opener()
+            last.lock()
+            assert last.read("one") == b"kept"
+            last.close()
+
+    # --- 4. Power -------------------------------------------------------------------------
+
+    def test_a_created_file_is_there_once_its_folder_is_synced(self) -> None:
+        with self.powered() as (disk, next_start):
+            disk.create("one", b"whole")
+            disk.sync_folder()
+            later = next_start()
+            assert later.files() == {"one": 5} and later.read("one") == b"whole"
+            later.close()
+
+    def test_a_created_file_is_whole_or_not_there(self) -> None:
+        with self.powered() as (disk, next_start):
+            disk.create("one", b"x" * 100)
+            later = next_start()
+            assert later.files() in ({}, {"one": 100})
+            assert all(later.read(name) == b"x" * 100 for name in later.files())
+            later.close()
+
+    def test_synced_bytes_stay(self) -> None:
+        with self.powered() as (disk, next_start):
+            disk.create("one", b"0123456789")
+            disk.sync_folder()
+            disk.write("one", 2, b"ab")
+            disk.write("one", 10, b"behind")
+            disk.sync("one")
+            disk.write("one", 0, b"?")
+            later = next_start()
+            found = later.read("one")
+            assert found in (b"01ab456789behind", b"?1ab456789behind")
+            later.close()
+
+    def test_a_cut_stays(self) -> None:
+        with self.powered() as (disk, next_start):
+            disk.create("one", b"0123456789")
+            disk.sync_folder()
+            disk.write("one", 0, b"ab")
+            disk.cut("one", 5)
+            later = next_start()
+            assert later.read("one") == b"ab234"
+            later.close()
+
+    def test_a_rename_and_a_deletion_stay_once_the_folder_is_synced(self) -> None:
+        with self.powered() as (disk, next_start):
+            disk.create("manifest", b"old")
+            disk.create("spare", b"spare")
+            disk.sync_folder()
+            disk.create("manifest.new", b"new one")
+            disk.rename("manifest.new", "manifest")
+            disk.delete("spare")
+            disk.sync_folder()
+            later = next_start()
+            assert later.files() == {"manifest": 7} and later.read("manifest") == b"new one"
+            later.close()
+
+    def test_a_rename_not_yet_synced_is_the_old_file_or_the_new_one(self) -> None:
+        with self.powered() as (disk, next_start):
+            disk.create("manifest", b"old")
+            disk.sync_folder()
+            disk.create("manifest.new", b"new one")
+            disk.rename("manifest.new", "manifest")
+            later = next_start()
+            assert later.read("manifest") in (b"old", b"new one")
+            later.close()
--- a/woadyard/testing/disk.py
+++ b/woadyard/testing/disk.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import copy
+import errno
+import os
 import random
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -39,7 +42,7 @@
 
 class SimulatedDisk:
     """The store's `Disk` in memory. `journal` keeps every call, with the marks that a test
-    adds, so that `replay` can stop at any of them."""
+    adds, so that `replay` can stop at any of them. `another` opens the same disk once more."""
 
     def __init__(self) -> None:
         self.names: dict[str, Inode] = {}
@@ -47,6 +50,11 @@
         self.pending_names: list[Op] = []
         self.journal: list[Op] = []
         self.faults: dict[str, list[OSError]] = {}  # by operation: raised in their turn
+        self.owner: list[SimulatedDisk] = []  # shared with the others: one at most
+
+    def another(self) -> SimulatedDisk:
+        """As another process opens it."""
+        return copy.copy(self)
 
     def mark(self, *words: Any) -> None:
         """The test's own word in the journal."""
@@ -63,16 +71,27 @@
 
     # --- The protocol -------------------------------------------------------------
 
-    def lock(self) -> None: ...
+    def lock(self) -> None:
+        # Imported when called: the store needs a library that this module does not.
+        from woadyard.store.disk import StoreError
+
+        if self.owner:
+            raise StoreError("another process has this store open")
+        self.owner.append(self)
 
-    def close(self) -> None: ...
+    def close(self) -> None:
+        if self.owner and self.owner[0] is self:
+            self.owner.clear()
+
+    def _present(self, name: str) -> None:
+        if name not in self.names:
+            raise FileNotFoundError(errno.ENOENT, os.strerror(errno.ENOENT), name)
 
     def files(self) -> dict[str, int]:
         return {name: len(inode.view()) for name, inode in self.names.items()}
 
     def read(self, name: str, offset: int = 0, size: int | None = None) -> bytes:
-        if name not in self.names:
-            raise FileNotFoundError(name)
+        self._present(name)
         data = self.names[name].view()
         return bytes(data[offset:] if size is None else data[offset : offset + size])
 
@@ -85,28 +104,33 @@
         inode.sync()
 
     def write(self, name: str, offset: int, data: bytes) -> None:
+        self._present(name)
         self._begin("write", name, offset, data)
         self.names[name].pending.append((offset, data))
 
     def sync(self, name: str) -> None:
+        self._present(name)
         self._begin("sync", name)
         self.names[name].sync()
 
     def cut(self, name: str, size: int) -> None:
+        self._present(name)
         self._begin("cut", name, size)
         inode = self.names[name]
         inode.sync()
         del inode.durable[size:]
 
     def rename(self, old: str, new: str) -> None:
+        self._present(old)
         self._begin("rename", old, new)
         self.names[new] = self.names.pop(old)
         self.pending_names.append(("rename", old, new))
 
     def sync_folder(self) -> None:
         self._begin("sync_folder")
-        self.durable_names = dict(self.names)
-        self.pending_names = []
+        self.durable_names.clear()
+        self.durable_names.update(self.names)
+        self.pending_names.clear()
 
     def delete(self, name: str) -> None:
         self._begin("delete", name)
