Read [accord] and [upkeep] from the operator's file, and peers from the platform's

Peers and peer_listen come from LB_CONFIG where it is set and from the table otherwise; each bad input is one line with file, key and what was expected, at check and at start.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -12,11 +12,14 @@
 
 from tests.sockets import SETTINGS
 from woadyard.__main__ import main, read_config
+from woadyard.accord.options import AccordSettings, seats_for
 from woadyard.interface import KEYED, SAFE, SCOPE_CELL, UNSAFE
 from woadyard.library import Client
 from woadyard.settings import ConfigError, read_file, read_platform
-from woadyard.settings.operator import Operator, read_operator
+from woadyard.settings.operator import AccordTable, Operator, read_operator
+from woadyard.upkeep.options import UpkeepSettings
 
+SHOWN = ("link", "store_path", "heartbeat_ms", "election_ms", "drift")  # with their defaults
 ROOT = Path(__file__).parent.parent
 CLASS = """
 [[deployment.classes]]
@@ -204,12 +207,132 @@
         (operator.OrdersTable, whole["orders"]),
         (operator.RecordedClass, whole["orders"]["classes"][0]),
         (operator.WorkersTable, whole["workers"]),
+        (operator.AccordTable, whole["accord"]),
+        (operator.UpkeepTable, whole["upkeep"]),
     ):
         fields = {name: getattr(table, name, None) for name in table.__struct_fields__}
         missing = set(fields) - set(given)
         assert not missing, f"{table.__name__}: {missing} is not shown"
+    assert operator.AccordTable(**{k: v for k, v in whole["accord"].items() if k in SHOWN}) == AccordTable()
+    assert operator.UpkeepTable(**whole["upkeep"]) == operator.UpkeepTable()
     plain = operator.Deployment(classes=())
     for key, value in raw.items():
         if key not in ("listen", "discovery", "seed", "classes", "tenants", "members"):
             default = getattr(plain, key)
             assert (list(default) if isinstance(default, tuple) else default) == value, key
+
+
+# --- What the copies of a tier share, and what rests on it --------------------------------
+
+PEERS = ("127.0.0.1:7946", "127.0.0.1:7947", "127.0.0.1:7948")
+ACCORD = "[accord]\npeers = ['127.0.0.1:7946', '127.0.0.1:7947', '127.0.0.1:7948']\n"
+UNIX = "[accord]\nlink = 'unix'\npeers = ['/run/a', '/run/b', '/run/c']\n"
+
+
+def test_accord_and_upkeep_as_the_operator_tells_of_them(tmp_path: Path) -> None:
+    text = (
+        "[deployment]\ncopy = 1\ncopies = 3\n"
+        + CLASS
+        + ACCORD
+        + "heartbeat_ms = 100\n[upkeep]\nlearn_ms = 70"
+    )
+    found = read_file(file(tmp_path, text))
+    assert found.accord == AccordSettings(PEERS, PEERS[1], 1, seats=3, heartbeat_us=100_000)
+    assert found.upkeep == UpkeepSettings(learn_us=70_000)
+    unix = read_file(file(tmp_path, "[deployment]\n" + CLASS + UNIX + "me = 2\nseats = 1"))
+    assert unix.accord == AccordSettings(("/run/a", "/run/b", "/run/c"), "/run/c", 2, "unix")
+    assert unix.upkeep is None
+
+
+def test_off_there_is_nothing_of_them(tmp_path: Path) -> None:
+    found = read_file(file(tmp_path, "[deployment]\n" + CLASS))
+    assert found.accord is None and found.upkeep is None
+
+
+@pytest.mark.parametrize(("peers", "seats"), [(1, 1), (2, 1), (3, 3), (4, 3), (5, 5), (6, 5), (200, 5)])
+def test_as_many_seats_as_can_be_unless_told(peers: int, seats: int) -> None:
+    assert seats_for(peers) == seats
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("[upkeep]", "upkeep: expected the table [accord]"),
+        (ACCORD + "[workers]\nprocesses = 2", "workers: expected no [accord]: each process would need"),
+        (ACCORD + "me = 3", "accord.me: expected less than 3, the number of peers, got 3"),
+        (ACCORD + "me = -1", "accord.me: Expected `int` >= 0"),
+        (ACCORD + "seats = 2", "accord.seats: expected one of 1, 3, 5, 7, got 2"),
+        (ACCORD + "seats = 0", "accord.seats: expected one of 1, 3, 5, 7, got 0"),
+        (ACCORD + "seats = 5", "accord.seats: expected at most 3, the number of peers, got 5"),
+        (ACCORD + "link = 'tcp'", "accord.link: expected one of udp, unix, got 'tcp'"),
+        (ACCORD + "drift = 0.5", "accord.drift: Expected `float` <= 0.2"),
+        (ACCORD + "heartbeat_ms = 9", "accord.heartbeat_ms: Expected `int` >= 10"),
+        (ACCORD + "heartbeat_ms = 301", "accord.election_ms: expected at least twice heartbeat_ms"),
+        (ACCORD + "lasts = true", "accord: Object contains unknown field `lasts`"),
+        (ACCORD + "peer_listen = 'here:1'", "accord.peer_listen: expected an IP address and a port"),
+        (ACCORD.replace("7947", "0"), "expected an IP address and a port, as 10.0.0.4:7946"),
+        (ACCORD.replace("127.0.0.1:7947", "far"), "accord.peers: expected an IP address and a port"),
+        (ACCORD.replace("7947", "7946"), "accord.peers: expected each address once"),
+        (ACCORD.replace("127.0.0.1:7947", "[::1]:7947"), "accord.peers: expected addresses of one kind"),
+        ("[accord]", "accord.peers: expected the addresses of all copies"),
+        ("[accord]\npeers = []", "accord.peers: expected the addresses of all copies"),
+        (UNIX + "peer_listen = '/run/d'", "accord.peer_listen: expected one of peers, got '/run/d'"),
+        (UNIX + "peer_listen = '/run/b'", "accord.peer_listen: expected that of me, '/run/a', got '/run/b'"),
+        (UNIX.replace("/run/b", "b"), "accord.peers: expected a whole path of at most 107 bytes, got 'b'"),
+        (UNIX.replace("/run/b", "/" + 107 * "b"), "accord.peers: expected a whole path"),
+        (ACCORD + "[upkeep]\noverdue_s = 0", "upkeep.overdue_s: Expected `int` >= 1"),
+        (ACCORD + "[upkeep]\nstart_alone = 'ask'", "upkeep.start_alone: expected one of wait, serve, got"),
+    ],
+)  # fmt: skip
+def test_what_the_copies_share_can_not_be_told_wrong(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str], text: str, expected: str
+) -> None:
+    path = file(tmp_path, "[deployment]\nlisten = '127.0.0.1:7070'\n" + CLASS + text)
+    assert main(["check", path]) == 2
+    out, errors = capfd.readouterr()
+    assert not out and errors.count("\n") == 1 and path in errors and expected in errors
+    with pytest.raises(ConfigError):
+        read_config({"LB_OPERATOR": path})
+
+
+def joined(folder: Path, text: str, **changes: Any) -> AccordSettings | None:
+    told = {"peer_listen": "127.0.0.1:9", "peers": list(PEERS), **changes}
+    raw = {"settings": {**SETTINGS, "me": 2}, **told}
+    json_path = file(folder, platform(**raw), "config.json")
+    return read_config({"LB_OPERATOR": file(folder, text), "LB_CONFIG": json_path}).accord
+
+
+def test_the_platform_tells_of_peers_where_it_is_there(tmp_path: Path) -> None:
+    found = joined(tmp_path, "[accord]\nseats = 1")
+    # Behind a relay the others see it at another address than it binds.
+    assert found == AccordSettings(PEERS, "127.0.0.1:9", 2)
+    for key, value in (("peers", None), ("peers", []), ("peer_listen", None)):
+        unlinked = joined(tmp_path, "[accord]", **{key: value})
+        assert unlinked is not None and not unlinked.is_linked
+    unix = joined(tmp_path, UNIX)
+    assert unix is not None and (unix.listen, unix.me) == ("/run/c", 2)
+    assert joined(tmp_path, "") is None, "what the platform allows is not yet wanted"
+
+
+@pytest.mark.parametrize(
+    ("text", "changes", "expected"),
+    [
+        ("[accord]\nme = 2", {}, "operator.toml: accord.me: expected none where LB_CONFIG is set"),
+        (ACCORD, {}, "operator.toml: accord.peers: expected none where LB_CONFIG is set"),
+        ("[accord]\npeer_listen = '127.0.0.1:9'", {}, "accord.peer_listen: expected none where LB"),
+        ("[accord]\nseats = 5", {}, "operator.toml: accord.seats: expected at most 3"),
+        ("[accord]\nlink = 'unix'", {}, "operator.toml: accord.peers: expected the paths of all copies"),
+        ("[accord]", {"peers": ["127.0.0.1:1"]}, "config.json: me: expected less than 1"),
+        ("[accord]", {"peers": [1]}, "config.json: peers: expected a list of addresses"),
+        ("[accord]", {"peers": "127.0.0.1:1"}, "config.json: peers: expected a list of addresses"),
+        ("[accord]", {"peers": ["a", "b", "c"]}, "config.json: peers: expected an IP address"),
+        ("[accord]", {"peer_listen": "here"}, "config.json: peer_listen: expected an IP address"),
+        ("[accord]", {"peer_listen": 7}, "config.json: peer_listen: expected host:port, got 7"),
+    ],
+)  # fmt: skip
+def test_platform_and_operator_do_not_contradict_each_other(
+    tmp_path: Path, text: str, changes: dict[str, Any], expected: str
+) -> None:
+    with pytest.raises(ConfigError) as told:
+        joined(tmp_path, text, **changes)
+    assert expected in str(told.value) and "\n" not in str(told.value)
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -39,7 +39,7 @@
         return config
     if operator.deployment is not None:
         raise ConfigError(f"{operator_path}: deployment: expected none where LB_CONFIG is set")
-    return read_platform(environ, operator.orders_settings())
+    return read_platform(environ, operator.orders_settings(), operator.joining(operator_path))
 
 
 def run(arguments: Sequence[str]) -> int:
--- a/woadyard/settings/config.py
+++ b/woadyard/settings/config.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from woadyard.engine.names import Names
 from woadyard.interface import Settings
@@ -12,6 +13,10 @@
 from woadyard.room.descriptors import SOCKETS_DEFAULT, side_share
 from woadyard.wire import WireError, read_settings
 
+if TYPE_CHECKING:  # imported where they are on
+    from woadyard.accord.options import AccordSettings
+    from woadyard.upkeep.options import UpkeepSettings
+
 
 class ConfigError(Exception):
     """The configuration can't be used; the text says why, on one line."""
@@ -33,6 +38,8 @@
     orders: Orders | None = None
     memory_mb: int = 0  # the limit of the process's memory; 0 = none is told
     management: tuple[str, int] | None = None  # the second address, for the operators' calls
+    accord: AccordSettings | None = None
+    upkeep: UpkeepSettings | None = None
 
     @property
     def side_sockets(self) -> int:
@@ -45,6 +52,10 @@
         return side_share(self.sockets, self.management is not None, processes=2)
 
 
+# The configuration with what the operator's file adds to it, from the platform's object and its path.
+Join = Callable[[Config, Any, str], Config]
+
+
 def address(text: Any) -> tuple[str, int]:
     """Host and port of `host:port`; `ConfigError` otherwise."""
     host, _, port = str(text).rpartition(":")
--- a/woadyard/settings/operator.py
+++ b/woadyard/settings/operator.py
@@ -5,26 +5,34 @@
 
 from __future__ import annotations
 
+import functools
 import re
 import secrets
 import tomllib
+from dataclasses import replace
 from typing import Annotated, Any, Literal, get_args
 
 import msgspec
 
+from woadyard.accord.options import AccordSettings, LinkKind, problem_of, seats_for
 from woadyard.orders.book import OrderClass, Orders
-from woadyard.settings.config import Config, ConfigError, address, config_from
+from woadyard.settings.config import Config, ConfigError, Join, address, config_from
+from woadyard.upkeep.options import StartAlone, UpkeepSettings
 
 Effect = Literal["safe", "keyed", "unsafe"]
 Scope = Literal["all", "zone", "cell"]
 Report = Literal["inflight", "queue", "util", "latency_ms", "qps", "eps"]
 # The keys whose values are words: msgspec does not say which ones it expected.
 Unavailable = Literal["fail", "pass"]
+Seats = Literal[1, 3, 5, 7]
 WORDS = {
     "unavailable": get_args(Unavailable),
     "effect": get_args(Effect),
     "scope": get_args(Scope),
     "reports": get_args(Report),
+    "link": get_args(LinkKind),
+    "seats": tuple(map(str, get_args(Seats))),
+    "start_alone": get_args(StartAlone),
 }
 
 Count = Annotated[int, msgspec.Meta(ge=1)]
@@ -235,20 +243,94 @@
     ready_ms: Count = 10_000
 
 
+class AccordTable(_Table, frozen=True, kw_only=True):
+    """What the processes of a tier share, and how they reach each other."""
+
+    peer_listen: str | None = None
+    peers: tuple[str, ...] | None = None
+    me: Whole | None = None
+    link: LinkKind = "udp"
+    seats: Seats | None = None
+    store_path: str = ""
+    heartbeat_ms: Annotated[int, msgspec.Meta(ge=10, le=60_000)] = 200
+    election_ms: Annotated[int, msgspec.Meta(ge=20, le=600_000)] = 600
+    drift: Annotated[float, msgspec.Meta(ge=0.0, le=0.2)] = 0.01
+
+    def problem(self) -> str | None:
+        """What can't be, whoever tells of peers."""
+        if self.election_ms < 2 * self.heartbeat_ms:
+            return "accord.election_ms: expected at least twice heartbeat_ms"
+        if self.peers is not None and not self.peers:
+            return "accord.peers: expected the addresses of all copies, one each"
+        if self.peers is not None and self.link == "unix":
+            try:
+                self.settings(self.peers, None, 0)
+            except ValueError as error:
+                return f"accord.{error}"
+        return None
+
+    def told_twice(self) -> str | None:
+        """The key that the platform's configuration has the word on, if the table has it too."""
+        if self.link == "unix":
+            return None
+        given = {"peer_listen": self.peer_listen, "peers": self.peers, "me": self.me}
+        return next((key for key, value in given.items() if value is not None), None)
+
+    def settings(self, peers: tuple[str, ...], listen: str | None, me: int) -> AccordSettings:
+        """`me`: what it is where the table does not say. ValueError with key and what was expected."""
+        number = me if self.me is None else self.me
+        if listen is None:
+            listen = peers[number] if number < len(peers) else ""
+        found = AccordSettings(
+            peers=peers,
+            listen=listen,
+            me=number,
+            link=self.link,
+            seats=self.seats or seats_for(len(peers)),
+            store_path=self.store_path,
+            heartbeat_us=self.heartbeat_ms * 1000,
+            election_us=self.election_ms * 1000,
+            drift=self.drift,
+        )
+        if (problem := problem_of(found)) is not None:
+            raise ValueError(f"{problem[0]}: {problem[1]}")
+        return found
+
+
+class UpkeepTable(_Table, frozen=True, kw_only=True):
+    """Machines taken out for work, in an agreed order."""
+
+    overdue_s: Count = 14_400
+    start_alone: StartAlone = "wait"
+    learn_ms: Count = 5_000
+
+    def settings(self) -> UpkeepSettings:
+        return UpkeepSettings(self.overdue_s * 1_000_000, self.start_alone, self.learn_ms * 1000)
+
+
 class Operator(_Table, frozen=True, kw_only=True):
     """The whole file. An absent table is a subsystem that is off."""
 
     deployment: Deployment | None = None
     orders: OrdersTable | None = None
     workers: WorkersTable | None = None
+    accord: AccordTable | None = None
+    upkeep: UpkeepTable | None = None
 
     def problem(self) -> str | None:
+        if self.upkeep is not None and self.accord is None:
+            return "upkeep: expected the table [accord]"
+        return self._workers_problem() or (self.accord.problem() if self.accord is not None else None)
+
+    def _workers_problem(self) -> str | None:
         if self.workers is None:
             return None
         if self.deployment is None or self.deployment.listen is None:
             return "workers: expected the table [deployment] with listen"
         if self.orders is not None:
             return "workers: expected no [orders]: each process would know its own orders only"
+        if self.accord is not None:
+            return "workers: expected no [accord]: each process would need a number of its own"
         return None
 
     def orders_settings(self) -> Orders | None:
@@ -258,7 +340,46 @@
         """The configuration of `[deployment]`; `ConfigError` where the file has none."""
         if self.deployment is None:
             raise ConfigError(f"{path}: deployment: expected the table [deployment]")
-        return config_from(self.deployment.raw(), path, self.orders_settings())
+        config = config_from(self.deployment.raw(), path, self.orders_settings())
+        if self.accord is None:
+            return config
+        if not self.accord.peers:
+            raise ConfigError(f"{path}: accord.peers: expected the addresses of all copies, one each")
+        return self._with_accord(config, path, self.accord.peers, self.accord.peer_listen)
+
+    def joining(self, path: str) -> Join | None:
+        """What adds `[accord]` and `[upkeep]` to a configuration of the platform's; None where
+        they are off. It raises `ConfigError`."""
+        if self.accord is None:
+            return None
+        return functools.partial(self._join, path, self.accord)
+
+    def _join(self, path: str, accord: AccordTable, config: Config, raw: Any, source: str) -> Config:
+        if accord.link == "unix":
+            if not accord.peers:
+                raise ConfigError(f"{path}: accord.peers: expected the paths of all copies, one each")
+            return self._with_accord(config, path, accord.peers, accord.peer_listen)
+        if (key := accord.told_twice()) is not None:
+            raise ConfigError(f"{path}: accord.{key}: expected none where LB_CONFIG is set")
+        peers, listen = raw.get("peers") or [], raw.get("peer_listen")
+        if not isinstance(peers, list) or not all(isinstance(one, str) for one in peers):
+            raise ConfigError(f"{source}: peers: expected a list of addresses")
+        if not isinstance(listen, str | None):
+            raise ConfigError(f"{source}: peer_listen: expected host:port, got {listen!r}")
+        return self._with_accord(config, path, tuple(peers) if listen else (), listen, source)
+
+    def _with_accord(
+        self, config: Config, path: str, peers: tuple[str, ...], listen: str | None, source: str = ""
+    ) -> Config:
+        """`source`: the file that tells of peers, where it is not the operator's."""
+        assert self.accord is not None
+        try:
+            accord = self.accord.settings(peers, listen, config.settings.me)
+        except ValueError as error:
+            told = str(error).startswith(("peer_listen:", "peers:", "me:"))
+            where = f"{source}: " if source and told else f"{path}: accord."
+            raise ConfigError(f"{where}{error}") from None
+        return replace(config, accord=accord, upkeep=None if self.upkeep is None else self.upkeep.settings())
 
 
 def _is_address(text: str) -> bool:
--- a/woadyard/settings/platform.py
+++ b/woadyard/settings/platform.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from woadyard.orders.book import Orders
-from woadyard.settings.config import Config, ConfigError, config_from
+from woadyard.settings.config import Config, ConfigError, Join, config_from
 
 
 def load_json(path: str) -> Any:
@@ -28,7 +28,9 @@
     return config_from(load_json(path), path)
 
 
-def read_platform(environ: Mapping[str, str], orders: Orders | None = None) -> Config:
+def read_platform(
+    environ: Mapping[str, str], orders: Orders | None = None, join: Join | None = None
+) -> Config:
     """What a daemon under the platform needs: LB_LISTEN, LB_DISCOVERY and LB_MANAGEMENT
     go before the file's `listen`, `discovery` and `management`; all but the last there must be."""
     path = environ.get("LB_CONFIG")
@@ -46,4 +48,4 @@
     for key, value in (("listen", config.listen), ("discovery", config.discovery)):
         if value is None:
             raise ConfigError(f"{path}: {key} is missing: expected host:port")
-    return config
+    return config if join is None else join(config, raw, path)
