--- a/woadyard/settings/config.py
+++ b/woadyard/settings/config.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from woadyard.engine.names import Names
+from woadyard.errors import LaurelstepError
 from woadyard.interface import Settings
 from woadyard.orders.book import Orders
 from woadyard.room.descriptors import SOCKETS_DEFAULT, side_share
@@ -18,9 +19,12 @@
     from woadyard.upkeep.options import UpkeepSettings
 
 
-class ConfigError(Exception):
+class ConfigError(LaurelstepError):
     """The configuration can't be used; the text says why, on one line."""
 
+    cause = "a configuration can't be used: a key is missing, unknown, or has a value that it can't have"
+    remedy = "correct the key that the line names, then run `laurelstep check FILE` before the next start"
+
 
 @dataclass(frozen=True)
 class Config:
