Drive the core: keep first, then send; fail alone; retire for a successor

One step at a time: what is to be kept is durable before sends leave, changes are told and the next step is taken; what waits meanwhile is bounded. A store or a core that fails ends this process's part with one line. An address that another process has is waited for, so that of two processes with one number one takes part.

--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,612 @@
+"""The driver: what is kept before what is sent, failing stores, addresses that are another's, and
+how a process gives its part to the next."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import random
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import pytest
+
+from tests.fakes import ManualClock
+from tests.sockets import TIMEOUT_S, run
+from woadyard.accord.core import Core
+from woadyard.accord.errors import BusyError, EntryError, KeptError, LinkError, NotLeadingError
+from woadyard.accord.links.memory import LATENCY_US, MemoryLink, MemoryNetwork
+from woadyard.accord.node import LEAST_US, RETRY_US, WAITING_MOST, Node, Stage
+from woadyard.accord.ports import Link, Store
+from woadyard.accord.stores.embedded import EmbeddedStore
+from woadyard.accord.stores.none import NoStore
+from woadyard.accord.terms import NOWHERE, PENDING_MOST, Effects
+from woadyard.store import StoreError
+from woadyard.testing.disk import SimulatedDisk
+
+
+class Blank:
+    """A machine that remembers what it was told."""
+
+    def __init__(self) -> None:
+        self.applied: list[bytes] = []
+        self.loaded: list[bytes] = []
+
+    def apply(self, index: int, data: bytes) -> None:
+        self.applied.append(data)
+
+    def dump(self) -> bytes:
+        return b"".join(self.applied)
+
+    def load(self, raw: bytes) -> None:
+        self.loaded.append(raw)
+
+
+class PlayedCore(Core):
+    """Does what a test says: `answers` are the effects of the steps to come, by their names."""
+
+    def __init__(self, incarnation: int, kept: Mapping[bytes, bytes]) -> None:
+        self.role, self.leader, self.term, self.era = "follower", 2, 3, NOWHERE
+        self.committed = self.applied = 0
+        self.known, self.counters, self.due = True, {"foreign": 0}, 1 << 60
+        self.incarnation = int.from_bytes(kept[b"i"]) if kept else incarnation
+        self.kept = dict(kept) or {b"i": incarnation.to_bytes(8)}
+        self.steps: list[tuple[Any, ...]] = []
+        self.answers: dict[str, Effects | Exception] = {}
+        self.retired = False
+
+    def _step(self, *step: Any) -> Effects:
+        self.steps.append(step)
+        answer = self.answers.get(step[0], Effects())
+        if isinstance(answer, Exception):
+            raise answer
+        self.kept.update({key: value for key, value in answer.keep.items() if value is not None})
+        return answer
+
+    def start(self, now: int) -> Effects:
+        # As a core must that has a lasting store: who it is comes before anything it says.
+        return Effects(keep=dict(self.kept), sends=[(1, b"hello")])
+
+    def receive(self, now: int, peer: int, raw: bytes) -> Effects:
+        return self._step("receive", peer, raw)
+
+    def tick(self, now: int) -> Effects:
+        self.due = now + 1_000_000
+        return self._step("tick", now)
+
+    def propose(self, now: int, data: bytes) -> Effects:
+        return self._step("propose", data)
+
+    def word(self, now: int, data: bytes) -> Effects:
+        return self._step("word", data)
+
+    def in_touch(self, now: int) -> bool:
+        return True
+
+    def retire(self) -> dict[bytes, bytes]:
+        self.retired = True
+        return dict(self.kept)
+
+
+class HeldStore:
+    """A lasting one whose writes end when a test says."""
+
+    lasting = True
+
+    def __init__(self, found: dict[bytes, bytes] | None = None) -> None:
+        self.found = found or {}
+        self.writes: list[tuple[Mapping[bytes, bytes | None], asyncio.Future[None]]] = []
+        self.closed = False
+
+    async def load(self) -> dict[bytes, bytes]:
+        return dict(self.found)
+
+    def write(self, changes: Mapping[bytes, bytes | None]) -> asyncio.Future[None]:
+        done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.writes.append((dict(changes), done))
+        return done
+
+    async def end(self, error: Exception | None = None) -> None:
+        _, done = self.writes.pop(0)
+        if error is None:
+            done.set_result(None)
+        else:
+            done.set_exception(error)
+        await turn()
+
+    async def close(self) -> None:
+        self.closed = True
+
+
+async def turn() -> None:
+    """What is ready on the loop has run."""
+    for _ in range(3):
+        await asyncio.sleep(0)
+
+
+class Bench:
+    """One node as peer 0 of three; peers 1 and 2 are links of the test's own."""
+
+    def __init__(self, store: Store | None = None) -> None:
+        self.clock = ManualClock()
+        self.network = MemoryNetwork(self.clock, 3)
+        self.store = store or NoStore()
+        self.machine = Blank()
+        self.cores: list[PlayedCore] = []
+        self.lines: list[str] = []
+        self.heard: list[tuple[int, bytes]] = []
+        self.changes = 0
+        self.peers = [self.network.link(n) for n in (1, 2)]
+        for peer in self.peers:
+            peer.open(lambda number, data, me=peer.me: self.heard.append((me, data)))  # type: ignore[misc]
+        self.node = self.make()
+
+    def make(self, link: Callable[[], Link] | None = None) -> Node:
+        def make_core(incarnation: int, kept: Mapping[bytes, bytes]) -> Core:
+            self.cores.append(PlayedCore(incarnation, kept))
+            return self.cores[-1]
+
+        async def open_store() -> Store:
+            return self.store
+
+        def make_link() -> MemoryLink:
+            return self.network.link(0)
+
+        node = Node(make_core, link or make_link, open_store, self.machine, self.clock, self.lines.append)
+        node.on_change = self.changed
+        return node
+
+    def changed(self) -> None:
+        self.changes += 1
+
+    @property
+    def core(self) -> PlayedCore:
+        return self.cores[-1]
+
+    def arrive(self) -> list[tuple[int, bytes]]:
+        """What has come to the peers by now."""
+        self.clock.advance(LATENCY_US)
+        found, self.heard = self.heard, []
+        return found
+
+    def receive(self, data: bytes, peer: int = 1) -> None:
+        """A datagram of a peer's, at once."""
+        assert self.node.link is not None
+        self.network.arrive(peer, 0, data)
+
+
+SAY = Effects(sends=[(1, b"said")], changed=True)
+
+
+# --- Steps ------------------------------------------------------------------------------
+
+
+def test_a_step_s_sends_leave_at_once_where_nothing_is_kept() -> None:
+    async def main() -> None:
+        bench = Bench()
+        assert not bench.node.takes_part and not bench.node.known and not bench.node.in_touch
+        await bench.node.start()
+        assert bench.arrive() == [(1, b"hello")] and bench.changes == 1
+        bench.core.answers["receive"] = SAY
+        bench.receive(b"x", peer=2)
+        assert bench.arrive() == [(1, b"said")] and bench.changes == 2
+        assert bench.core.steps == [("receive", 2, b"x")]
+        assert bench.node.takes_part and bench.node.known and bench.node.in_touch
+        await bench.node.close()
+        assert bench.core.retired and not bench.node.takes_part
+        bench.peers[0].send(0, b"late")
+        bench.clock.advance(10_000_000)
+        assert len(bench.core.steps) == 1
+
+    run(main())
+
+
+def test_what_is_kept_is_durable_before_what_is_sent_and_before_the_next_step() -> None:
+    async def main() -> None:
+        store = HeldStore()
+        bench = Bench(store)
+        await bench.node.start()
+        assert [changes for changes, _ in store.writes] == [{b"i": bench.core.incarnation.to_bytes(8)}]
+        bench.receive(b"one")
+        bench.receive(b"two")
+        assert not bench.arrive() and not bench.core.steps
+        bench.core.answers["receive"] = Effects(
+            keep={b"k": b"1", b"gone": None}, sends=SAY.sends, changed=True
+        )
+        await store.end()
+        assert bench.arrive() == [(1, b"hello")] and bench.core.steps == [("receive", 1, b"one")]
+        assert store.writes[0][0] == {b"k": b"1", b"gone": None} and bench.changes == 1
+        await store.end()
+        assert bench.arrive() == [(1, b"said")] and bench.changes == 2
+        assert [one[2] for one in bench.core.steps] == [b"one", b"two"]
+        await bench.node.close()
+        assert store.closed
+        # Its write ends after the end of this process's part: nothing leaves.
+        await store.end()
+        assert not bench.arrive()
+
+    run(main())
+
+
+def test_what_waits_for_the_disk_is_bounded() -> None:
+    async def main() -> None:
+        store = HeldStore()
+        bench = Bench(store)
+        await bench.node.start()
+        bench.core.role = "leader"
+        bench.node.propose(b"in its turn")
+        for n in range(WAITING_MOST + 9):
+            bench.receive(n.to_bytes(2))
+        with pytest.raises(BusyError):
+            bench.node.propose(b"one too many")
+        with pytest.raises(BusyError):
+            bench.node.word(b"one too many")
+        bench.clock.advance(0)
+        assert bench.node.counters == {"waited": WAITING_MOST, "dropped": 10, "refused": 0}
+        # It has lost the lead meanwhile, as an entry's turn comes.
+        bench.core.answers["propose"] = NotLeadingError(2)
+        await store.end()
+        assert len(bench.core.steps) == WAITING_MOST and bench.core.steps[0] == ("propose", b"in its turn")
+        assert bench.node.counters["refused"] == 1
+        await bench.node.close()
+
+    run(main())
+
+
+def test_one_timer_follows_the_core() -> None:
+    async def main() -> None:
+        bench = Bench()
+        await bench.node.start()
+        now, core = bench.clock.now(), bench.core
+        core.due = now + 5_000
+        bench.receive(b"x")
+        core.due = now + 9_000  # put off: the timer looks again
+        bench.receive(b"x")
+        bench.clock.advance(8_999)
+        assert ("tick", now + 9_000) not in core.steps
+        bench.clock.advance(1)
+        assert core.steps[-1] == ("tick", now + 9_000)
+        core.due = now + 9_001  # sooner than what the timer stands at
+        bench.receive(b"x")
+        core.answers["tick"] = Effects()
+        bench.clock.advance(LEAST_US)
+        assert core.steps[-1] == ("tick", now + 9_000 + LEAST_US)
+        ticks = sum(one[0] == "tick" for one in core.steps)
+        bench.clock.advance(999_999)
+        assert sum(one[0] == "tick" for one in core.steps) == ticks
+        await bench.node.close()
+
+    run(main())
+
+
+def test_a_core_that_is_always_due_does_not_keep_the_loop() -> None:
+    async def main() -> None:
+        bench = Bench()
+        await bench.node.start()
+
+        class Eager(PlayedCore):
+            def tick(self, now: int) -> Effects:
+                return self._step("tick", now)
+
+        core = Eager(1, {})
+        bench.node.core = core
+        core.due = 0
+        bench.receive(b"x")
+        bench.clock.advance(10 * LEAST_US)
+        assert sum(one[0] == "tick" for one in core.steps) == 10
+        await bench.node.close()
+
+    run(main())
+
+
+def test_callers_hear_why_a_step_can_not_be() -> None:
+    async def main() -> None:
+        bench = Bench()
+        with pytest.raises(NotLeadingError, match="no process leads"):
+            bench.node.propose(b"x")
+        bench.node.word(b"nobody takes part: it is lost")
+        await bench.node.start()
+        with pytest.raises(NotLeadingError, match="peer 2 leads"):
+            bench.node.propose(b"x")
+        bench.core.role = "leader"
+        assert bench.node.leading and bench.node.leader == 2
+        bench.core.answers["propose"] = BusyError(f"{PENDING_MOST} wait")
+        with pytest.raises(BusyError):
+            bench.node.propose(b"x")
+        for call in (bench.node.propose, bench.node.word):
+            with pytest.raises(EntryError):
+                call(b"x" * 161)
+        bench.core.answers["propose"] = SAY
+        bench.node.propose(b"x" * 160)
+        bench.node.word(b"w")
+        assert bench.core.steps[-2:] == [("propose", b"x" * 160), ("word", b"w")]
+        assert (1, b"said") in bench.arrive()
+        await bench.node.close()
+
+    run(main())
+
+
+def test_words_and_changes_are_told_in_a_turn_of_their_own() -> None:
+    async def main() -> None:
+        bench = Bench()
+        await bench.node.start()
+        bench.clock.advance(0)
+        told: list[Any] = []
+
+        def hears(peer: int, incarnation: int, data: bytes) -> None:
+            told.append((peer, incarnation, data, bench.node._is_busy))
+            bench.node.propose(b"upon it")
+
+        bench.node.heard = hears
+        bench.core.role = "leader"
+        bench.core.heard(1, 7, b"word")
+        bench.core.answers["receive"] = Effects(changed=True)
+        for _ in range(3):
+            bench.receive(b"x")
+        assert not told and bench.changes == 1
+        bench.clock.advance(0)
+        assert told == [(1, 7, b"word", False)] and bench.changes == 2, "changes at one time are told once"
+        bench.core.heard(1, 7, b"late")
+        await bench.node.close()
+        bench.clock.advance(0)
+        assert len(told) == 1
+
+    run(main())
+
+
+def test_a_caller_within_a_step_waits_for_its_turn() -> None:
+    async def main() -> None:
+        bench = Bench()
+        await bench.node.start()
+        node, core = bench.node, bench.core
+        core.role = "leader"
+
+        class Within(dict[str, Any]):
+            def get(self, name: str, default: Any = None) -> Any:
+                if name == "receive":
+                    node.propose(b"from within")
+                    assert [one[0] for one in core.steps] == ["receive"]
+                    raise NotLeadingError(None)
+                return default
+
+        core.answers = Within()
+        bench.receive(b"x")
+        assert [one[0] for one in core.steps] == ["receive", "propose"]
+        await node.close()
+
+    run(main())
+
+
+# --- Failing ----------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("at", ["open", "load", "start", "later"])
+def test_a_store_that_fails_ends_this_process_s_part_with_one_line(at: str) -> None:
+    async def main() -> None:
+        class Failing(HeldStore):
+            async def load(self) -> dict[bytes, bytes]:
+                if at == "load":
+                    raise StoreError("can't be\nread")
+                return await super().load()
+
+        store = Failing()
+        bench = Bench(store)
+        if at == "open":
+
+            async def open_store() -> Store:
+                raise StoreError("the store can't be opened: damaged")
+
+            bench.node.open_store = open_store
+        await bench.node.start()
+        if at == "later":
+            await store.end()
+            bench.core.answers["receive"] = Effects(keep={b"k": b"1"}, sends=SAY.sends)
+            bench.receive(b"x")
+        if at in ("start", "later"):
+            assert bench.node.takes_part
+            bench.arrive()
+            await store.end(StoreError("the disk fails: No space left on device"))
+        await turn()
+        bench.clock.advance(0)
+        assert bench.node.stage is Stage.FAILED and not bench.node.takes_part and bench.changes >= 1
+        assert not bench.arrive(), "what was not kept was not said"
+        assert len(bench.lines) == 1 and "\n" not in bench.lines[0] and StoreError.remedy in bench.lines[0]
+        assert bench.node.status()["failure"] == bench.node.failure != ""
+        assert 0 not in bench.network.open, "the address is free"
+        if at != "open":
+            assert store.closed
+        with pytest.raises(NotLeadingError):
+            bench.node.propose(b"x")
+        assert await bench.node.retire() == {}
+        await bench.node.begin_again()
+        assert bench.node.stage is Stage.FAILED
+        await bench.node.close()
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    "answer", [RuntimeError("a fault"), Effects(sends=[(9, b"x")]), Effects(sends=[(1, b"x" * 257)])]
+)
+def test_a_core_that_fails_does_not_harm_the_process(answer: Effects | Exception) -> None:
+    async def main() -> None:
+        bench = Bench()
+        await bench.node.start()
+        bench.core.answers["receive"] = answer
+        bench.receive(b"x")
+        await turn()
+        assert bench.node.stage is Stage.FAILED and len(bench.lines) == 1
+        assert 0 not in bench.network.open
+        if isinstance(answer, Effects):
+            assert LinkError.remedy in bench.lines[0]
+        await bench.node.close()
+
+    run(main())
+
+
+def test_a_store_that_can_not_be_closed_is_told_and_left() -> None:
+    async def main() -> None:
+        class Stuck(HeldStore):
+            async def close(self) -> None:
+                raise OSError("the disk is gone")
+
+        bench = Bench(Stuck())
+        await bench.node.start()
+        await bench.node.close()
+        assert bench.lines == ["accord: the store was not closed: the disk is gone"]
+        assert 0 not in bench.network.open
+
+    run(main())
+
+
+# --- Addresses --------------------------------------------------------------------------
+
+
+def test_it_waits_for_an_address_that_another_process_has() -> None:
+    async def main() -> None:
+        bench = Bench()
+
+        class Taken(MemoryLink):
+            def open(self, receive: Callable[[int, bytes], None]) -> None:
+                if 0 in bench.network.open:
+                    raise OSError(errno.EADDRINUSE, "taken")
+                super().open(receive)
+
+        first, second = bench.node, bench.make(lambda: Taken(bench.network, 0))
+        await first.start()
+        await second.start()
+        assert second.stage is Stage.WAITING and len(bench.cores) == 1
+        for _ in range(3):
+            bench.clock.advance(RETRY_US)
+            await turn()
+        assert len(bench.lines) == 1 and second.stage is Stage.WAITING
+        await first.close()
+        bench.clock.advance(RETRY_US)
+        await turn()
+        assert second.takes_part and bench.cores[0].incarnation != bench.cores[1].incarnation
+        await second.close()
+        third = bench.make(lambda: Taken(bench.network, 0))
+        await first.begin_again()
+        assert first.stage is Stage.CLOSED
+        blocker = bench.network.link(0)
+        blocker.open(lambda peer, data: None)
+        await third.start()
+        await third.close()
+        blocker.close()
+        bench.clock.advance(RETRY_US)
+        await turn()
+        assert not third.takes_part and not bench.network.open.get(0)
+
+    run(main())
+
+
+def test_an_address_that_can_not_be_had_at_all_is_the_caller_s_to_tell() -> None:
+    async def main() -> None:
+        class Nowhere(MemoryLink):
+            def open(self, receive: Callable[[int, bytes], None]) -> None:
+                raise OSError(errno.EADDRNOTAVAIL, "no such address here")
+
+        bench = Bench()
+        node = bench.make(lambda: Nowhere(bench.network, 0))
+        with pytest.raises(OSError, match="no such address here"):
+            await node.start()
+        await node.close()
+
+    run(main())
+
+
+# --- Handing on -------------------------------------------------------------------------
+
+
+def test_a_successor_begins_from_what_the_retired_one_gave() -> None:
+    async def main() -> None:
+        bench = Bench()
+        await bench.node.start()
+        bench.core.answers["receive"] = Effects(keep={b"log": b"1"})
+        bench.receive(b"x")
+        kept = await bench.node.retire()
+        assert kept == bench.cores[0].kept and bench.cores[0].retired and not bench.node.takes_part
+        assert await bench.node.retire() == {}
+        successor = bench.make()
+        await successor.start(kept)
+        assert (
+            bench.cores[1].incarnation == bench.cores[0].incarnation and bench.cores[1].kept[b"log"] == b"1"
+        )
+        await successor.close()
+        # It died before it took over: the old one is another member from now on.
+        await bench.node.begin_again()
+        assert bench.node.takes_part and bench.cores[2].incarnation != bench.cores[0].incarnation
+        assert bench.machine.loaded == [b""], "the record is learned anew"
+        await bench.node.begin_again()
+        assert len(bench.cores) == 3
+        await bench.node.close()
+
+    run(main())
+
+
+def test_a_lasting_store_goes_before_what_was_given() -> None:
+    async def main() -> None:
+        bench = Bench(HeldStore({b"i": (5).to_bytes(8), b"newer": b"1"}))
+        await bench.node.start({b"i": (6).to_bytes(8)})
+        assert bench.core.incarnation == 5 and b"newer" in bench.core.kept
+        await bench.node.close()
+
+    run(main())
+
+
+def test_what_was_given_and_can_not_be_read_is_done_without() -> None:
+    async def main() -> None:
+        for store in (NoStore(), HeldStore({b"i": b"?"})):
+            bench = Bench(store)
+
+            def refuse(incarnation: int, kept: Mapping[bytes, bytes], bench: Bench = bench) -> Core:
+                if kept:
+                    raise KeptError("of another list of peers")
+                bench.cores.append(PlayedCore(incarnation, kept))
+                return bench.cores[-1]
+
+            bench.node.make_core = refuse
+            await bench.node.start({b"i": b"?"})
+            assert bench.node.takes_part is not store.lasting and len(bench.lines) == 1
+            if store.lasting:
+                # The operator's to decide: it may hold the only copy of what was agreed.
+                assert KeptError.remedy in bench.lines[0]
+            await bench.node.close()
+
+    run(main())
+
+
+def test_a_restart_with_a_lasting_store_keeps_the_incarnation() -> None:
+    async def main() -> None:
+        disk, found = SimulatedDisk(), list[int]()
+        for _ in range(3):
+            bench = Bench()
+
+            async def open_store(disk: SimulatedDisk = disk) -> Store:
+                return await EmbeddedStore.open(disk)
+
+            bench.node.open_store = open_store
+            await bench.node.start()
+            async with asyncio.timeout(TIMEOUT_S):
+                while not bench.arrive():  # said once it is durable
+                    await asyncio.sleep(0)
+            found.append(bench.core.incarnation)
+            await bench.node.close()
+            disk = disk.lose_power(random.Random(1))
+        assert len(set(found)) == 1
+
+    run(main())
+
+
+def test_status_is_plain() -> None:
+    async def main() -> None:
+        bench = Bench()
+        assert bench.node.status() == {"stage": "new", "failure": ""}
+        await bench.node.start()
+        status = bench.node.status()
+        assert status["role"] == "follower" and status["era"] == {"generation": 0, "id": "0" * 16}
+        assert status["incarnation"] == f"{bench.core.incarnation:016x}" and not status["lasting"]
+        assert status["link"]["sent"] == 1 and status["counters"]["foreign"] == 0
+        await bench.node.close()
+
+    run(main())
