Start the node in the daemon, and hand its part to the next version

The old process stops before it tells its state; what it kept crosses with the list, and the next process is the same member. If that goes away before it takes over, the old one begins again as another member.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,6 +6,7 @@
 import asyncio
 import errno
 import random
+from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -16,7 +17,7 @@
 from woadyard.accord.core import Core
 from woadyard.accord.errors import BusyError, EntryError, KeptError, LinkError, NotLeadingError
 from woadyard.accord.links.memory import LATENCY_US, MemoryLink, MemoryNetwork
-from woadyard.accord.node import LEAST_US, RETRY_US, WAITING_MOST, Node, Stage
+from woadyard.accord.node import LEAST_US, RETRY_US, WAITING_MOST, Node, Stage, nothing
 from woadyard.accord.ports import Link, Store
 from woadyard.accord.stores.embedded import EmbeddedStore
 from woadyard.accord.stores.none import NoStore
@@ -45,10 +46,18 @@
 class PlayedCore(Core):
     """Does what a test says: `answers` are the effects of the steps to come, by their names."""
 
+    role = "follower"
+    leader = 2
+    term = 3
+    era = NOWHERE
+    committed = applied = 0
+    known = True
+    incarnation = 0
+    counters: Counter[str] = Counter(foreign=0)
+    heard: Callable[[int, int, bytes], None] = nothing
+
     def __init__(self, incarnation: int, kept: Mapping[bytes, bytes]) -> None:
-        self.role, self.leader, self.term, self.era = "follower", 2, 3, NOWHERE
-        self.committed = self.applied = 0
-        self.known, self.counters, self.due = True, {"foreign": 0}, 1 << 60
+        self.due = 1 << 60
         self.incarnation = int.from_bytes(kept[b"i"]) if kept else incarnation
         self.kept = dict(kept) or {b"i": incarnation.to_bytes(8)}
         self.steps: list[tuple[Any, ...]] = []
--- a/woadyard/accord/node.py
+++ b/woadyard/accord/node.py
@@ -18,6 +18,7 @@
 import asyncio
 import errno
 import functools
+import os
 import random
 import secrets
 from collections import deque
@@ -29,7 +30,7 @@
 from woadyard.accord.errors import AccordError, BusyError, EntryError, KeptError, NotLeadingError
 from woadyard.accord.options import AccordSettings, udp_address
 from woadyard.accord.ports import Link, Machine, Store
-from woadyard.accord.terms import ENTRY_MOST, WORD_MOST, Effects, Timing
+from woadyard.accord.terms import ENTRY_MOST, NOWHERE, WORD_MOST, Effects, Era, Timing
 from woadyard.engine.ports import Clock, Handle, Log
 
 # Steps that wait while one is being made durable.
@@ -75,8 +76,13 @@
         machine: Machine,
         clock: Clock,
         log: Log,
+        me: int = 0,
+        peers: int = 1,
     ) -> None:
-        """`make_core` takes an incarnation for a start from nothing, and what was kept."""
+        """`make_core` takes an incarnation for a start from nothing, and what was kept. `me` is this
+        process's number of `peers`."""
+        self.me = me
+        self.peers = peers
         self.make_core = make_core
         self.make_link = make_link
         self.open_store = open_store
@@ -114,6 +120,15 @@
     def leader(self) -> int | None:
         return None if self.core is None else self.core.leader
 
+    @property
+    def incarnation(self) -> int:
+        """0 while it takes no part."""
+        return 0 if self.core is None else self.core.incarnation
+
+    @property
+    def era(self) -> Era:
+        return NOWHERE if self.core is None else self.core.era
+
     @property
     def known(self) -> bool:
         """Whether this process has applied all that was agreed when it came."""
@@ -442,18 +457,27 @@
     )
 
 
+def check_folder(path: str) -> None:
+    """OSError if a store can't be there; it is made if it is missing. An empty path: there is none."""
+    if path:
+        os.makedirs(path, exist_ok=True)
+        if not os.access(path, os.W_OK | os.X_OK):
+            raise PermissionError(errno.EACCES, os.strerror(errno.EACCES))
+
+
 def node_of(
     settings: AccordSettings, machine: Machine, loop: asyncio.AbstractEventLoop, clock: Clock, log: Log
 ) -> Node:
     """The node that the settings describe, not yet started. ImportError where the store's library
     is missing; only here are the link and the store loaded."""
     timing, draw = timing_of(settings), random.Random(secrets.randbits(64))
+    me, count = settings.me, len(settings.peers)
 
     def make_core(incarnation: int, kept: Mapping[bytes, bytes]) -> Core:
-        count = len(settings.peers)
-        return Core(settings.me, count, settings.seats, incarnation, machine, timing, draw, kept)
+        return Core(me, count, settings.seats, incarnation, machine, timing, draw, kept)
 
-    return Node(make_core, _linking(settings, loop), _storing(settings, log), machine, clock, log)
+    link, store = _linking(settings, loop), _storing(settings, log)
+    return Node(make_core, link, store, machine, clock, log, me, count)
 
 
 def _linking(settings: AccordSettings, loop: asyncio.AbstractEventLoop) -> Callable[[], Link]:
--- a/woadyard/daemon.py
+++ b/woadyard/daemon.py
@@ -5,7 +5,7 @@
 import asyncio
 import signal
 import socket
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from typing import TYPE_CHECKING, Any
 
 from woadyard.engine.listing import dump_in_steps
@@ -21,6 +21,7 @@
 from woadyard.settings import Config, ConfigError
 
 if TYPE_CHECKING:
+    from woadyard.accord.node import Node
     from woadyard.handover.giver import Giver
     from woadyard.handover.place import Place
     from woadyard.handover.taker import Taken
@@ -79,6 +80,9 @@
         self.management: Management | None = None
         self.giver: Giver | None = None
         self.has_predecessor = False
+        self.node: Node | None = None
+        self.leaving = False
+        self.tasks: set[asyncio.Task[None]] = set()
 
     async def run(self, read_config: ReadConfig, seat: Seat | None = None) -> None:
         """Until a stop is over. `ConfigError` if it can't begin."""
@@ -86,6 +90,7 @@
         recorder = None
         if config.orders is not None:
             recorder = await open_recorder(config.orders, config.names.classes, log)
+        self.node = self._shared()
         self.parts = Assembly(self.loop, config, log, recorder, collector=Collector())
         self.parts.start()
         self.server = Server(
@@ -96,6 +101,7 @@
             self.lifecycle,
             config.memory_mb,
         )
+        await self._take_part()
         try:
             await self._listen(shared=seat is not None)
         except OSError as error:
@@ -106,7 +112,10 @@
 
             await join(self.loop, seat, self.parts.engine, self.stop)
         await self.ended.wait()
+        self.leaving = True
         self._close()
+        if self.node is not None:
+            await self.node.close()
         if recorder is not None:
             await recorder.close()
 
@@ -128,6 +137,61 @@
         if self.management is not None:
             self.management.close()
 
+    # --- What the copies of the tier share ----------------------------------------------
+
+    def _shared(self) -> Node | None:
+        """This process's part in it, not yet begun, with all that rests on it; None where it is off."""
+        settings = self.config.accord
+        if settings is None:
+            return None
+        if not settings.is_linked:
+            log("accord: off, and what rests on it: the configuration has no peers and peer_listen")
+            return None
+        # Imported where it is on.
+        from woadyard.accord.machines import Machines
+        from woadyard.accord.node import check_folder, node_of
+        from woadyard.engine.clock import LoopClock
+
+        try:
+            check_folder(settings.store_path)
+            return node_of(settings, Machines({}), self.loop, LoopClock(self.loop), log)
+        except ImportError as error:
+            problem = f"{error.name} is missing: pip install 'laurelstep[store]'"
+        except OSError as error:
+            problem = f"{settings.store_path}: {error.strerror}: expected a folder that this user may write"
+        raise ConfigError(f"{self._file}accord.store_path: {problem}")
+
+    async def _take_part(self) -> None:
+        if self.node is None:
+            return
+        from woadyard.handover.state import kept_in
+
+        taken = None if self.arrival is None else self.arrival.taken
+        try:
+            await self.node.start(None if taken is None else kept_in(taken.state))
+        except OSError as error:
+            listen = self.config.accord.listen if self.config.accord is not None else ""
+            raise ConfigError(
+                f"{self._file}accord: peer_listen: {listen}: {error.strerror}: expected an address of this machine"
+            ) from None
+
+    @property
+    def _file(self) -> str:
+        """The operator's, where there is one, to begin a line with."""
+        path = self.environ.get("LB_OPERATOR")
+        return f"{path}: " if path else ""
+
+    def _begin_again(self) -> None:
+        """Nobody follows any more: take part again, if this process has given up its part."""
+        giver = self.giver
+        if self.node is not None and giver is not None and giver.is_alone and not self.leaving:
+            self._spawn(self.node.begin_again())
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
     # --- Listening ------------------------------------------------------------------
 
     async def _listen(self, shared: bool) -> None:
@@ -173,7 +237,9 @@
             arrival.taken.say_ready()
         listener: Any = self.server.listener
         try:
-            self.giver = Giver(self.loop, arrival.place, listener.sockets[0], self._collect, self._share, log)
+            self.giver = Giver(
+                self.loop, arrival.place, listener.sockets[0], self._collect, self._changed, log
+            )
         except OSError as error:
             log(f"no handover to a next version: {error}")
         else:
@@ -186,6 +252,11 @@
         self.has_predecessor = False
         self._share()
 
+    def _changed(self) -> None:
+        """A handover has come further, or to nothing."""
+        self._share()
+        self._begin_again()
+
     def _share(self) -> None:
         """Two processes have one sidecar's descriptors."""
         alone = not self.has_predecessor and (self.giver is None or self.giver.handover.share == 1.0)
@@ -200,10 +271,24 @@
         generation = source.generation if isinstance(source, Discovery) else 0
 
         def ended(error: Exception | None) -> None:
-            give({} if error is not None else state_of(self.config, source, known[0]))
+            state = {} if error is not None else state_of(self.config, source, known[0])
+            if self.node is None:
+                give(state)
+            else:
+                self._spawn(self._retire(self.node, state, give))
 
         self.slices.run(dump_in_steps(self.parts.engine.members, generation, known), ended)
 
+    async def _retire(
+        self, node: Node, state: dict[str, bytes], give: Callable[[dict[str, bytes]], None]
+    ) -> None:
+        """The next process is the same member of the tier: this one ceases to be one, then tells."""
+        from woadyard.handover.state import state_of_accord
+
+        kept = await node.retire()
+        give({**state, **state_of_accord(kept)})
+        self._begin_again()  # if it went away meanwhile
+
 
 def check_free(host: str, port: int) -> None:
     """OSError if somebody listens there. Guards against another daemon's callers: the address is
--- a/woadyard/handover/giver.py
+++ b/woadyard/handover/giver.py
@@ -10,7 +10,7 @@
 from woadyard.engine.ports import Log
 from woadyard.handover.messages import HEAD_MAX, READY, head, is_hello, pack
 from woadyard.handover.place import Place, check_user
-from woadyard.handover.stages import Handover
+from woadyard.handover.stages import Handover, Stage
 
 # From connecting until it has said what it speaks, and until it takes callers: a start on a
 # starved core is due within 6 s.
@@ -139,6 +139,10 @@
     async def _connect(self, successor: Successor, one: socket.socket) -> None:
         await self.loop.create_unix_connection(lambda: successor, sock=one)
 
+    @property
+    def is_alone(self) -> bool:
+        return self.handover.stage == Stage.ALONE
+
     def tell(self, event: str) -> bool:
         changed = self.handover.tell(event)
         if changed:
