--- a/woadyard/accord/core.py
+++ b/woadyard/accord/core.py
@@ -229,7 +229,7 @@
         return effects
 
     def word(self, now: int, data: bytes) -> Effects:
-        """A small message to whoever leads, perhaps lost. EntryError: it is over WORD_MOST bytes."""
+        """A small message to whoever leads, perhaps lost. EntryError if too long."""
         if len(data) > WORD_MOST:
             raise EntryError(f"{len(data)} bytes, of {WORD_MOST} at most")
         self._begin(now)
