Play real nodes over loopback: restarts, lasting stores, garbage, versions that follow

Need: the node had been tested in parts; its sockets, stores and the handover to a next version had to be seen together. Change: tests/test_node.py plays tiers of nodes over UDP and Unix sockets: one from nothing is another member, one with a lasting store the same; a failing store, garbage, versions that follow, a successor that goes away, bad starts. Peer addresses are compared as the kernel writes them, and the error names accord.peer_listen.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,23 +5,35 @@
 
 import asyncio
 import errno
+import json
 import random
+import socket
 from collections import Counter
 from collections.abc import Callable, Mapping
-from typing import Any
+from pathlib import Path
+from typing import Any, ClassVar
 
 import pytest
 
 from tests.fakes import ManualClock
-from tests.sockets import TIMEOUT_S, run
+from tests.sockets import SETTINGS, TIMEOUT_S, run
+from tests.test_links import Heard, free_ports
+from tests.upgrades import Site, Version, kill
+from woadyard.accord import messages
 from woadyard.accord.core import Core
 from woadyard.accord.errors import BusyError, EntryError, KeptError, LinkError, NotLeadingError
 from woadyard.accord.links.memory import LATENCY_US, MemoryLink, MemoryNetwork
-from woadyard.accord.node import LEAST_US, RETRY_US, WAITING_MOST, Node, Stage, nothing
+from woadyard.accord.links.udp import UdpLink
+from woadyard.accord.node import LEAST_US, RETRY_US, WAITING_MOST, Node, Stage, node_of, nothing
+from woadyard.accord.options import AccordSettings
 from woadyard.accord.ports import Link, Store
 from woadyard.accord.stores.embedded import EmbeddedStore
 from woadyard.accord.stores.none import NoStore
 from woadyard.accord.terms import NOWHERE, PENDING_MOST, Effects
+from woadyard.engine.clock import LoopClock
+from woadyard.handover.place import Place
+from woadyard.handover.state import KEPT_MOST, kept_in, state_of_accord
+from woadyard.handover.taker import Taken, take
 from woadyard.store import StoreError
 from woadyard.testing.disk import SimulatedDisk
 
@@ -53,7 +65,7 @@
     committed = applied = 0
     known = True
     incarnation = 0
-    counters: Counter[str] = Counter(foreign=0)
+    counters: ClassVar[Counter[str]] = Counter(foreign=0)
     heard: Callable[[int, int, bytes], None] = nothing
 
     def __init__(self, incarnation: int, kept: Mapping[bytes, bytes]) -> None:
@@ -619,3 +631,358 @@
         await bench.node.close()
 
     run(main())
+
+
+# --- Real sockets and the real core -------------------------------------------------------
+
+FAST = {"heartbeat_us": 20_000, "election_us": 100_000}
+
+
+class Tier:
+    """Nodes of one tier in this process, each on sockets of its own."""
+
+    def __init__(self, count: int, seats: int, folder: Path | None = None, unix: bool = False) -> None:
+        self.loop = asyncio.get_running_loop()
+        assert folder is not None or not unix
+        self.peers = tuple(
+            str(folder / f"peer-{n}") if unix and folder is not None else f"127.0.0.1:{port}"
+            for n, port in enumerate(free_ports(count))
+        )
+        self.folder = folder
+        self.seats = seats
+        self.unix = unix
+        self.lines: list[str] = []
+        self.nodes: dict[int, Node] = {}
+        self.records: dict[int, Blank] = {}
+        self.changed = asyncio.Event()
+
+    async def start(self, me: int, lasting: bool = False) -> Node:
+        settings = AccordSettings(
+            self.peers,
+            self.peers[me],
+            me,
+            "unix" if self.unix else "udp",
+            self.seats,
+            str(self.folder / f"store-{me}") if lasting and self.folder is not None else "",
+            **FAST,
+        )
+        record = Blank()
+        node = node_of(settings, record, self.loop, LoopClock(self.loop), self.lines.append)
+        node.on_change = self.changed.set
+        self.nodes[me], self.records[me] = node, record
+        await node.start()
+        return node
+
+    async def until(self, done: Callable[[], bool]) -> None:
+        """Told of changes, and a moment after what is told of by none."""
+        async with asyncio.timeout(TIMEOUT_S):
+            while not done():
+                self.changed.clear()
+                try:
+                    await asyncio.wait_for(self.changed.wait(), 0.02)
+                except TimeoutError:
+                    continue
+
+    async def all_know(self) -> Node:
+        """Who leads, once all know the record."""
+        await self.until(lambda: all(one.known for one in self.nodes.values()) and self._leader() is not None)
+        found = self._leader()
+        assert found is not None
+        return found
+
+    def _leader(self) -> Node | None:
+        return next((one for one in self.nodes.values() if one.leading), None)
+
+    async def agree(self, data: bytes) -> None:
+        """The entry is applied by all that take part."""
+        while True:
+            node = await self.all_know()
+            try:
+                node.propose(data)
+                break
+            except (BusyError, NotLeadingError):
+                continue
+        await self.until(lambda: all(data in self.records[me].applied for me in self.nodes))
+
+    async def stop(self, *numbers: int) -> None:
+        for me in numbers or tuple(self.nodes):
+            await self.nodes.pop(me).close()
+            del self.records[me]
+
+
+@pytest.mark.parametrize("unix", [False, True])
+def test_processes_agree_over_sockets(unix: bool, tmp_path: Path) -> None:
+    async def main() -> None:
+        tier = Tier(4, 3, tmp_path, unix)
+        for me in range(4):
+            await tier.start(me)
+        for n in range(5):
+            await tier.agree(b"entry %d" % n)
+        orders = {tuple(one.applied) for one in tier.records.values()}
+        assert len(orders) == 1
+        status = tier.nodes[3].status()
+        assert status["role"] == "learner" and status["known"] and status["link"]["received"]
+        # The leader hears a word of a process that only learns.
+        words: list[tuple[int, int, bytes]] = []
+        leader = await tier.all_know()
+        leader.heard = lambda *one: (words.append(one), tier.changed.set())[0]  # type: ignore[func-returns-value]
+        tier.nodes[3].word(b"a word")
+        await tier.until(lambda: bool(words))
+        assert words[0] == (3, tier.nodes[3].incarnation, b"a word")
+        await tier.stop()
+        assert not tier.lines
+
+    run(main())
+
+
+def test_a_process_that_comes_from_nothing_is_another_and_learns_what_was_agreed() -> None:
+    async def main() -> None:
+        tier = Tier(3, 3)
+        for me in range(3):
+            await tier.start(me)
+        await tier.agree(b"before")
+        first = tier.nodes[1].incarnation
+        await tier.stop(1)
+        await tier.agree(b"meanwhile")
+        await tier.start(1)
+        await tier.agree(b"after")
+        assert tier.nodes[1].incarnation != first
+        assert tier.records[1].applied[-1] == b"after" and tier.nodes[1].known
+        await tier.stop()
+
+    run(main())
+
+
+def test_with_a_lasting_store_it_is_the_same_and_nothing_is_lost_when_all_end(tmp_path: Path) -> None:
+    async def main() -> None:
+        tier = Tier(3, 3, tmp_path)
+        for me in range(3):
+            await tier.start(me, lasting=True)
+        await tier.agree(b"before")
+        first = {me: node.incarnation for me, node in tier.nodes.items()}
+        era = tier.nodes[0].era
+        await tier.stop()
+        for me in range(3):
+            await tier.start(me, lasting=True)
+        await tier.agree(b"after")
+        assert {me: node.incarnation for me, node in tier.nodes.items()} == first
+        assert tier.nodes[0].era == era and tier.nodes[0].status()["lasting"]
+        assert all(b"before" in one.applied for one in tier.records.values())
+        await tier.stop()
+        assert not tier.lines
+
+    run(main())
+
+
+def test_a_store_that_fails_under_way_leaves_the_others_agreeing(tmp_path: Path) -> None:
+    async def main() -> None:
+        tier = Tier(3, 3, tmp_path)
+        for me in range(3):
+            await tier.start(me, lasting=True)
+        await tier.agree(b"before")
+        failing = tier.nodes[2].store
+        assert isinstance(failing, EmbeddedStore)
+
+        def full(name: str, offset: int, data: bytes) -> None:
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+        failing.store.disk.write = full  # type: ignore[method-assign]
+        leader = next(node for node in tier.nodes.values() if node.leading)
+        leader.propose(b"one it can't keep")
+        await tier.until(lambda: tier.nodes[2].stage is Stage.FAILED)
+        assert sum("takes no part any more" in line for line in tier.lines) == 1
+        assert not tier.nodes[2].known and tier.nodes[2].status()["failure"]
+        await tier.stop(2)
+        await tier.agree(b"after")
+        await tier.stop()
+
+    run(main())
+
+
+def test_garbage_and_the_future_are_dropped_counted_and_harm_nothing() -> None:
+    async def main() -> None:
+        tier = Tier(3, 3)
+        for me in range(3):
+            await tier.start(me)
+        await tier.agree(b"before")
+        await tier.stop(2)
+        host, port = "127.0.0.1", [int(one.rpartition(":")[2]) for one in tier.peers]
+        peer = UdpLink(tier.loop, (host, port[2]), [(host, one) for one in port], 2)
+        peer.open(Heard())
+        draw = random.Random(3)
+        good = messages.encode(messages.Ask(7))
+        junk = [
+            b"",
+            b"\x00",
+            good[:-1],
+            good + b"x",
+            *(draw.randbytes(draw.randint(1, 256)) for _ in range(200)),
+        ]
+        junk = [bytes((messages.VERSION,)) + one[1:] for one in junk]
+        future = [bytes((messages.VERSION + 1,)) + good[1:], bytes((255,)) + bytes(255)]
+        for number in (0, 1):
+            for one in (*junk, *future):
+                peer.send(number, one)
+                await asyncio.sleep(0)
+        node = tier.nodes[0]
+
+        def counted() -> bool:
+            found = node.status()["counters"]
+            return bool(found["future"] >= len(future) and found["unreadable"] >= 4)
+
+        await tier.until(counted)
+        peer.close()
+        await tier.agree(b"after")
+        assert not tier.lines
+        await tier.stop()
+
+    run(main())
+
+
+# --- One version after the other ----------------------------------------------------------
+
+
+def test_what_is_given_crosses_whole_or_not_at_all() -> None:
+    kept = {b"me": bytes(range(256)), b"e\x00\xff": b""}
+    state = {name: json.loads(raw) for name, raw in state_of_accord(kept).items()}
+    assert kept_in(state) == kept
+    assert state_of_accord({}) == {} and kept_in({}) is None
+    assert state_of_accord({b"k": bytes(KEPT_MOST)}) == {}
+    all_spoilt: list[Any] = [[], {}, {"a": 1}, {"?": "eA=="}, {"eA==": "x"}, {"eA==": "\xe9"}, "eA=="]
+    for spoilt in all_spoilt:
+        assert kept_in({"accord": spoilt}) is None
+
+
+class Watcher:
+    """Peer 1 of a tier whose peer 0 is a daemon: asks it who it is, as a seat may."""
+
+    def __init__(self, ports: list[int]) -> None:
+        peers = [("127.0.0.1", port) for port in ports]
+        self.link = UdpLink(asyncio.get_running_loop(), peers[1], peers, 1)
+        self.nonce = 0
+        self.answered = asyncio.Event()
+        self.incarnation = 0
+        self.link.open(self._hear)
+
+    def _hear(self, peer: int, data: bytes) -> None:
+        message = messages.decode(data)
+        if isinstance(message, messages.Here) and message.nonce == self.nonce:
+            self.incarnation = message.incarnation
+            self.answered.set()
+
+    async def ask(self) -> int:
+        """The incarnation that answers now."""
+        self.nonce += 1
+        self.answered.clear()
+        while True:
+            self.link.send(0, messages.encode(messages.Ask(self.nonce)))
+            try:
+                await asyncio.wait_for(self.answered.wait(), 0.05)
+                return self.incarnation
+            except TimeoutError:
+                continue
+
+    async def until_other(self, than: int) -> int:
+        while (found := await self.ask()) == than:
+            pass
+        return found
+
+
+def tier_of_three(folder: Path, text: str = "[accord]\n") -> tuple[list[int], dict[str, Any], dict[str, str]]:
+    ports = free_ports(3)
+    peers = [f"127.0.0.1:{port}" for port in ports]
+    path = folder / "operator.toml"
+    path.write_text(text)
+    changes = {"peer_listen": peers[0], "peers": peers, "settings": {**SETTINGS, "me": 0, "instances": 3}}
+    return ports, changes, {"LB_OPERATOR": str(path)}
+
+
+@pytest.mark.parametrize("lasting", [False, True])
+def test_a_next_version_is_the_same_member_and_a_next_process_another(lasting: bool, tmp_path: Path) -> None:
+    async def main() -> None:
+        text = f"[accord]\nstore_path = '{tmp_path}/store'\n" if lasting else "[accord]\n"
+        ports, changes, environ = tier_of_three(tmp_path, text)
+        async with Site(tmp_path, **changes) as site:
+
+            async def version() -> Version:
+                one = await site.start(**environ)
+                await one.until_ready()
+                return one
+
+            watcher = Watcher(ports)
+            old = await version()
+            first = await watcher.ask()
+            new = await version()
+            assert await watcher.ask() == first, "the next version goes on as the same"
+            assert b"accord" not in await old.stop()
+            assert await watcher.ask() == first
+            kill(new)
+            await new.process.wait()
+            again = await version()
+            assert (await watcher.ask() == first) is lasting
+            assert not await again.stop()
+            watcher.link.close()
+
+    run(main())
+
+
+def test_a_successor_that_goes_away_leaves_the_old_process_as_another_member(tmp_path: Path) -> None:
+    async def main() -> None:
+        ports, changes, environ = tier_of_three(tmp_path)
+        async with Site(tmp_path, **changes) as site:
+            old = await site.start(**environ)
+            await old.until_ready()
+            watcher = Watcher(ports)
+            first = await watcher.ask()
+            place = Place(("127.0.0.1", site.port), str(tmp_path))
+
+            def take_over() -> Taken:
+                return take(place, ("127.0.0.1", site.port))
+
+            taken = await asyncio.to_thread(take_over)
+            kept = kept_in(taken.state)
+            assert kept is not None and len(kept) >= 1
+            # Now nobody is this member: the old one has ceased, and its address is free.
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
+                free.bind(("127.0.0.1", ports[0]))
+            taken.listener.close()
+            taken.channel.close()
+            assert await watcher.until_other(first) not in (0, first)
+            watcher.link.close()
+            assert not await old.stop()
+
+    run(main())
+
+
+def test_with_no_peers_it_is_off_with_one_line(tmp_path: Path) -> None:
+    async def main() -> None:
+        _, changes, environ = tier_of_three(tmp_path, "[accord]\n[upkeep]\n")
+        async with Site(tmp_path, **{**changes, "peers": None}) as site:
+            one = await site.start(**environ)
+            await one.until_ready()
+            lines = (await one.stop()).decode().splitlines()
+            assert len([line for line in lines if "accord: off" in line]) == len(lines) == 1
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    ("text", "listen", "expected"),
+    [
+        ("[accord]\nstore_path = '/proc/none'\n", "", "accord.store_path: /proc/none: "),
+        ("[accord]\n", "192.0.2.1:7946", "accord.peer_listen: 192.0.2.1:7946: "),
+    ],
+)
+def test_what_can_not_be_at_the_start_is_one_line_and_exit_2(
+    text: str, listen: str, expected: str, tmp_path: Path
+) -> None:
+    async def main() -> None:
+        _, changes, environ = tier_of_three(tmp_path, text)
+        changes = {**changes, "peer_listen": listen or changes["peer_listen"]}
+        async with Site(tmp_path, **changes) as site:
+            one = await site.start(**environ)
+            _, errors = await one.process.communicate()
+            assert one.process.returncode == 2 and errors.count(b"\n") == 1
+            assert expected.encode() in errors and b"operator.toml" in errors and b"expected" in errors
+
+    run(main())
--- a/woadyard/accord/options.py
+++ b/woadyard/accord/options.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import socket
 from dataclasses import dataclass
-from ipaddress import ip_address
 from typing import Final, Literal
 
 SEATS_MOST: Final = 5  # where the table names no number
@@ -49,9 +49,11 @@
     if not port.isdecimal() or not port.isascii() or not 0 <= int(port) <= 65535:
         return None
     host = host[1:-1] if host[:1] == "[" and host[-1:] == "]" else host
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
     try:
-        return str(ip_address(host)), int(port)
-    except ValueError:
+        # As the kernel tells a sender: an address may be written in several ways.
+        return socket.inet_ntop(family, socket.inet_pton(family, host)), int(port)
+    except (OSError, ValueError):
         return None
 
 
@@ -78,7 +80,6 @@
             return "peers", f"expected an IP address and a port, as 10.0.0.4:7946, got {one!r}"
     if udp_address(settings.listen) is None:
         return "peer_listen", f"expected an IP address and a port, got {settings.listen!r}"
-    # Compared as they are used: one address may be written in two ways.
     found_all = {udp_address(one) for one in settings.peers}
     if len(found_all) < len(settings.peers):
         return "peers", "expected each address once"
--- a/woadyard/daemon.py
+++ b/woadyard/daemon.py
@@ -171,9 +171,8 @@
             await self.node.start(None if taken is None else kept_in(taken.state))
         except OSError as error:
             listen = self.config.accord.listen if self.config.accord is not None else ""
-            raise ConfigError(
-                f"{self._file}accord: peer_listen: {listen}: {error.strerror}: expected an address of this machine"
-            ) from None
+            problem = f"{listen}: {error.strerror}: expected an address of this machine"
+            raise ConfigError(f"{self._file}accord.peer_listen: {problem}") from None
 
     @property
     def _file(self) -> str:
