--- a/woadyard/accord/core.py
+++ b/woadyard/accord/core.py
@@ -243,7 +243,7 @@
         return self._end()
 
     def retire(self) -> dict[bytes, bytes]:
-        """Stop for good: later steps do nothing. Gives what a successor, the same incarnation, starts from."""
+        """Stop for good: later steps do nothing. Gives what its successor, the same incarnation, gets."""
         self._retired = True
         self.due = FAR
         state = self._state
@@ -303,7 +303,8 @@
 
     def _on_chunk(self, peer: int, message: m.Chunk) -> None:
         if not self._state.seated:
-            self._learner.on_chunk(peer, message)
+            if self._for_me(message):
+                self._learner.on_chunk(peer, message)
         elif self._enter(peer, message):
             self._following.on_chunk(peer, message)
 
@@ -322,7 +323,7 @@
             self._serving.on_follow(peer, message)
 
     def _on_feed(self, peer: int, message: m.Feed) -> None:
-        if not self._state.seated and peer < self._state.seats:
+        if not self._state.seated and peer < self._state.seats and self._for_me(message):
             self._learner.on_feed(peer, message)
 
     def _on_word(self, peer: int, message: m.Word) -> None:
@@ -337,6 +338,12 @@
         if peer >= state.seats or not state.seated:
             state.counters["foreign"] += 1
             return False
+        if not self._for_me(message):
+            if isinstance(message, m.Append):
+                # So that a leader learns early who is here.
+                ack = m.Ack(message.era, state.incarnation, 0, False, -1, message.round)
+                state.send(peer, ack)
+            return False
         if message.era == NOWHERE or (message.era < state.promised and not self._come_again(message)):
             state.counters["past"] += 1
             return False
@@ -345,6 +352,13 @@
             state.enter_era(message.era)
         return True
 
+    def _for_me(self, message: m.Stand | m.Append | m.Chunk | m.Feed) -> bool:
+        """messages.py, rule 4."""
+        if message.to == m.short(self._state.incarnation):
+            return True
+        self._state.counters["past"] += 1
+        return False
+
     def _come_again(self, message: m.Stand | m.Append | m.Chunk) -> bool:
         """founding.py, rule 7."""
         state = self._state
--- a/woadyard/accord/following.py
+++ b/woadyard/accord/following.py
@@ -81,7 +81,7 @@
             )
             return
         try:
-            state.install(message.era, snapshot)
+            state.install(snapshot)
         except msgspec.DecodeError:
             state.counters["unreadable"] += 1
             return
--- a/woadyard/accord/kept.py
+++ b/woadyard/accord/kept.py
@@ -93,4 +93,4 @@
         if index != log.last + 1 or entry is None:
             raise KeptError(f"place {log.last + 1} of the record is missing")
         log.append(entry)
-    return log, Snapshot.having(base.index, base.term, base.snapshot)
+    return log, Snapshot.having(base.era, base.index, base.term, base.snapshot)
--- a/woadyard/accord/leading.py
+++ b/woadyard/accord/leading.py
@@ -18,7 +18,7 @@
 
 from woadyard.accord.errors import BusyError, EntryError, NotLeadingError
 from woadyard.accord.log import CONFIG, DATA, NOTHING, members_raw
-from woadyard.accord.messages import Ack, Append, Chunked
+from woadyard.accord.messages import Ack, Append, Chunked, short
 from woadyard.accord.snapshots import Snapshot
 from woadyard.accord.state import FAR, LEADER, State
 from woadyard.accord.terms import ENTRY_MOST, PENDING_MOST
@@ -126,9 +126,10 @@
         entries = log.batch(progress.next, log.last)
         progress.flight = bool(entries)
         progress.snapshot = None
+        to = short(progress.incarnation)
         state.send(
             seat,
-            Append(log.era, state.term, previous, previous_term, state.committed, self.round, entries),
+            Append(log.era, to, state.term, previous, previous_term, state.committed, self.round, entries),
         )
 
     def _send_part(self, seat: int, progress: Progress) -> None:
@@ -137,7 +138,7 @@
             progress.snapshot, progress.offset = state.snapshot, 0
         assert progress.snapshot is not None
         progress.flight = True
-        part = progress.snapshot.part(state.log.era, state.term, progress.offset, self.round)
+        part = progress.snapshot.part(short(progress.incarnation), state.term, progress.offset, self.round)
         state.send(seat, part)
 
     def _send_idle(self) -> None:
@@ -180,6 +181,7 @@
             progress.match = message.match
             progress.next = max(progress.next, message.match + 1)
             progress.flight = False
+            progress.snapshot = None
             self._agree()
         elif message.match < progress.match or message.match + 1 == progress.next:
             return
@@ -204,14 +206,14 @@
     def _heard(self, peer: int, incarnation: int, term: int, heartbeats: int) -> Progress | None:
         """The progress of the one that answered, if it is who we speak to, in this term."""
         state = self._state
-        if term > state.term:
-            state.enter_term(term)
-        if not self.leads or term != state.term:
-            return None
         progress = self.progress.get(peer)
         if progress is None or progress.incarnation != incarnation:
             self.strangers.add(peer)
             return None
+        if term > state.term:
+            state.enter_term(term)
+        if not self.leads or term != state.term:
+            return None
         progress.heard_at = state.now
         progress.round = max(progress.round, heartbeats)
         return progress
--- a/woadyard/accord/learning.py
+++ b/woadyard/accord/learning.py
@@ -8,6 +8,9 @@
 4. A learner of an older era, or too far behind, gets the snapshot. An older era's never replaces a newer
    one's.
 5. Learners vote on nothing and keep nothing.
+6. When all seats have forgotten all, the era they found may not be greater than one that a learner remembers.
+   A learner that hears of a leader in an era before its own reads the record (reading.py): what a majority
+   confirms after the question is the era that lives, and the learner takes its snapshot.
 """
 
 from __future__ import annotations
@@ -17,7 +20,7 @@
 import msgspec
 
 from woadyard.accord.log import DATA
-from woadyard.accord.messages import Chunk, Chunked, Feed, Follow
+from woadyard.accord.messages import Chunk, Chunked, Feed, Follow, short
 from woadyard.accord.snapshots import Assembly, Snapshot
 from woadyard.accord.state import FAR, State
 from woadyard.accord.terms import Era
@@ -79,7 +82,7 @@
         asker.snapshot = None
         leader = -1 if state.leader is None or not state.whole else state.leader
         in_touch = leader >= 0 and state.in_touch(state.now)
-        state.send(peer, Feed(log.era, leader, in_touch, asker.applied, entries))
+        state.send(peer, Feed(log.era, short(asker.incarnation), leader, in_touch, asker.applied, entries))
 
     def _has(self, asker: _Asker) -> bool:
         log = self._state.log
@@ -87,11 +90,16 @@
 
     def _send_part(self, peer: int, asker: _Asker) -> None:
         state = self._state
-        if asker.snapshot is None:
+        last = asker.snapshot
+        if last is None or last.era != state.log.era or self._past(asker, last):
             asker.snapshot, asker.offset = state.snapshot, 0
         if asker.snapshot is not None:
             self._under_way(asker)
-            state.send(peer, asker.snapshot.part(state.log.era, state.term, asker.offset, 0))
+            state.send(peer, asker.snapshot.part(short(asker.incarnation), state.term, asker.offset, 0))
+
+    @staticmethod
+    def _past(asker: _Asker, snapshot: Snapshot) -> bool:
+        return (asker.era, asker.applied) >= (snapshot.era, snapshot.index)
 
     def _under_way(self, asker: _Asker) -> None:
         state = self._state
@@ -170,8 +178,12 @@
 
     def on_feed(self, peer: int, message: Feed) -> None:
         state = self._state
-        if message.in_touch and message.era >= state.log.era:
-            state.leader, state.heard_at = message.leader, state.now
+        if message.in_touch:
+            state.leader = message.leader
+            if message.era < state.log.era:
+                state.doubt = True
+            else:
+                state.heard_at = state.now
         self._answered(peer, message.in_touch)
         if message.era != state.log.era:
             return
@@ -210,20 +222,20 @@
         got = self._assembly.add(message)
         snapshot = self._assembly.whole()
         if snapshot is not None:
-            self._install(message.era, snapshot)
+            self._install(snapshot)
             self._ask(peer)
             return
         got = got if got < message.total else 0
         chunked = Chunked(message.era, state.incarnation, 0, message.index, message.crc, got, 0)
         state.send(peer, chunked)
 
-    def _install(self, era: Era, snapshot: Snapshot) -> None:
+    def _install(self, snapshot: Snapshot) -> None:
         state = self._state
-        newer = era != state.log.era
+        newer = snapshot.era != state.log.era
         try:
-            state.install(era, snapshot)
+            state.install(snapshot)
         except msgspec.DecodeError:
             state.counters["unreadable"] += 1
             return
         if newer:
-            state.promised, state.known = era, False
+            state.promised, state.known = snapshot.era, False
--- a/woadyard/accord/messages.py
+++ b/woadyard/accord/messages.py
@@ -5,6 +5,9 @@
    caller counts it. Who sent it is the link's to say.
 3. A message that speaks for a record names its era. One that binds its sender (an answer to a vote, an
    append or a founding) names the sender's incarnation; it is counted for that incarnation alone.
+4. One that changes its receiver (`to`) names the receiver's incarnation, in short: what was sent to a process
+   that has come again from nothing since is dropped. Without this a late datagram of a record that all have
+   forgotten could take a seat out of the one founded since, as eras of one generation have no order in time.
 """
 
 from __future__ import annotations
@@ -39,12 +42,13 @@
     "Word",
     "decode",
     "encode",
+    "short",
 ]
 
 VERSION: Final = 1
 # A snapshot's part, and the data of the entries of one message with FRAME bytes for each, in bytes.
 CHUNK_MOST: Final = 160
-ENTRIES_MOST: Final = 180
+ENTRIES_MOST: Final = 175
 FRAME: Final = 14
 
 # Bounds far above what is ever reached keep one mad message from making numbers that can't be sent.
@@ -111,6 +115,7 @@
     """RequestVote (Raft, figure 2); `pre`: would you vote for me (dissertation 9.6)?"""
 
     era: Era
+    to: Small
     incarnation: Random
     term: Count
     last_term: Count
@@ -133,6 +138,7 @@
     """AppendEntries (Raft, figure 2), with the leader's round of heartbeats."""
 
     era: Era
+    to: Small
     term: Count
     previous: Count
     previous_term: Count
@@ -156,6 +162,7 @@
     """Part of a snapshot, from a leader (with its term) or to a learner."""
 
     era: Era
+    to: Small
     term: Count
     index: Count
     index_term: Count
@@ -190,6 +197,7 @@
     """A seat's answer and push: agreed entries after `previous`, and who leads (-1: nobody known)."""
 
     era: Era
+    to: Small
     leader: Mark
     in_touch: bool
     previous: Count
@@ -264,6 +272,11 @@
     return 0 <= era.generation < 1 << 32 and 0 <= era.id < 1 << 64
 
 
+def short(incarnation: int) -> int:
+    """An incarnation as `to` has it: 5 bytes in a heartbeat, not 9."""
+    return incarnation & 0xFFFFFFFF
+
+
 def cost(entry: Entry) -> int:
     """An entry's room in a message, in bytes, at most."""
     return len(entry.data) + FRAME
--- a/woadyard/accord/reading.py
+++ b/woadyard/accord/reading.py
@@ -42,7 +42,7 @@
 
     def due(self) -> int:
         state = self._state
-        if state.known or state.leader is None or state.leader == state.me:
+        if (state.known and not state.doubt) or state.leader is None or state.leader == state.me:
             return FAR
         return self._ask_at
 
@@ -51,7 +51,7 @@
         if state.now < self.due():
             return
         self._ask_at = state.now + 5 * state.timing.heartbeat_us
-        if self._goal is not None and self._goal[0] == state.promised:
+        if not state.doubt and self._goal is not None and self._goal[0] == state.promised:
             # Answered already: it is the entries that are not here.
             return
         self._nonce = state.draw.getrandbits(64)
@@ -90,4 +90,8 @@
             return
         self._nonce = None
         self._goal = (message.era, message.index)
+        if self._state.doubt:
+            self._state.doubt = False
+            if message.era < self._state.log.era:
+                self._state.forget_era()
         self.settle()
--- a/woadyard/accord/snapshots.py
+++ b/woadyard/accord/snapshots.py
@@ -36,28 +36,31 @@
 class Snapshot:
     """Rule 1. `raw` holds the voters and the machine."""
 
+    era: Era
     index: int
     term: int
     raw: bytes
     crc: int
 
     @classmethod
-    def of(cls, index: int, term: int, config: Config, dump: bytes) -> Snapshot:
+    def of(cls, era: Era, index: int, term: int, config: Config, dump: bytes) -> Snapshot:
         body = _Body(config.index, config.term, sorted(config.members.items()), dump)
-        return cls.having(index, term, msgspec.msgpack.encode(body))
+        return cls.having(era, index, term, msgspec.msgpack.encode(body))
 
     @classmethod
-    def having(cls, index: int, term: int, raw: bytes) -> Snapshot:
-        return cls(index, term, raw, zlib.crc32(raw))
+    def having(cls, era: Era, index: int, term: int, raw: bytes) -> Snapshot:
+        return cls(era, index, term, raw, zlib.crc32(raw))
 
     def open(self) -> tuple[Config, bytes]:
         """The voters and the machine's dump. Raises msgspec.DecodeError."""
         body = _body.decode(self.raw)
         return Config(body.config_index, body.config_term, dict(body.members)), body.dump
 
-    def part(self, era: Era, term: int, offset: int, heartbeats: int) -> Chunk:
+    def part(self, to: int, term: int, offset: int, heartbeats: int) -> Chunk:
         data = self.raw[offset : offset + CHUNK_MOST]
-        return Chunk(era, term, self.index, self.term, len(self.raw), self.crc, offset, heartbeats, data)
+        return Chunk(
+            self.era, to, term, self.index, self.term, len(self.raw), self.crc, offset, heartbeats, data
+        )
 
 
 class Assembly:
@@ -83,9 +86,9 @@
         """The snapshot, once; None while parts are missing, or where the checksum does not hold."""
         if self._of is None or len(self._parts) < self._of[3]:
             return None
-        _, index, term, _, crc = self._of
+        era, index, term, _, crc = self._of
         raw = bytes(self._parts)
         self._of = None
         self._parts.clear()
-        snapshot = Snapshot.having(index, term, raw)
+        snapshot = Snapshot.having(era, index, term, raw)
         return snapshot if snapshot.crc == crc else None
--- a/woadyard/accord/state.py
+++ b/woadyard/accord/state.py
@@ -79,6 +79,8 @@
         self.patience = FAR
         # The record was read as of a time after this process began.
         self.known = False
+        # A learner heard of a leader in an era that is not newer than its own: one of the two is over.
+        self.doubt = False
         self.heard: Callable[[int, int, bytes], None] = _unheard
 
         self.now = 0
@@ -217,14 +219,15 @@
         term = self.log.term_at(self.applied)
         assert term is not None
         config = self.log.config_at(self.applied)
-        self.snapshot = Snapshot.of(self.applied, term, config, self.machine.dump())
+        self.snapshot = Snapshot.of(self.log.era, self.applied, term, config, self.machine.dump())
         before = self.log.start
         self.log.compact(max(before, self.applied - self.timing.log_most // 4))
         self._forget(before + 1, self.log.start)
         self._keep_base()
 
-    def install(self, era: Era, snapshot: Snapshot) -> None:
+    def install(self, snapshot: Snapshot) -> None:
         """Take a snapshot from another. Raises msgspec.DecodeError, with nothing changed."""
+        era = snapshot.era
         config, dump = snapshot.open()
         if era == self.log.era and self.log.term_at(snapshot.index) == snapshot.term:
             # What follows the snapshot in the log is the same log's.
@@ -236,13 +239,19 @@
             self.log = Log(era, snapshot.index, snapshot.term, config)
         self._rest_on(snapshot, dump)
 
+    def forget_era(self) -> None:
+        """A learner: its era is over, and the one that lives is not greater (learning.py, rule 6)."""
+        self.log = Log()
+        self.promised, self.known = NOWHERE, False
+        self.counters["eras_forgotten"] += 1
+
     def begin(self, era: Era, members: Mapping[int, int]) -> None:
         """The founder: the whole log, applied, is what the new era begins with (founding.py, rule 6)."""
         self.apply_to(self.log.last)
         config = Config(self.applied, 0, dict(members))
         self._forget(self.log.start + 1, self.log.last)
         self.log = Log(era, self.applied, 0, config)
-        self.snapshot = Snapshot.of(self.applied, 0, config, self.machine.dump())
+        self.snapshot = Snapshot.of(self.log.era, self.applied, 0, config, self.machine.dump())
         self.committed = self.applied
         self.live = True
         self.term, self.voted = 1, (self.me, self.incarnation)
@@ -290,7 +299,9 @@
         if self.log.era != NOWHERE:
             if not self.seated:
                 self.log = Log(self.log.era, self.applied, 0)
-                self.snapshot = Snapshot.of(self.applied, 0, self.log.config, self.machine.dump())
+                self.snapshot = Snapshot.of(
+                    self.log.era, self.applied, 0, self.log.config, self.machine.dump()
+                )
             self._keep_base()
         for index in range(self.log.start + 1, self.log.last + 1):
             self.effects.keep[kept.entry_key(index)] = kept.raw(self.log.entry(index))
--- a/woadyard/accord/voting.py
+++ b/woadyard/accord/voting.py
@@ -17,7 +17,7 @@
 
 from collections.abc import Callable, Collection, Mapping
 
-from woadyard.accord.messages import Stand, Vote
+from woadyard.accord.messages import Stand, Vote, short
 from woadyard.accord.state import CANDIDATE, FAR, FOLLOWER, LEADER, State
 
 __all__ = ["Voting", "majority"]
@@ -62,9 +62,10 @@
             state.keep_promise()
         term = state.term + 1 if pre else state.term
         _, last_term, last = state.log.position
-        for seat in state.log.config.members:
+        for seat, incarnation in state.log.config.members.items():
             if seat != state.me:
-                state.send(seat, Stand(state.promised, state.incarnation, term, last_term, last, pre))
+                to = short(incarnation)
+                state.send(seat, Stand(state.promised, to, state.incarnation, term, last_term, last, pre))
         self._count()
 
     def _count(self) -> None:
