Judge what a leader must have by the term in which it was agreed

Cause: the checker asked of a new leader all that was agreed in its era, also what was agreed in a later term than its own. Faults that a script had put off could also begin after their time. Change: what is agreed is kept by term, and a leader must have what earlier terms agreed. The script puts nothing off beyond the time that its faults last. No test was changed.

--- a/woadyard/testing/schedules/checker.py
+++ b/woadyard/testing/schedules/checker.py
@@ -1,9 +1,9 @@
 """The invariants of the agreed record, looked at after every step, by name.
 
 - "one order": what two processes have applied up to a place of one era is the same.
-- "nothing lost": one that begins to lead has all that was agreed in its era; one that founds an era has all
-  that was agreed in older ones and that a living seat remembers. While a majority of those that agreed it
-  remembers, one of them is such a seat.
+- "nothing lost": one that begins to lead has all that was agreed in earlier terms of its era; one that founds
+  an era has all that was agreed in older ones and that a living seat remembers. While a majority of those
+  that agreed it remembers, one of them is such a seat.
 - "one leader": at most one incarnation leads in a term of an era.
 - "one vote": an incarnation votes for at most one candidate in a term of an era.
 - "leases apart": no two living processes hold a lease at one true time, a paused one by its own clock too.
@@ -61,6 +61,8 @@
         self._orders: dict[tuple[Era, int], int] = {}
         self._bases: dict[Era, int] = {}
         self.agreed: dict[Era, Place] = {}
+        # The same by the term in which it was agreed.
+        self._agreed_in: dict[Era, dict[int, Place]] = {}
         self._leaders: dict[tuple[Era, int], tuple[int, int]] = {}
         self._votes: dict[tuple[Era, int, int], int] = {}
         # By process: what was agreed when it was born; whether it knew; places and loads seen, and applied.
@@ -118,7 +120,14 @@
         if places and applied > self._bases.get(era, applied):
             last = self.agreed.get(era)
             if last is None or places[-1][0] > last.at:
-                self.agreed[era] = Place(*places[-1])
+                self._agree(process, era, Place(*places[-1]))
+
+    def _agree(self, process: Process, era: Era, place: Place) -> None:
+        """The first to apply is the leader, or one that the leader of its term told."""
+        assert process.core is not None
+        self.agreed[era] = place
+        by_term = self._agreed_in.setdefault(era, {})
+        by_term[max(process.core.term, *by_term, 0)] = place
 
     def _remembers(self, process: Process, place: Place) -> bool:
         """Whether its tape has that, or will once it applies what its log holds."""
@@ -155,7 +164,9 @@
         first = self._leaders.get((era, term))
         if first is None:
             self._leaders[era, term] = who
-            place = self.agreed.get(era)
+            by_term = self._agreed_in.get(era, {})
+            earlier = max((one for one in by_term if one < term), default=None)
+            place = None if earlier is None else by_term[earlier]
             if place is not None and not self._remembers(process, place):
                 raise self.broken("nothing lost", f"{process.me} leads term {term} without place {place.at}")
         elif first != who:
--- a/woadyard/testing/schedules/script.py
+++ b/woadyard/testing/schedules/script.py
@@ -156,7 +156,12 @@
         return self._seat() if self._draw.random() < 0.8 else self._anyone()
 
     def _later(self, call: Callable[[int], None], me: int, most_us: int = 2 * SECOND) -> None:
-        self._world.at(self._world.time + self._draw.randrange(most_us), call, me)
+        self._at(self._world.time + self._draw.randrange(most_us), call, me)
+
+    def _at(self, time: int, call: Callable[..., None], *args: object) -> None:
+        """While faults last: their end is the world's."""
+        if time < self._shape.length_us:
+            self._world.at(time, call, *args)
 
     def _propose(self, data: bytes) -> None:
         """At whoever leads or thinks so, and at a random one."""
@@ -193,7 +198,7 @@
         gap = self._draw.choice((100 * MS, 500 * MS))
         order = self._draw.sample(range(self._seats), self._seats)
         for count, me in enumerate(order):
-            self._world.at(self._world.time + count * gap, self._world.restart, me)
+            self._at(self._world.time + count * gap, self._world.restart, me)
 
     def _pause(self) -> None:
         me = self._someone()
@@ -233,7 +238,7 @@
         """The network gets worse for a while."""
         before = self._world.network
         self._world.network = dataclasses.replace(before, loss=0.4, doubling=0.2, late=0.1)
-        self._world.at(self._world.time + 500 * MS, self._calm, before)
+        self._at(self._world.time + 500 * MS, self._calm, before)
 
     def _calm(self, network: Network) -> None:
         self._world.network = network
