Put faults into the core that the checker must find

Need: a checker that finds nothing proves nothing unless it is seen to fail. A founder must also have what a living seat had when it was agreed. Only seats have lasting stores; delays and leases are part of a schedule's shape. A learner's repeated question counts as doubled only if it has applied just as much.

--- /dev/null
+++ b/tests/test_accord_schedules.py
@@ -0,0 +1,277 @@
+"""The agreed record under made schedules, and that the checker can fail: faults put into the core, each found."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable, Collection
+
+import pytest
+
+from woadyard.accord import core as real
+from woadyard.accord.following import Following
+from woadyard.accord.founding import Founding
+from woadyard.accord.leading import Leading
+from woadyard.accord.leases import Leases, _Grant
+from woadyard.accord.log import Config, Log
+from woadyard.accord.membership import Membership
+from woadyard.accord.messages import Append, Here, Stand
+from woadyard.accord.reading import Reading
+from woadyard.accord.snapshots import Snapshot
+from woadyard.accord.state import State
+from woadyard.accord.terms import NOWHERE, Era
+from woadyard.accord.voting import Voting
+from woadyard.testing.schedules import BrokenError, Made, Shape, play
+
+# 10,000 seeds: about a minute and a half on one core in plain Python.
+PER_CHUNK = 250
+CHUNKS = 40
+
+
+@pytest.mark.parametrize("chunk", range(CHUNKS))
+def test_made_schedules(chunk: int) -> None:
+    for seed in range(chunk * PER_CHUNK, (chunk + 1) * PER_CHUNK):
+        play(seed)
+
+
+def test_a_seed_is_one_schedule() -> None:
+    first, second = play(11), play(11)
+    assert (first.steps, first.sent, first.time) == (second.steps, second.sent, second.time)
+    assert [one.tape.places for one in first.processes] == [one.tape.places for one in second.processes]
+
+
+# Faults
+
+
+class FewVotes(Voting):
+    """A vote without a majority."""
+
+    def enough(self, votes: Collection[int]) -> bool:
+        return len(votes) >= len(self._state.log.config.members) // 2
+
+
+class AnyLog(Voting):
+    """A vote for a log that is worse than the voter's."""
+
+    def _good(self, message: Stand) -> bool:
+        return True
+
+
+class TwoVotes(Voting):
+    """A vote for each that asks."""
+
+    def _free(self, peer: int, message: Stand) -> bool:
+        return True
+
+
+class Counting(Leading):
+    """An entry of an earlier term is agreed by counting who has it."""
+
+    def may_count(self, index: int) -> bool:
+        return True
+
+
+class OneShort(Leading):
+    """Agreed by one fewer than a majority."""
+
+    def held_by_majority(self) -> int:
+        members = self._state.log.config.members
+        marks = [self._state.log.last if seat == self._state.me else -1 for seat in members]
+        marks += [self.progress[seat].match for seat in members if self._voter(seat)]
+        marks.sort(reverse=True)
+        return marks[max(0, len(members) // 2 - 1)]
+
+
+class BySilence(Membership):
+    """All that are silent for a while are taken out at once: more than one at a time, without a question."""
+
+    def beat(self) -> None:
+        super().beat()
+        members = self._state.log.config.members
+        quiet = self._state.now - self._state.timing.election_us // 2
+        silent = {seat for seat, one in self._leading.progress.items() if one.heard_at < quiet}
+        if self.may_change() and silent & set(members):
+            self._leading.change({seat: who for seat, who in members.items() if seat not in silent})
+
+
+class NotAll(Founding):
+    """A founding by a majority of the seats."""
+
+    def all_of(self, seats: Collection[int]) -> bool:
+        return 2 * len(seats) > self._state.seats
+
+    def _judge(self) -> None:
+        if self.all_of(self._here):
+            for seat in range(self._state.seats):
+                self._here.setdefault(seat, Here(0, 0, NOWHERE, NOWHERE, 0, 0, 0, 0, [], False))
+        super()._judge()
+
+
+class AnyFounder(Founding):
+    """The first seat founds, whatever others remember."""
+
+    def _first_of_best(self) -> int:
+        return 0
+
+    def _position(self, of: object) -> tuple[object, int, int]:  # type: ignore[override]
+        return ((0, 0), 0, 0)
+
+
+class FirstHeard(Reading):
+    """A process takes the first that it hears for the record as it is."""
+
+    def settle(self) -> None:
+        super().settle()
+        self._state.known |= self._state.applied > 0
+
+
+class Unconfirmed(Reading):
+    """The leader answers a read at once, by what it has."""
+
+    def confirmed(self) -> int:
+        return self._leading.round + 1
+
+
+class Blind(Following):
+    """Entries are taken without a look at what they follow."""
+
+    def on_append(self, peer: int, message: Append) -> None:
+        log = self._state.log
+        term = log.term_at(message.previous)
+        if log.era == message.era and term is not None and message.term >= self._state.term:
+            message = Append(
+                message.era,
+                message.to,
+                message.term,
+                message.previous,
+                term,
+                message.commit,
+                message.round,
+                message.entries,
+            )
+        super().on_append(peer, message)
+
+
+class DropsLast(State):
+    """A snapshot without the last entry that it stands for."""
+
+    def compact(self) -> None:
+        super().compact()
+        assert self.snapshot is not None
+        term = self.snapshot.term
+        dump = self._before
+        self.snapshot = Snapshot.of(self.log.era, self.applied, term, self.log.config_at(self.applied), dump)
+        self._keep_base()
+
+    _before = b""
+
+    def apply_to(self, index: int) -> None:
+        if index > self.applied:
+            super().apply_to(index - 1)
+            self._before = self.machine.dump()
+        super().apply_to(index)
+
+
+class Hasty(State):
+    """A newer era takes the log at once, before its snapshot is here."""
+
+    def enter_era(self, era: Era) -> None:
+        super().enter_era(era)
+        if self.log.era != era:
+            self._forget(self.log.start + 1, self.log.last)
+            self.log = Log(era, 0, 0, Config(0, 0, {}))
+            self.machine.load(b"")
+            self.applied = self.committed = 0
+
+
+class Unkept(State):
+    """A promise is sent, but not kept."""
+
+    def keep_promise(self) -> None:
+        pass
+
+
+class FromLearning(Leases):
+    """The holder counts from when it learned, not from when it asked."""
+
+    def ends(self, grant: _Grant) -> int:
+        if super().ends(grant) == 0:
+            return 0
+        learned = self._learned.get(grant.name)
+        return 0 if learned is None else learned[1] + grant.lease_us
+
+
+class Impatient(Leases):
+    """The others wait for a part of the lease."""
+
+    def others_wait(self, lease_us: int) -> int:
+        return lease_us // 2
+
+
+def faulty(name: str, part: type) -> Callable[[Made], Made]:
+    core = type("Faulty", (real.Core,), {name: part})
+    return lambda made: dataclasses.replace(made, core=core)
+
+
+def leasing(kind: type[Leases]) -> Callable[[Made], Made]:
+    return lambda made: dataclasses.replace(made, leases=kind)
+
+
+def forgetful(made: Made) -> Made:
+    return dataclasses.replace(made, forgets_amnesia=True)
+
+
+CUTS = Shape(seats=(3, 5), founded=1.0, faults=(4, 6, 8), kinds=("halves", "alone", "pause", "mend"))
+LASTING = dataclasses.replace(CUTS, lasting=1.0, kinds=("crash", "halves", "alone", "mend", "come again"))
+AMNESIA = dataclasses.replace(
+    CUTS, lasting=0.0, kinds=("crash", "come again", "halves", "alone", "mend", "roll", "majority")
+)
+FIGURE_8 = dataclasses.replace(
+    LASTING,
+    seats=(5,),
+    entry=140,
+    between_us=50_000,
+    kinds=("crash", "crash", "come again", "alone", "mend"),
+    faults=(10, 14),
+    delay_us=(150_000,),
+)
+READS = dataclasses.replace(
+    CUTS,
+    seats=(3,),
+    learners=(2,),
+    kinds=("halves", "pause", "come again", "one way"),
+    faults=(10, 14),
+    delay_us=(60_000, 150_000),
+)
+LEASES = dataclasses.replace(CUTS, leases=(40,), late=(0.1,), delay_us=(60_000,))
+
+FAULTS = {
+    "a vote without a majority": (faulty("Voting", FewVotes), CUTS, "one leader"),
+    "a vote for any log": (faulty("Voting", AnyLog), CUTS, "nothing lost"),
+    "two votes in a term": (faulty("Voting", TwoVotes), CUTS, "one vote"),
+    "amnesia forgotten": (forgetful, AMNESIA, ""),
+    "an earlier term agreed by counting": (faulty("Leading", Counting), FIGURE_8, ""),
+    "agreed by one fewer than a majority": (faulty("Leading", OneShort), CUTS, ""),
+    "many changes of the config at a time": (faulty("Membership", BySilence), CUTS, ""),
+    "a founding without all": (faulty("Founding", NotAll), AMNESIA, ""),
+    "a founding without the best log": (faulty("Founding", AnyFounder), AMNESIA, "nothing lost"),
+    "a read of what comes first": (faulty("Reading", FirstHeard), AMNESIA, "no stale read"),
+    "a read that no majority confirmed": (faulty("Reading", Unconfirmed), READS, "no stale read"),
+    "entries that do not follow": (faulty("Following", Blind), CUTS, "one order"),
+    "a snapshot that drops the last entry": (faulty("State", DropsLast), CUTS, "one order"),
+    "an old log given up too soon": (faulty("State", Hasty), AMNESIA, ""),
+    "a promise that is not kept": (faulty("State", Unkept), LASTING, ""),
+    "a lease by the wrong clock": (leasing(FromLearning), LEASES, "leases apart"),
+    "a lease that others do not wait for": (leasing(Impatient), LEASES, "leases apart"),
+}
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_the_checker_finds(fault: str) -> None:
+    made, shape, name = FAULTS[fault]
+    for seed in range(2_000):
+        try:
+            play(seed, shape, made)
+        except BrokenError as broken:
+            assert name in ("", broken.name)
+            return
+    pytest.fail(f"not found: {fault}")
--- a/woadyard/accord/founding.py
+++ b/woadyard/accord/founding.py
@@ -26,7 +26,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from woadyard.accord.messages import Accepted, Ask, Found, Here
 from woadyard.accord.state import FAR, LEADER, State
@@ -144,7 +144,7 @@
         else:
             self._found()
 
-    def all_of(self, seats: dict[int, Here] | set[int]) -> bool:
+    def all_of(self, seats: Collection[int]) -> bool:
         """Whether every seat is among them."""
         return len(seats) == self._state.seats
 
--- a/woadyard/accord/learning.py
+++ b/woadyard/accord/learning.py
@@ -60,7 +60,7 @@
         if asker is None or (asker.incarnation, asker.era) != (message.incarnation, message.era):
             asker = _Asker(message.incarnation, message.era, message.applied, until)
             self._askers[peer] = asker
-        elif asker.sent_at is not None and message.applied <= asker.applied:
+        elif asker.sent_at is not None and message.applied == asker.applied:
             asker.until = until
             if state.now - asker.sent_at < state.timing.heartbeat_us:
                 # Doubled, or crossed with what is under way.
--- a/woadyard/testing/schedules/checker.py
+++ b/woadyard/testing/schedules/checker.py
@@ -61,6 +61,8 @@
         self._orders: dict[tuple[Era, int], int] = {}
         self._bases: dict[Era, int] = {}
         self.agreed: dict[Era, Place] = {}
+        # Who had it when it was agreed, and may have forgotten it since.
+        self._had: dict[Era, set[tuple[int, int]]] = {}
         # The same by the term in which it was agreed.
         self._agreed_in: dict[Era, dict[int, Place]] = {}
         self._leaders: dict[tuple[Era, int], tuple[int, int]] = {}
@@ -126,6 +128,9 @@
         """The first to apply is the leader, or one that the leader of its term told."""
         assert process.core is not None
         self.agreed[era] = place
+        self._had[era] = {
+            (one.me, one.forgot) for one in self._processes[: self._made.seats] if self._remembers(one, place)
+        }
         by_term = self._agreed_in.setdefault(era, {})
         by_term[max(process.core.term, *by_term, 0)] = place
 
@@ -154,8 +159,10 @@
             if older > era or self._remembers(process, place):
                 continue
             for other in self._processes[: self._made.seats]:
-                if other is not process and self._remembers(other, place):
-                    seen = f"{process.me} founded without place {place.at}, which {other.me} remembers"
+                if other is process or not other.alive:
+                    continue
+                if self._remembers(other, place) or (other.me, other.forgot) in self._had[older]:
+                    seen = f"{process.me} founded without place {place.at}, which {other.me} had"
                     raise self.broken("nothing lost", seen)
 
     def _led(self, process: Process, era: Era, term: int) -> None:
--- a/woadyard/testing/schedules/process.py
+++ b/woadyard/testing/schedules/process.py
@@ -85,6 +85,8 @@
         self.inbox: list[tuple[int, bytes]] = []
         self.doomed = False
         self.version = 0
+        # How often it has lost all it knew.
+        self.forgot = 0
 
     @property
     def alive(self) -> bool:
--- a/woadyard/testing/schedules/script.py
+++ b/woadyard/testing/schedules/script.py
@@ -17,7 +17,7 @@
 MS: Final = 1_000
 SECOND: Final = 1_000_000
 # The proportions of service, with a shorter rest: what rests costs steps and shows nothing.
-QUICK: Final = Timing(rest_us=1_500 * MS, lease_us=1_500 * MS, log_most=6)
+QUICK: Final = Timing(rest_us=1_500 * MS, lease_us=400 * MS, log_most=6)
 # Once faults end, an entry is agreed and known to all within this true time.
 PROGRESS_US: Final = 30 * SECOND
 
@@ -34,6 +34,8 @@
     kinds: tuple[str, ...] = ()
     loss: tuple[float, ...] = (0.0, 0.0, 0.05, 0.2)
     late: tuple[float, ...] = (0.0, 0.0, 0.05)
+    delay_us: tuple[int, ...] = (5 * MS, 5 * MS, 60 * MS)
+    leases: tuple[int, ...] = (0, 3, 10)
     # How long faults last, and how often somebody proposes.
     length_us: int = 3 * SECOND
     between_us: int = 200 * MS
@@ -130,7 +132,7 @@
         world.network = Network(
             loss=draw.choice(shape.loss),
             doubling=draw.choice((0.0, 0.0, 0.1)),
-            most_us=draw.choice((5 * MS, 5 * MS, 60 * MS)),
+            most_us=draw.choice(shape.delay_us),
             late=draw.choice(shape.late),
         )
         kinds = shape.kinds or tuple(self._kinds)
@@ -139,7 +141,7 @@
         for count, time in enumerate(range(0, shape.length_us, shape.between_us)):
             data = (b"%d." % count).ljust(shape.entry, b".")
             world.at(time + draw.randrange(shape.between_us), self._propose, data)
-        for _ in range(draw.choice((0, 2, 6))):
+        for _ in range(draw.choice(shape.leases)):
             world.at(draw.randrange(shape.length_us), self._lease)
 
     def _anyone(self) -> int:
--- a/woadyard/testing/schedules/world.py
+++ b/woadyard/testing/schedules/world.py
@@ -63,7 +63,7 @@
         for process in self.processes:
             process.kept = dict((kept or {}).get(process.me, {}))
             self.start(process.me)
-            if not made.lasting:
+            if not made.lasting or process.me >= made.seats:
                 process.kept = {}
 
     # Faults
@@ -88,8 +88,9 @@
         process.core = None
         process.version += 1
         process.inbox = []
-        if not self.made.lasting:
+        if not self.made.lasting or process.me >= self.made.seats:
             process.kept = {}
+            process.forgot += 1
 
     def restart(self, me: int) -> None:
         """End it, if it lives, and start it again: from nothing, unless its store lasts."""
@@ -101,13 +102,12 @@
         process = self.processes[me]
         if process.core is None or process.paused:
             return
-        kept = process.core.retire()
+        kept, stored, forgot = process.core.retire(), process.kept, process.forgot
         self._end(process)
-        lasting = process.kept
+        process.forgot = forgot
         process.kept = kept
         self.start(me)
-        if not self.made.lasting:
-            process.kept = lasting
+        process.kept = stored
 
     def pause(self, me: int) -> None:
         self.processes[me].paused = True
