--- a/woadyard/accord/leases.py
+++ b/woadyard/accord/leases.py
@@ -3,8 +3,9 @@
 1. A grant is an entry: name, who holds it, for how long, and the number of the lease it follows. It holds
    only if that one is the last: so of two grants for one name, by a leader and by one that was, one does
    nothing. Its number is its place.
-2. The holder counts from when it asked, for (1 - drift) of the time. It holds by its own clock alone, whether
-   or not it hears of the others.
+2. The holder counts from when it asked, which it knows by a number drawn for each: one that came again, with
+   a lasting store as the same incarnation, has asked for none of what its former life was granted. It counts
+   for (1 - drift) of the time. It holds by its own clock alone, whether or not it hears of the others.
 3. All others count from when they learned of the grant, for (1 + drift) of the time. A leader grants a name
    to another only when it is over by this count. What a snapshot brings is learned when it arrives.
 4. As a grant is learned after it was asked for, and no clock is off by more than the drift, the holder stops
@@ -21,6 +22,7 @@
 
 import dataclasses
 import math
+import random
 from typing import Annotated, Final
 
 import msgspec
@@ -43,7 +45,7 @@
     after: int
     peer: int
     incarnation: int
-    # The holder's own count of what it asked, by which it knows when.
+    # Drawn by the holder: by it it knows when it asked.
     ask: int
     lease_us: Annotated[int, msgspec.Meta(gt=0, lt=1 << 48)]
 
@@ -75,7 +77,7 @@
 class Leases:
     """A Machine, and this process's count of time beside it."""
 
-    def __init__(self, me: int, drift: float, longest_us: int) -> None:
+    def __init__(self, me: int, drift: float, longest_us: int, draw: random.Random) -> None:
         """`drift` and `longest_us` are the same in all processes."""
         self._me = me
         self._drift = drift
@@ -86,7 +88,7 @@
         # The newest era that this process learned of, and when.
         self._era: tuple[Era, int] | None = None
         self._asked: dict[int, _Asked] = {}
-        self._asks = 0
+        self._draw = draw
         self.ignored = 0
 
     # The machine
@@ -122,10 +124,10 @@
         """The word to the leader that asks for the name, or renews it. Raises EntryError: no such name."""
         if not 0 < len(name) <= NAME_MOST:
             raise EntryError(f"a name of {len(name)} characters, of {NAME_MOST} at most")
-        self._asks += 1
-        self._asked[self._asks] = _Asked(name, incarnation, now)
+        ask = self._draw.getrandbits(64)
+        self._asked[ask] = _Asked(name, incarnation, now)
         self._forget(name)
-        return _encode(_Grant(name, 0, self._me, incarnation, self._asks, lease_us))
+        return _encode(_Grant(name, 0, self._me, incarnation, ask, lease_us))
 
     def _forget(self, name: str) -> None:
         """Of one name's asks the last four are kept, and the one that holds."""
--- a/woadyard/testing/schedules/process.py
+++ b/woadyard/testing/schedules/process.py
@@ -79,7 +79,7 @@
         self.kept: dict[bytes, bytes] = {}
         self.core: Core | None = None
         self.tape = Tape()
-        self.leases = made.leases(me, made.timing.drift, made.timing.lease_us)
+        self.leases = self._new_leases()
         self.incarnation = 0
         self.paused = False
         self.inbox: list[tuple[int, bytes]] = []
@@ -99,10 +99,14 @@
         """The first true time at which the clock shows at least that."""
         return -(-(local - self.shift) * MILLION // self.rate)
 
+    def _new_leases(self) -> Leases:
+        timing = self._made.timing
+        return self._made.leases(self.me, timing.drift, timing.lease_us, self._draw)
+
     def begin(self) -> None:
         made = self._made
         self.tape = Tape()
-        self.leases = made.leases(self.me, made.timing.drift, made.timing.lease_us)
+        self.leases = self._new_leases()
         if not (made.forgets_amnesia and self.incarnation):
             self.incarnation = self._draw.getrandbits(64)
         self.core = made.core(
