--- a/woadyard/accord/leases.py
+++ b/woadyard/accord/leases.py
@@ -121,7 +121,9 @@
     # The holder's side
 
     def ask(self, now: int, incarnation: int, name: str, lease_us: int) -> bytes:
-        """The word to the leader that asks for the name, or renews it. Raises EntryError: no such name."""
+        """The word to the leader that asks for the name, or renews it. Raises EntryError: out of bounds."""
+        if not 0 < lease_us <= self._longest_us:
+            raise EntryError(f"a lease of {lease_us} µs, of {self._longest_us} at most")
         if not 0 < len(name) <= NAME_MOST:
             raise EntryError(f"a name of {len(name)} characters, of {NAME_MOST} at most")
         ask = self._draw.getrandbits(64)
--- a/woadyard/testing/schedules/script.py
+++ b/woadyard/testing/schedules/script.py
@@ -59,7 +59,8 @@
     draw = random.Random(seed)
     seats = draw.choice(shape.seats)
     peers = seats + draw.choice(shape.learners)
-    timing = dataclasses.replace(QUICK, log_most=draw.choice((4, 6, 512)))
+    found_us = draw.choice((QUICK.found_us, QUICK.election_us))
+    timing = dataclasses.replace(QUICK, log_most=draw.choice((4, 6, 512)), found_us=found_us)
     plain = Made(seats, peers, timing, lasting=draw.random() < shape.lasting)
     kept = founded(seats, peers, timing.log_most) if draw.random() < shape.founded else None
     world = World(made(plain) if made else plain, seed, kept)
@@ -87,7 +88,8 @@
 
     while world.time < until:
         for leader in world.leaders():
-            probe = b"probe%d" % len(probes)
+            world.probes += 1
+            probe = b"probe%d" % world.probes
             if world.propose(leader.me, probe):
                 probes.append(probe)
         for _ in range(4):
--- a/woadyard/testing/schedules/world.py
+++ b/woadyard/testing/schedules/world.py
@@ -56,6 +56,8 @@
         self.cut: set[tuple[int, int]] = set()
         self.steps = 0
         self.sent = 0
+        # How many entries were proposed to see whether the tier goes on.
+        self.probes = 0
         self._order = 0
         self._queue: list[tuple[int, int, Callable[..., None], tuple[object, ...]]] = []
         self.processes = [Process(me, made, self.draw) for me in range(made.peers)]
