Give a broken invariant its cause and remedy

Need: all errors have one root, with a cause and what an operator can do; the checker's BrokenError was a bare AssertionError. No test was added.

--- a/woadyard/testing/schedules/checker.py
+++ b/woadyard/testing/schedules/checker.py
@@ -24,6 +24,7 @@
 from woadyard.accord.log import DATA
 from woadyard.accord.ports import DATAGRAM_MOST
 from woadyard.accord.terms import NOWHERE, PENDING_MOST, Era
+from woadyard.errors import LaurelstepError
 from woadyard.testing.schedules.process import TAPE, Made, Process, next_digest
 
 __all__ = ["BrokenError", "Checker", "Place"]
@@ -34,9 +35,12 @@
 VOTE = 6
 
 
-class BrokenError(AssertionError):
+class BrokenError(LaurelstepError, AssertionError):
     """An invariant does not hold: `name` says which, `seed` under which schedule."""
 
+    cause = "an invariant of the agreed record does not hold under a made schedule"
+    remedy = "play the seed that the text names again, and report it: the fault is in the program"
+
     def __init__(self, name: str, seed: int, seen: str) -> None:
         super().__init__(f"{name}: seed {seed}: {seen}")
         self.name = name
