Hold the links and stores of what processes share to a written contract

LinkContract asks of a network that may lose only what it can give: what is sent again and again comes, whole and by the right number. ReachableLinkContract adds strangers. StoreContract holds one that lasts and one that does not; LastingStoreContract adds crashes, played for the embedded store on the simulated disk, at whatever call its thread has reached, with seven seeds of what power loss keeps.

--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -5,13 +5,15 @@
 
 import asyncio
 import contextlib
+import copy
 import errno
 import itertools
 import random
+import socket
 import subprocess
 import sys
 import tempfile
-from collections.abc import AsyncIterator, Callable, Iterator, Sequence
+from collections.abc import AsyncIterator, Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, ClassVar
@@ -20,6 +22,14 @@
 import uvloop
 
 from tests.fakes import Due, ManualClock, PlayedUpstream, Sent
+from woadyard.accord.links.memory import LATENCY_US, MemoryLink, MemoryNetwork
+from woadyard.accord.links.sockets import SocketLink
+from woadyard.accord.links.udp import UdpLink
+from woadyard.accord.links.unix import UnixLink
+from woadyard.accord.ports import DATAGRAM_MOST, Link
+from woadyard.accord.ports import Store as RecordStore
+from woadyard.accord.stores.embedded import EmbeddedStore
+from woadyard.accord.stores.none import NoStore
 from woadyard.engine import Answer, Attempt, Call, Ending, LoopClock
 from woadyard.engine.given import GivenMembers
 from woadyard.engine.ports import Clock, MemberSink, MemberSource, Recorded, Recorder
@@ -29,12 +39,13 @@
 from woadyard.net.upstream import Upstream
 from woadyard.orders import OrderClass, Orders
 from woadyard.orders.recorder import Hand, OrderRecorder
-from woadyard.store import FolderDisk, Options, Store
+from woadyard.store import FolderDisk, Options, Store, StoreError
 from woadyard.store.disk import Disk
 from woadyard.testing import Endpoint, Message, Reader, Writer, answer, free_port, push, read_message
 from woadyard.testing.contracts.base import Contract, raises
 from woadyard.testing.contracts.clock import ClockContract, Running
 from woadyard.testing.contracts.disk import DiskContract
+from woadyard.testing.contracts.link import Joined, LinkContract, ReachableJoined, ReachableLinkContract
 from woadyard.testing.contracts.members import (
     AskedSourceContract,
     Beyond,
@@ -43,6 +54,7 @@
     MemberSourceContract,
 )
 from woadyard.testing.contracts.recorder import Life, RecorderContract
+from woadyard.testing.contracts.store import BreakableLives, LastingStoreContract, Lives, StoreContract
 from woadyard.testing.contracts.upstream import Stage, UpstreamContract, Way
 from woadyard.testing.disk import SimulatedDisk
 from woadyard.testing.endpoints import Listener, reset_connection
@@ -67,7 +79,8 @@
         "import sys, woadyard.testing.contracts.clock as one, woadyard.testing.contracts.members\n"
         "assert not {'pytest', 'google_crc32c', 'woadyard.store', 'woadyard.net'} & set(sys.modules)\n"
         "import woadyard.testing.contracts.disk, woadyard.testing.contracts.upstream\n"
-        "import woadyard.testing.contracts.recorder\n"
+        "import woadyard.testing.contracts.recorder, woadyard.testing.contracts.link\n"
+        "import woadyard.testing.contracts.store\n"
         "assert not {'pytest', '_pytest'} & set(sys.modules)"
     )
     subprocess.run([sys.executable, "-c", code], check=True, cwd=ROOT)
@@ -979,3 +992,480 @@
 
     Faulty.kind = kind
     caught(Faulty(), name)
+
+
+# --- Link ---------------------------------------------------------------------------------------
+
+
+class InMemory:
+    def __init__(self, kind: type[MemoryLink]) -> None:
+        self.clock = ManualClock()
+        self.network = MemoryNetwork(self.clock, 3)
+        self.kind = kind
+        self.links: Sequence[Link] = [self.again(n) for n in range(3)]
+
+    def again(self, number: int) -> Link:
+        return self.kind(self.network, number)
+
+    async def carry(self) -> None:
+        self.clock.advance(LATENCY_US)
+
+
+class TestMemoryLink(LinkContract):
+    kind: ClassVar[type[MemoryLink]] = MemoryLink
+
+    @contextlib.asynccontextmanager
+    async def joined(self) -> AsyncIterator[Joined]:
+        yield InMemory(self.kind)
+
+
+class OnSockets:
+    """Carries by itself."""
+
+    def __init__(self, make: Callable[[int], SocketLink], stranger: socket.socket, places: list[Any]) -> None:
+        self.make = make
+        self.places = places
+        self.stranger = stranger
+        self.made: list[SocketLink] = []
+        self.links: Sequence[Link] = [self.again(n) for n in range(3)]
+
+    def again(self, number: int) -> Link:
+        self.made.append(self.make(number))
+        return self.made[-1]
+
+    async def carry(self) -> None:
+        # To a loopback socket a datagram has come when it was sent; the loop reads it in its next turn,
+        # at most so many at once.
+        for _ in range(20):
+            await asyncio.sleep(0)
+
+    def stray(self, number: int, data: bytes) -> None:
+        self.stranger.sendto(data, self.places[number])
+
+    def close(self) -> None:
+        for link in self.made:
+            link.close()
+        self.stranger.close()
+
+
+def free_addresses(count: int) -> list[tuple[str, int]]:
+    """UDP addresses that nobody has now."""
+    with contextlib.ExitStack() as stack:
+        sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
+        for one in sockets:
+            stack.callback(one.close)
+            one.bind(("127.0.0.1", 0))
+        return [("127.0.0.1", one.getsockname()[1]) for one in sockets]
+
+
+class TestUdpLink(ReachableLinkContract):
+    kind: ClassVar[type[UdpLink]] = UdpLink
+
+    @contextlib.asynccontextmanager
+    async def joined(self) -> AsyncIterator[ReachableJoined]:
+        loop, addresses = asyncio.get_running_loop(), free_addresses(3)
+        stranger = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        stranger.bind(("127.0.0.1", 0))
+        one = OnSockets(lambda me: self.kind(loop, addresses[me], addresses, me), stranger, addresses)
+        with contextlib.closing(one):
+            yield one
+
+
+class TestUdpLinkOnUvloop(TestUdpLink):
+    def new_loop(self) -> asyncio.AbstractEventLoop:
+        return uvloop.new_event_loop()
+
+
+class TestUnixLink(ReachableLinkContract):
+    @contextlib.asynccontextmanager
+    async def joined(self) -> AsyncIterator[ReachableJoined]:
+        loop = asyncio.get_running_loop()
+        stranger = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+        with tempfile.TemporaryDirectory() as folder:
+            paths = [f"{folder}/{n}" for n in range(3)]
+            with contextlib.closing(OnSockets(lambda me: UnixLink(loop, paths, me), stranger, paths)) as one:
+                yield one
+
+
+class Misnaming(MemoryLink):
+    def take(self, sender: int, data: bytes) -> None:
+        super().take((sender + 1) % 3, data)
+
+
+class Shortening(MemoryLink):
+    def send(self, peer: int, data: bytes) -> None:
+        super().send(peer, data[:200])
+
+
+class Unlimited(MemoryLink):
+    def send(self, peer: int, data: bytes) -> None:
+        for at in range(0, len(data), DATAGRAM_MOST):
+            super().send(peer, data[at : at + DATAGRAM_MOST])
+
+
+class Wrapping(MemoryLink):
+    """The last one is number -1, as in a list."""
+
+    def send(self, peer: int, data: bytes) -> None:
+        super().send(peer % 3, data)
+
+
+class Refused(MemoryLink):
+    """Raises where nobody is there, as a connected socket does."""
+
+    def send(self, peer: int, data: bytes) -> None:
+        super().send(peer, data)
+        if peer not in self.network.open:
+            raise ConnectionRefusedError
+
+
+class Full(MemoryLink):
+    """Raises where a buffer is full."""
+
+    def send(self, peer: int, data: bytes) -> None:
+        if self.counters["sent"] > 500:
+            raise BlockingIOError
+        super().send(peer, data)
+
+
+class Lingering(MemoryLink):
+    """Closed, it still receives."""
+
+    def close(self) -> None:
+        if self.me != 1:
+            super().close()
+
+
+class Broadcasting(MemoryLink):
+    def send(self, peer: int, data: bytes) -> None:
+        super().send(peer, data)
+        for other in {0, 1, 2} - {self.me, peer}:
+            super().send(other, data)
+
+
+@pytest.mark.parametrize(
+    ("kind", "name"),
+    [
+        (Misnaming, "test_each_hears_each_by_its_number_and_whole"),
+        (Shortening, "test_each_hears_each_by_its_number_and_whole"),
+        (Broadcasting, "test_each_hears_each_by_its_number_and_whole"),
+        (Unlimited, "test_what_is_too_long_or_for_nobody_is_an_error_and_does_not_leave"),
+        (Wrapping, "test_what_is_too_long_or_for_nobody_is_an_error_and_does_not_leave"),
+        (Refused, "test_sending_to_nobody_there_is_no_error"),
+        (Full, "test_more_than_is_read_is_lost_and_no_error"),
+        (Lingering, "test_after_close_nothing_is_received"),
+        (Lingering, "test_a_process_that_comes_anew_has_its_number"),
+    ],
+)
+def test_a_faulty_link_is_caught(kind: type[MemoryLink], name: str) -> None:
+    class Faulty(TestMemoryLink):
+        patience_s = 0.1
+
+    Faulty.kind = kind
+    caught(Faulty(), name)
+
+
+class Trusting(UdpLink):
+    """Whoever is not known is the first of the list."""
+
+    def _take(self, data: bytes, address: Any) -> None:
+        super()._take(data, address if self._sender(address) in self.numbers else self.peers[0])
+
+
+def test_a_link_that_trusts_strangers_is_caught() -> None:
+    class Faulty(TestUdpLink):
+        kind = Trusting
+
+    caught(Faulty(), "test_what_no_listed_peer_sent_is_not_received")
+
+
+# --- accord's Store -----------------------------------------------------------------------------
+
+
+class Nothing:
+    def __init__(self) -> None:
+        self.store: RecordStore = NoStore()
+
+    async def restart(self) -> None:
+        await self.store.close()
+        self.store = NoStore()
+
+    async def crash(self) -> None:
+        self.store = NoStore()
+
+
+class TestNoStore(StoreContract):
+    @contextlib.asynccontextmanager
+    async def lives(self) -> AsyncIterator[Lives]:
+        yield Nothing()
+
+
+class OnDisk:
+    """The embedded store; each life's disk is what the one before left."""
+
+    def __init__(self, disk: Disk) -> None:
+        self.disk = disk
+        self.own: EmbeddedStore
+        self.store: RecordStore
+
+    async def begin(self) -> None:
+        self.store = self.own = await EmbeddedStore.open(self.disk)
+
+    async def restart(self) -> None:
+        await self.own.close()
+        await self.begin()
+
+    async def crash(self) -> None:
+        await self.restart()
+
+
+class OnSimulatedDisk(OnDisk):
+    disk: SimulatedDisk
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(SimulatedDisk())
+        self.first = SimulatedDisk()  # as the disk was before the calls of its journal
+        self.draw = random.Random(seed)
+
+    async def crash(self) -> None:
+        # The calls so far, played again: the store's thread may go on with this disk.
+        for name, *args in list(self.disk.journal):
+            getattr(self.first, name)(*args)
+        self.disk = self.first.lose_power(self.draw)
+        self.first = copy.deepcopy(self.disk)
+        await self.own.close()
+        await self.begin()
+
+    def break_(self) -> None:
+        for operation in ("create", "write", "sync"):
+            self.disk.fail(operation, *[BROKEN] * 100)
+
+
+class TestEmbeddedStore(StoreContract):
+    """On real files."""
+
+    @contextlib.asynccontextmanager
+    async def lives(self) -> AsyncIterator[Lives]:
+        with tempfile.TemporaryDirectory() as folder:
+            one = OnDisk(FolderDisk(folder))
+            await one.begin()
+            yield one
+            await one.own.close()
+
+
+class TestEmbeddedStoreThatLosesPower(LastingStoreContract):
+    seed: ClassVar[int] = 1
+
+    @contextlib.asynccontextmanager
+    async def lives(self) -> AsyncIterator[BreakableLives]:
+        one = OnSimulatedDisk(self.seed)
+        await one.begin()
+        yield one
+        await one.own.close()
+
+
+@pytest.mark.parametrize("seed", range(2, 8))
+def test_the_embedded_store_that_loses_power(seed: int) -> None:
+    class Other(TestEmbeddedStoreThatLosesPower):
+        pass
+
+    Other.seed = seed
+    assert Other().failures() == {}
+
+
+class Sheet:
+    """A store of a test's own. Each call is durable some turns of the loop after it was made."""
+
+    lasting = True
+    after_turns = 3
+
+    def __init__(self, kept: dict[bytes, bytes]) -> None:
+        self.kept = kept
+        self.begun = dict(kept)
+        self.waiting: list[tuple[dict[bytes, bytes | None], asyncio.Future[None]]] = []
+        self.task: asyncio.Task[None] | None = None
+        self.broken = False
+        self.dead = False
+
+    async def load(self) -> dict[bytes, bytes]:
+        return dict(self.begun)
+
+    def write(self, changes: Mapping[bytes, bytes | None]) -> asyncio.Future[None]:
+        done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.waiting.append((dict(changes), done))
+        if self.task is None:
+            self.task = asyncio.get_running_loop().create_task(self.work())
+        return done
+
+    async def work(self) -> None:
+        while self.waiting and not self.dead:
+            changes, done = self.next()
+            for _ in range(self.after_turns):
+                await asyncio.sleep(0)
+            if self.broken:
+                self.fail(done)
+            elif not self.dead:
+                await self.apply(changes)
+                if not done.done():
+                    done.set_result(None)
+        self.task = None
+
+    def next(self) -> tuple[dict[bytes, bytes | None], asyncio.Future[None]]:
+        return self.waiting.pop(0)
+
+    def fail(self, done: asyncio.Future[None]) -> None:
+        done.set_exception(StoreError("it is broken"))
+
+    async def apply(self, changes: dict[bytes, bytes | None]) -> None:
+        for key, value in changes.items():
+            self.change(key, value)
+
+    def change(self, key: bytes, value: bytes | None) -> None:
+        if self.dead:
+            return
+        if value is None:
+            self.kept.pop(key, None)
+        else:
+            self.kept[key] = value
+
+    async def close(self) -> None:
+        if self.task is not None:
+            await self.task
+
+
+class OnSheet:
+    def __init__(self, kind: type[Sheet]) -> None:
+        self.kind = kind
+        self.kept: dict[bytes, bytes] = {}
+        self.own = kind(self.kept)
+        self.store: RecordStore = self.own
+
+    async def restart(self) -> None:
+        await self.own.close()
+        await self.crash()
+
+    async def crash(self) -> None:
+        self.own.dead = True
+        self.kept = dict(self.kept)
+        self.store = self.own = self.kind(self.kept)
+
+    def break_(self) -> None:
+        self.own.broken = True
+
+
+class TestSheet(LastingStoreContract):
+    """That the faults below are what is caught."""
+
+    kind: ClassVar[type[Sheet]] = Sheet
+
+    @contextlib.asynccontextmanager
+    async def lives(self) -> AsyncIterator[BreakableLives]:
+        one = OnSheet(self.kind)
+        yield one
+        await one.own.close()
+
+
+class TornSheet(Sheet):
+    async def apply(self, changes: dict[bytes, bytes | None]) -> None:
+        for key, value in changes.items():
+            self.change(key, value)
+            await asyncio.sleep(0)
+
+
+class EagerSheet(Sheet):
+    """Says that it is done before it is."""
+
+    def write(self, changes: Mapping[bytes, bytes | None]) -> asyncio.Future[None]:
+        done = super().write(changes)
+        done.set_result(None)
+        return done
+
+    def fail(self, done: asyncio.Future[None]) -> None: ...
+
+
+class StackedSheet(Sheet):
+    """The last call first."""
+
+    def next(self) -> tuple[dict[bytes, bytes | None], asyncio.Future[None]]:
+        return self.waiting.pop()
+
+
+class HoardingSheet(Sheet):
+    """Deletes nothing."""
+
+    def change(self, key: bytes, value: bytes | None) -> None:
+        if value is not None:
+            super().change(key, value)
+
+
+class ProudSheet(Sheet):
+    """Does not tell that it can't write."""
+
+    def fail(self, done: asyncio.Future[None]) -> None:
+        done.set_result(None)
+
+
+class RawSheet(Sheet):
+    """Tells it in its own way."""
+
+    def fail(self, done: asyncio.Future[None]) -> None:
+        done.set_exception(BROKEN)
+
+
+class SilentSheet(Sheet):
+    def fail(self, done: asyncio.Future[None]) -> None: ...
+
+
+class ForgetfulSheet(Sheet):
+    """Loses what it held where it can't write."""
+
+    def fail(self, done: asyncio.Future[None]) -> None:
+        self.kept.clear()
+        super().fail(done)
+
+
+class StrictSheet(Sheet):
+    """What is not there can't be deleted."""
+
+    def change(self, key: bytes, value: bytes | None) -> None:
+        if value is None and not self.dead:
+            del self.kept[key]
+        else:
+            super().change(key, value)
+
+
+@pytest.mark.parametrize(
+    ("kind", "name"),
+    [
+        (TornSheet, "test_a_call_is_found_whole_or_not_at_all"),
+        (EagerSheet, "test_what_was_reported_survives_a_crash"),
+        (StackedSheet, "test_no_call_is_found_without_those_before_it"),
+        (StackedSheet, "test_the_last_write_holds"),
+        (HoardingSheet, "test_what_was_written_is_found_and_what_was_deleted_is_not"),
+        (ProudSheet, "test_what_can_not_be_written_is_told_and_takes_nothing_away"),
+        (RawSheet, "test_what_can_not_be_written_is_told_and_takes_nothing_away"),
+        (SilentSheet, "test_what_can_not_be_written_is_told_and_takes_nothing_away"),
+        (ForgetfulSheet, "test_what_can_not_be_written_is_told_and_takes_nothing_away"),
+        (StrictSheet, "test_what_was_written_is_found_and_what_was_deleted_is_not"),
+    ],
+)
+def test_a_faulty_store_is_caught(kind: type[Sheet], name: str) -> None:
+    class Faulty(TestSheet):
+        patience_s = 0.1
+
+    Faulty.kind = kind
+    caught(Faulty(), name)
+
+
+class LateNoStore(NoStore):
+    """Keeps nothing, and takes its time over it."""
+
+    def write(self, changes: Mapping[bytes, bytes | None]) -> asyncio.Future[None]:
+        done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        asyncio.get_running_loop().call_soon(done.set_result, None)
+        return done
+
+
+def test_a_store_of_nothing_that_is_late_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setitem(globals(), "NoStore", LateNoStore)
+    caught(TestNoStore(), "test_one_that_does_not_last_is_done_at_once")
--- a/woadyard/testing/contracts/__init__.py
+++ b/woadyard/testing/contracts/__init__.py
@@ -17,8 +17,10 @@
 | --- | --- | --- |
 | `ClockContract` | `clock` | `woadyard.engine.ports.Clock` |
 | `DiskContract` | `disk` | `woadyard.store.disk.Disk` |
+| `LinkContract`, `ReachableLinkContract` | `link` | `woadyard.accord.ports.Link` |
 | `MemberSourceContract`, `AskedSourceContract` | `members` | `woadyard.engine.ports.MemberSource` |
 | `RecorderContract` | `recorder` | `woadyard.engine.ports.Recorder` |
+| `StoreContract`, `LastingStoreContract` | `store` | `woadyard.accord.ports.Store` |
 | `UpstreamContract` | `upstream` | `woadyard.engine.ports.Upstream` |
 
 Rules that all of them follow:
