Make the errors that a test raises anew each time

Cause: an error of the module's own, raised again and again, held the calls that it came through, and tests/test_service.py, which counts what is left, found them when it ran later.

--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -866,7 +866,11 @@
 # --- Recorder -----------------------------------------------------------------------------------
 
 ORDER = OrderClass(header=b"x-order-id", keep_ms=60_000)
-BROKEN = OSError(errno.EIO, "Input/output error")
+
+
+def broken() -> OSError:
+    """Anew each time: one that was raised holds what it came through."""
+    return OSError(errno.EIO, "Input/output error")
 
 
 class Nobody:
@@ -904,7 +908,7 @@
 
     def break_(self) -> None:
         for operation in ("create", "write", "sync"):
-            self.disk.fail(operation, *[BROKEN] * 1_000)
+            self.disk.fail(operation, *(broken() for _ in range(1_000)))
 
 
 class TestOrderRecorder(RecorderContract):
@@ -1238,7 +1242,7 @@
 
     def break_(self) -> None:
         for operation in ("create", "write", "sync"):
-            self.disk.fail(operation, *[BROKEN] * 100)
+            self.disk.fail(operation, *(broken() for _ in range(100)))
 
 
 class TestEmbeddedStore(StoreContract):
@@ -1409,7 +1413,7 @@
     """Tells it in its own way."""
 
     def fail(self, done: asyncio.Future[None]) -> None:
-        done.set_exception(BROKEN)
+        done.set_exception(broken())
 
 
 class SilentSheet(Sheet):
