--- a/woadyard/accord/core.py
+++ b/woadyard/accord/core.py
@@ -166,7 +166,10 @@
 
     @property
     def heard(self) -> Callable[[int, int, bytes], None]:
-        """Where words go when this process leads: peer, incarnation, data."""
+        """Where words go when this process leads: peer, incarnation, data.
+
+        It is called in the midst of a step, as is the machine: what it leads to is a later step.
+        """
         return self._state.heard
 
     @heard.setter
--- a/woadyard/accord/leading.py
+++ b/woadyard/accord/leading.py
@@ -38,6 +38,8 @@
     # When it last answered, and the newest round it answered.
     heard_at: int = 0
     round: int = 0
+    # What it was told to be agreed.
+    told: int = -1
     # A batch is under way.
     flight: bool = False
     # The snapshot that goes to it, how much has arrived, and the round in which that last fell back.
@@ -126,6 +128,7 @@
         entries = log.batch(progress.next, log.last)
         progress.flight = bool(entries)
         progress.snapshot = None
+        progress.told = state.committed
         to = short(progress.incarnation)
         state.send(
             seat,
@@ -141,13 +144,14 @@
         part = progress.snapshot.part(short(progress.incarnation), state.term, progress.offset, self.round)
         state.send(seat, part)
 
-    def _send_idle(self) -> None:
-        """To each seat that has nothing under way."""
+    def tell(self) -> None:
+        """What is new, to each seat that has nothing under way."""
         for seat, progress in self.progress.items():
-            if not progress.flight:
+            if not progress.flight and self._has_news(progress):
                 self._send(seat, progress)
 
-    tell = _send_idle
+    def _has_news(self, progress: Progress) -> bool:
+        return progress.next <= self._state.log.last or progress.told < self._state.committed
 
     def propose(self, data: bytes) -> int:
         """Raises NotLeadingError, BusyError, EntryError."""
@@ -166,12 +170,11 @@
 
     def _add(self, kind: int, data: bytes) -> int:
         index = self._state.append(kind, data)
-        self._send_idle()
+        self.tell()
         self._agree()
         return index
 
     def on_ack(self, peer: int, message: Ack) -> None:
-        state = self._state
         progress = self._heard(peer, message.incarnation, message.term, message.round)
         if progress is None:
             return
@@ -187,7 +190,7 @@
             return
         else:
             progress.next = message.match + 1
-        if self.leads and (progress.next <= state.log.last or not message.ok):
+        if self.leads and (not message.ok or self._has_news(progress)):
             self._send(peer, progress)
 
     def on_chunked(self, peer: int, message: Chunked) -> None:
