--- a/woadyard/accord/core.py
+++ b/woadyard/accord/core.py
@@ -75,8 +75,10 @@
         draw: random.Random,
         kept: Mapping[bytes, bytes] | None = None,
     ) -> None:
-        """`incarnation`: 64 random bits, for a start from nothing; what is `kept` has its own. Raises
-        KeptError.
+        """`incarnation`: 64 random bits, for a start from nothing; what is `kept` has its own.
+
+        Incarnations, eras and nonces are drawn from `draw`: in service one seeded by the system.
+        Raises KeptError.
         """
         self._state = self.State(me, peers, seats, incarnation, machine, timing, draw)
         self._state.restore(kept or {})
