--- a/tests/test_accord_schedules.py
+++ b/tests/test_accord_schedules.py
@@ -23,7 +23,7 @@
 from woadyard.testing.schedules import BrokenError, Made, Process, Shape, World, play
 from woadyard.testing.schedules.script import QUICK, founded, settle
 
-# 10,000 seeds: about a minute and a half on one core in plain Python.
+# 10,000 seeds: about two minutes on one core in plain Python.
 PER_CHUNK = 250
 CHUNKS = 40
 
