--- a/woadyard/accord/core.py
+++ b/woadyard/accord/core.py
@@ -75,8 +75,10 @@
         draw: random.Random,
         kept: Mapping[bytes, bytes] | None = None,
     ) -> None:
-        """`incarnation`: 64 random bits, for a start from nothing; what is `kept` has its own. Raises
-        KeptError.
+        """`incarnation`: 64 random bits, for a start from nothing; what is `kept` has its own.
+
+        Incarnations, eras and nonces are drawn from `draw`: in service one seeded by the system.
+        Raises KeptError.
         """
         self._state = self.State(me, peers, seats, incarnation, machine, timing, draw)
         self._state.restore(kept or {})
@@ -130,7 +132,11 @@
 
     @property
     def era(self) -> Era:
-        """The founding that the record here comes from."""
+        """The founding that the record here comes from.
+
+        NOWHERE with something applied: a learner's record is of an era that is over, and the new one is on
+        its way.
+        """
         return self._state.log.era
 
     @property
@@ -166,7 +172,10 @@
 
     @property
     def heard(self) -> Callable[[int, int, bytes], None]:
-        """Where words go when this process leads: peer, incarnation, data."""
+        """Where words go when this process leads: peer, incarnation, data.
+
+        It is called in the midst of a step, as is the machine: what it leads to is a later step.
+        """
         return self._state.heard
 
     @heard.setter
