Refuse [accord] in the library; test a former life's write and an own datagram

Cause: a library's sender that no other copy knows of would make what the copies agree on untrue. Change: the library refuses [accord] with a ConfigError. The daemon's error for peer_listen speaks of where the process may listen, as that may be a path. Tested: the refusal; a write of a former life lets nothing of the next one go on; an own datagram is dropped and counted as foreign.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -125,10 +125,12 @@
         assert peer._socket is not None
         peer._socket.sendto(b"x" * (DATAGRAM_MOST + 1), wires.at(0))
         peer._socket.sendto(b"x" * 9000, wires.at(0))
+        assert link._socket is not None
+        link._socket.sendto(b"its own", wires.at(0))
         peer.send(0, b"last")
         await heard.until(lambda: bool(heard.all))
         assert heard.all == [(1, b"last")]
-        assert (link.counters["foreign"], link.counters["oversize"]) == (1, 2)
+        assert (link.counters["foreign"], link.counters["oversize"]) == (2, 2)
         link.close()
         peer.close()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -249,6 +249,25 @@
     run(main())
 
 
+def test_a_write_of_a_former_life_says_nothing_in_the_next() -> None:
+    async def main() -> None:
+        store = HeldStore()
+        bench = Bench(store)
+        await bench.node.start()
+        _, former = store.writes.pop()
+        await bench.node.retire()
+        await bench.node.begin_again()
+        bench.receive(b"it waits for the new life's write")
+        former.set_result(None)
+        await turn()
+        assert not bench.arrive() and not bench.core.steps
+        await store.end()
+        assert bench.arrive() == [(1, b"hello")] and len(bench.core.steps) == 1
+        await bench.node.close()
+
+    run(main())
+
+
 def test_what_waits_for_the_disk_is_bounded() -> None:
     async def main() -> None:
         store = HeldStore()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -336,3 +336,9 @@
     with pytest.raises(ConfigError) as told:
         joined(tmp_path, text, **changes)
     assert expected in str(told.value) and "\n" not in str(told.value)
+
+
+def test_the_library_takes_no_part_and_says_so(tmp_path: Path) -> None:
+    path = file(tmp_path, "[deployment]\n" + CLASS + ACCORD)
+    with pytest.raises(ConfigError, match="accord: expected none for the library"):
+        Client.open(path)
--- a/woadyard/daemon.py
+++ b/woadyard/daemon.py
@@ -171,7 +171,7 @@
             await self.node.start(None if taken is None else kept_in(taken.state))
         except OSError as error:
             listen = self.config.accord.listen if self.config.accord is not None else ""
-            problem = f"{listen}: {error.strerror}: expected an address of this machine"
+            problem = f"{listen}: {error.strerror}: expected where this process may listen, on this machine"
             raise ConfigError(f"{self._file}accord.peer_listen: {problem}") from None
 
     @property
--- a/woadyard/library/client.py
+++ b/woadyard/library/client.py
@@ -226,6 +226,9 @@
     """`async with Client.open(config) as client`, or `start` and `close`."""
 
     def __init__(self, config: Config, members: Iterable[Member] | None = None) -> None:
+        if config.accord is not None:
+            # A sender that no other copy knows of would make what they agree on untrue.
+            raise ConfigError("accord: expected none for the library: only a daemon takes part in it")
         self.config = config
         self.state = State.NEW
         self._given = None if members is None else [one.entry() for one in members]
