--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,7 +16,7 @@
 import pytest
 
 from tests.fakes import ManualClock
-from tests.sockets import SETTINGS, TIMEOUT_S, run
+from tests.sockets import SETTINGS, TIMEOUT_S, Endpoint, request, run
 from tests.test_links import Heard, free_ports
 from tests.upgrades import Site, Version, kill
 from woadyard.accord import messages
@@ -35,6 +35,7 @@
 from woadyard.handover.state import KEPT_MOST, kept_in, state_of_accord
 from woadyard.handover.taker import Taken, take
 from woadyard.store import StoreError
+from woadyard.store.manifest import MANIFEST
 from woadyard.testing.disk import SimulatedDisk
 
 
@@ -1005,3 +1006,20 @@
             assert expected.encode() in errors and b"operator.toml" in errors and b"expected" in errors
 
     run(main())
+
+
+def test_requests_go_on_where_the_store_is_damaged(tmp_path: Path) -> None:
+    async def main() -> None:
+        folder = tmp_path / "store"
+        folder.mkdir()
+        (folder / MANIFEST).write_bytes(b"no manifest")
+        _, changes, environ = tier_of_three(tmp_path, f"[accord]\nstore_path = '{folder}'\n")
+        async with Site(tmp_path, Endpoint(), **changes) as site:
+            one = await site.start(**environ)
+            await one.until_ready()
+            assert (await site.ask(request())).status == 200
+            (line,) = (await one.stop()).decode().splitlines()
+            assert "accord: this process takes no part any more, requests go on" in line
+            assert StoreError.remedy in line
+
+    run(main())
