--- a/woadyard/engine/call.py
+++ b/woadyard/engine/call.py
@@ -32,7 +32,7 @@
 class Answer:
     """A final answer, in the terms that every front can word."""
 
-    __slots__ = ("body", "ending", "flow", "headers", "retry_after_us", "status")
+    __slots__ = ("body", "ending", "endpoint", "flow", "headers", "retry_after_us", "status")
 
     def __init__(
         self,
@@ -49,6 +49,7 @@
         self.body = body
         self.retry_after_us = retry_after_us  # refused: when to come back; 0 = not told
         self.flow = flow  # in place of the body, where that is still coming
+        self.endpoint = 0  # where it comes from; 0 where no endpoint gave it
 
 
 class Front(Protocol):
--- a/woadyard/engine/engine.py
+++ b/woadyard/engine/engine.py
@@ -92,7 +92,8 @@
         self.calls: dict[int, Call] = {}
         self.open_names: set[bytes] = set()  # the ids of the requests that are open
         self.tally = Tally(len(settings.classes))
-        self.passing: dict[Flow, int] = {}  # answers on their way to a caller, and their class
+        # Answers on their way to a caller: their class, and the endpoint they come from.
+        self.passing: dict[Flow, tuple[int, int]] = {}
         self.next_id = 0
         self.events: deque[tuple[Method, object, Call | None]] = deque()
         self.telling = False
@@ -247,12 +248,12 @@
             self.tally.end(call.cls, answer.ending)
         else:
             flow.watcher = self
-            self.passing[flow] = call.cls
+            self.passing[flow] = call.cls, answer.endpoint
         call.front.answered(call, answer)
 
     def passed(self, flow: Flow) -> None:
         """The last of an answer that was passed on while it came has left, or never will."""
-        cls = self.passing.pop(flow)
+        cls, _ = self.passing.pop(flow)
         if flow.left:
             self.tally.abandoned[cls] += 1
         else:
@@ -262,6 +263,15 @@
         """Requests taken that have no final answer yet, their clients still there."""
         return len(self.passing) + sum(1 for call in self.calls.values() if call.open or call.held)
 
+    def out_at(self, endpoint: int) -> int:
+        """Attempts that are out at an endpoint, and answers that still come from it. Looks at
+        all that is open: for one who asks now and then."""
+        out = sum(1 for _, where in self.passing.values() if where == endpoint)
+        for call in self.calls.values():
+            for attempt in call.attempts:
+                out += attempt.out and attempt.endpoint == endpoint
+        return out
+
     def _let_go(self, call: Call) -> None:
         call.held = False
         if call.timer is not None:
@@ -333,6 +343,7 @@
             attempt.timer = None
         call = attempt.call
         if outcome == OK and answer is not None and call.open:
+            answer.endpoint = attempt.endpoint
             self._answer(call, answer)
         event = Outcome(
             call.id,
--- /dev/null
+++ b/woadyard/upkeep/entries.py
@@ -0,0 +1,110 @@
+"""What travels of upkeep: entries of the record, and words to whoever leads. Pure.
+
+All begin with the byte `KIND`, so that one record and one link may carry other things too; then
+a tagged array in msgpack. Fields are only ever added at the end: an older version passes over
+what it does not know, and reads what it does."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from woadyard.upkeep.wishes import ENTRY_MOST, FitError, Wish
+
+KIND: Final = b"u"
+
+
+class _Entry(msgspec.Struct, frozen=True, array_like=True, tag_field="t"):
+    pass
+
+
+class Ask(_Entry, frozen=True, tag=1):
+    """What somebody asked at a copy: `number` counts the askings of that copy's incarnation, so
+    that one which comes twice, or late, is done once."""
+
+    peer: int
+    incarnation: int
+    number: int
+    verb: str  # wish, withdraw, begin, done or absent
+    what: Wish | str | int
+
+
+class Leave(_Entry, frozen=True, tag=2):
+    """A machine is to leave; the facts are as the proposer saw them, without what the roll holds.
+    `base`: the roll's last change as the proposer knew it. Another roll ignores the entry."""
+
+    base: int
+    wish: int
+    id: str
+    zone: str
+    cell: int
+    weight: float
+    started_ms: int
+    ready: int  # ready ones in the tier, this one among them
+    ready_weight: float
+    listed_weight: float  # ready and draining
+    away: tuple[int, int, int]  # drained by discovery in its zone, its cell, and the tier
+    cold_share: float
+
+
+class Step(_Entry, frozen=True, tag=3):
+    """A held machine's next state, by what the leader knows; `since` is the index of its present one."""
+
+    id: str
+    since: int
+    event: str  # clear, overdue, back, drop or spare
+    why: str = ""
+
+
+class End(_Entry, frozen=True, tag=4):
+    """A wish has nothing left to do."""
+
+    base: int
+    wish: int
+
+
+class Present(_Entry, frozen=True, tag=5):
+    """A copy that was declared absent was heard."""
+
+    peer: int
+
+
+class Confirm(_Entry, frozen=True, tag=6):
+    """A word, no entry: nothing that left at or before this index is sent to by the sender.
+    -1 from one that sends and does not know the record."""
+
+    quiet: int
+
+
+Entry = Ask | Leave | Step | End | Present
+_encode: Final = msgspec.msgpack.Encoder().encode
+_entries: Final[msgspec.msgpack.Decoder[Entry]] = msgspec.msgpack.Decoder(Entry)
+_words: Final[msgspec.msgpack.Decoder[Ask | Confirm]] = msgspec.msgpack.Decoder(Ask | Confirm)
+
+
+def pack(entry: Entry | Confirm) -> bytes:
+    """`FitError` for what is too long for the record."""
+    data = KIND + _encode(entry)
+    if len(data) > ENTRY_MOST:
+        raise FitError(f"{len(data)} bytes, {ENTRY_MOST} at most")
+    return data
+
+
+def unpack_entry(data: bytes) -> Entry | None:
+    """None for what is no entry of upkeep."""
+    if data[:1] != KIND or len(data) > ENTRY_MOST:
+        return None
+    try:
+        return _entries.decode(data[1:])
+    except (msgspec.DecodeError, RecursionError, OverflowError):
+        return None
+
+
+def unpack_word(data: bytes) -> Ask | Confirm | None:
+    if data[:1] != KIND or len(data) > ENTRY_MOST:
+        return None
+    try:
+        return _words.decode(data[1:])
+    except (msgspec.DecodeError, RecursionError, OverflowError):
+        return None
--- /dev/null
+++ b/woadyard/upkeep/plan.py
@@ -0,0 +1,251 @@
+"""What whoever leads proposes: from the roll, its own view of the list, and the confirmations. Pure.
+
+Rules that everything here serves:
+
+1. A machine is clear when every copy of the tier has confirmed, in the incarnation heard last, that
+   it sends nothing to what left at that index; those that somebody declared absent are left out.
+   No time-out stands in for a confirmation.
+2. The order follows from the roll: wishes by number, their machines by zone, cell and id. The first
+   that holds goes next, one with each proposal.
+3. Nothing is proposed from half a list.
+4. What discovery drains, removes or replaces while it leaves is dropped from its wish; once it
+   is clear, its going and coming is the work, and it stays out until somebody says done.
+5. All that is proposed names the state that it was made for: late, it is ignored.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from woadyard.engine.members import endpoint_number
+from woadyard.interface import READY
+from woadyard.upkeep.entries import End, Entry, Leave, Present, Step
+from woadyard.upkeep.members import Member, MemberTable
+from woadyard.upkeep.roll import Machine, OpenWish, Roll
+from woadyard.upkeep.states import State
+from woadyard.upkeep.wishes import MACHINES_MOST, Wish
+
+# Incarnations of one copy that are known to be over.
+RETIRED_MOST: Final = 8
+
+
+class Confirmations:
+    """Up to which index each copy is quiet, in the incarnation that was heard last."""
+
+    def __init__(self) -> None:
+        self.quiet: dict[int, tuple[int, int]] = {}  # by peer: incarnation, index
+        self.retired: dict[int, list[int]] = {}
+
+    def hear(self, peer: int, incarnation: int, quiet: int) -> None:
+        """A later incarnation begins anew: what an earlier one confirmed binds a process that is
+        no more."""
+        if incarnation in self.retired.get(peer, ()):
+            return  # a word that was long on its way
+        last = self.quiet.get(peer)
+        if last is not None and last[0] != incarnation:
+            self.retired[peer] = [*self.retired.get(peer, ()), last[0]][-RETIRED_MOST:]
+            last = None
+        # Words may change places: an incarnation never becomes less quiet.
+        self.quiet[peer] = incarnation, quiet if last is None else max(last[1], quiet)
+
+    def missing(self, index: int, peers: int, absent: Iterable[int] = ()) -> list[int]:
+        """The copies that have not confirmed what left at this index."""
+        left_out = set(absent)
+        return [
+            peer for peer in range(peers) if peer not in left_out and self.quiet.get(peer, (0, -1))[1] < index
+        ]
+
+
+class Ages:
+    """Since when this process knows of each state, on its own clock: what a new leader did not
+    see begin counts from when it learned of it, so never too short."""
+
+    def __init__(self) -> None:
+        self.since: dict[str, tuple[int, int]] = {}  # by machine: index of the state, time
+
+    def follow(self, roll: Roll, now: int) -> None:
+        self.since = {
+            one.id: known if (known := self.since.get(one.id)) and known[0] == one.since else (one.since, now)
+            for one in roll.machines.values()
+        }
+
+    def of(self, machine: Machine, now: int) -> int:
+        since = self.since.get(machine.id)
+        return now - since[1] if since is not None and since[0] == machine.since else 0
+
+
+@dataclass(slots=True)
+class Sight:
+    """All that a plan looks at. Times in µs."""
+
+    roll: Roll
+    table: MemberTable
+    confirmations: Confirmations
+    ages: Ages
+    peers: int
+    cold_share: float
+    cold_us: int
+    overdue_us: int
+    now: int
+
+
+def plan(sight: Sight) -> list[Entry]:
+    """What is to be proposed now. A `Leave` or an `End` comes alone: it is for the roll as it stands."""
+    steps = [step for one in sight.roll.machines.values() if (step := _step(sight, one)) is not None]
+    if steps or not sight.table.whole or not sight.table.settled:
+        return list(steps)
+    for one in sight.roll.wishes.values():
+        found = _next(sight, one)
+        if found is not None:
+            return [found]
+    return []
+
+
+def present(roll: Roll, peer: int) -> list[Entry]:
+    """What to propose when a copy was heard."""
+    return [Present(peer)] if peer in roll.absent else []
+
+
+def _step(sight: Sight, one: Machine) -> Step | None:
+    age = sight.ages.of(one, sight.now)
+    if one.state == State.LEAVING:
+        event, why = _lost(sight, one)
+        if not event and not sight.confirmations.missing(one.left, sight.peers, sight.roll.absent):
+            event = "clear"
+    elif one.state == State.RETURNING:
+        event, why = "back" if age >= sight.cold_us else "", ""
+    else:
+        event, why = "overdue" if one.state != State.OVERDUE and age >= overdue_us(sight, one) else "", ""
+    return Step(one.id, one.since, event, why) if event else None
+
+
+def overdue_us(sight: Sight, one: Machine) -> int:
+    wish = sight.roll.wishes.get(one.wish)
+    return wish.wish.overdue_s * 1_000_000 if wish and wish.wish.overdue_s else sight.overdue_us
+
+
+def _lost(sight: Sight, one: Machine) -> tuple[str, str]:
+    """What discovery made of a machine that is leaving."""
+    if not sight.table.whole or not sight.table.settled:
+        return "", ""
+    member = sight.table.members.get(one.id)
+    if member is None:
+        return "drop", "gone"
+    if member.phase != READY:
+        return "drop", "drained by discovery"
+    if member.started_ms > one.started_ms:
+        return "drop", "replaced"
+    if unheld(sight.roll, sight.table)[0] == 0:
+        return "spare", "last"
+    return "", ""
+
+
+def unheld(roll: Roll, table: MemberTable) -> tuple[int, float, float]:
+    """Ready ones, their weight, and that of all listed, without what the roll holds."""
+    ready, ready_weight, weight = table.ready, table.ready_weight, table.weight
+    for id in roll.machines:
+        member = table.members.get(id)
+        if member is not None:
+            weight -= member.size
+            if member.phase == READY:
+                ready, ready_weight = ready - 1, ready_weight - member.size
+    return ready, max(0.0, ready_weight), max(0.0, weight)
+
+
+def matching(wish: Wish, table: MemberTable) -> list[Member]:
+    """The listed machines that a wish names, in the order of rule 2; no more than it may name."""
+    ids = _ids(wish, table)
+    found = [table.members[id] for id in ids if id in table.members]
+    found = [one for one in found if _is_named(wish, one)]
+    found.sort(key=lambda one: (one.zone, one.cell, one.id))
+    return found[:MACHINES_MOST]
+
+
+def _ids(wish: Wish, table: MemberTable) -> Iterable[str]:
+    if wish.ids:
+        return wish.ids
+    named = (("zone", wish.zone), ("cell", wish.cell), ("kind", wish.kind))
+    groups: list[set[str]] = [table.groups.get(key, set()) for key in named if key[1] is not None]
+    return min(groups, key=lambda group: len(group)) if groups else ()
+
+
+def _is_named(wish: Wish, one: Member) -> bool:
+    if wish.zone is not None and one.zone != wish.zone:
+        return False
+    if wish.cell is not None and one.cell != wish.cell:
+        return False
+    return wish.kind is None or one.kind == wish.kind
+
+
+def waiting(sight: Sight, one: OpenWish) -> list[Member]:
+    """Its machines whose turn has not come."""
+    return [
+        member
+        for member in matching(one.wish, sight.table)
+        if endpoint_number(member.id) not in one.done
+        and ((out := sight.roll.machines.get(member.id)) is None or out.wish != one.number)
+    ]
+
+
+def leave_of(sight: Sight, wish: int, member: Member) -> Leave:
+    ready, ready_weight, weight = unheld(sight.roll, sight.table)
+    return Leave(
+        sight.roll.changed, wish, member.id, member.zone, member.cell, member.size, member.started_ms,
+        ready, ready_weight, weight, _away(sight, member), sight.cold_share,
+    )  # fmt: skip
+
+
+def _away(sight: Sight, member: Member) -> tuple[int, int, int]:
+    """Those that discovery drains, beside what the roll holds."""
+    zone = cell = tier = 0
+    for id in sight.table.draining:
+        if id not in sight.roll.machines:
+            one = sight.table.members[id]
+            tier += 1
+            zone += one.zone == member.zone
+            cell += one.cell == member.cell
+    return zone, cell, tier
+
+
+def _next(sight: Sight, one: OpenWish) -> Leave | End | None:
+    if one.withdrawn:
+        return None
+    left = waiting(sight, one)
+    if not left and not any(out.wish == one.number for out in sight.roll.machines.values()):
+        return End(sight.roll.changed, one.number)
+    for member in left:
+        if member.phase == READY and member.id not in sight.roll.machines:
+            entry = leave_of(sight, one.number, member)
+            if sight.roll.binding(entry) is None:
+                return entry
+    return None
+
+
+def explain(sight: Sight, one: OpenWish) -> tuple[str, bool]:
+    """The constraint that keeps a wish's next machine here, and whether it would also with nobody
+    out: then the wish can't hold while the others stand. Nothing if it is not kept."""
+    for member in waiting(sight, one):
+        if member.id in sight.roll.machines:
+            return f"{member.id}: out for another wish", False
+        if member.phase != READY:
+            return f"{member.id}: drained by discovery", False
+        entry = leave_of(sight, one.number, member)
+        text = sight.roll.binding(entry)
+        if text is not None:
+            whole = _as_if_alone(sight, entry)
+            never = sight.roll.binding(whole, alone=True)
+            return f"{member.id}: {never or text}", never is not None
+        return "", False
+    return "", False
+
+
+def _as_if_alone(sight: Sight, entry: Leave) -> Leave:
+    """The facts with every listed machine ready and none out."""
+    listed = len(sight.table.members)
+    total = sight.table.weight
+    return Leave(
+        entry.base, entry.wish, entry.id, entry.zone, entry.cell, entry.weight, entry.started_ms,
+        listed, total, total, (0, 0, 0), entry.cold_share,
+    )  # fmt: skip
