--- a/woadyard/management/calls.py
+++ b/woadyard/management/calls.py
@@ -44,9 +44,21 @@
         )  # fmt: skip
 
 
+# A subsystem's own calls: method and target; None for what is none of them.
+MoreCalls = Callable[[bytes, bytes], Reply | None]
+
+
 def reply_to(
-    method: bytes, path: bytes, lifecycle: Lifecycle, now: float, figures: Callable[[], str]
+    method: bytes,
+    target: bytes,
+    lifecycle: Lifecycle,
+    now: float,
+    figures: Callable[[], str],
+    more: MoreCalls | None = None,
 ) -> Reply:
+    if more is not None and (found := more(method, target)) is not None:
+        return found
+    path = target.partition(b"?")[0]
     expected = METHODS.get(path)
     if expected is None:
         return Reply(404, "no such call\n")
--- a/woadyard/management/server.py
+++ b/woadyard/management/server.py
@@ -18,7 +18,7 @@
 # Calls that are not whole, at most; of more, the oldest is ended.
 CALLS_MOST: Final = 12
 
-# Method and path of a call, to what is answered.
+# Method and target of a call, to what is answered.
 Asked = Callable[[bytes, bytes], Reply]
 
 
@@ -59,7 +59,7 @@
 
     def on_message_complete(self) -> None:
         if not self.over:
-            self.answer(self.owner.asked(self.parser.get_method(), self.target.partition(b"?")[0]))
+            self.answer(self.owner.asked(self.parser.get_method(), self.target))
 
     def answer(self, reply: Reply, whole: bool = True) -> None:
         if self.over or self.transport is None:
--- /dev/null
+++ b/woadyard/upkeep/keeper.py
@@ -0,0 +1,279 @@
+"""What ties upkeep together in one process: the record, the list, the words of the copies, the time.
+
+Rules that everything here serves:
+
+1. It decides nothing: what is proposed comes of `plan`, what is shown of `shown`, what holds of `roll`.
+2. Words are lost and come twice: each is told again until the record answers it, and none at rest.
+3. What a call asks for is told for `ASK_US` at most; then it is forgotten, and said to be lost.
+4. While a predecessor lives, this process confirms nothing: that one sends too.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Final, Protocol
+
+from woadyard.accord.errors import BusyError, NotLeadingError
+from woadyard.engine.ports import Clock, Handle, Log
+from woadyard.upkeep.entries import Ask, Confirm, Entry, pack, unpack_word
+from woadyard.upkeep.options import UpkeepSettings
+from woadyard.upkeep.plan import Ages, Confirmations, Sight, plan, present
+from woadyard.upkeep.roll import Roll
+from woadyard.upkeep.source import UpkeepSource
+from woadyard.upkeep.states import State
+from woadyard.upkeep.wishes import CutOffError, FitError, ManyError, Wish
+
+# Between two looks: while something moves, and at rest.
+BUSY_US: Final = 100_000
+REST_US: Final = 1_000_000
+# A word, or a proposal, is told again after this.
+AGAIN_US: Final = 1_000_000
+ASK_US: Final = 15_000_000
+ASKS_MOST: Final = 16
+
+
+class Accord(Protocol):
+    """What the copies share, as upkeep needs it."""
+
+    # Called on the leader with each word: peer, incarnation, data.
+    heard: Callable[[int, int, bytes], None]
+    # Called after entries were applied, and when it is known, led or in touch otherwise.
+    on_change: Callable[[], None]
+
+    @property
+    def me(self) -> int: ...
+    @property
+    def peers(self) -> int: ...
+    @property
+    def incarnation(self) -> int: ...
+    @property
+    def era(self) -> object: ...
+    @property
+    def leading(self) -> bool: ...
+    @property
+    def known(self) -> bool: ...
+    @property
+    def in_touch(self) -> bool: ...
+
+    def propose(self, data: bytes) -> None:
+        """NotLeadingError, BusyError."""
+
+    def word(self, data: bytes) -> None:
+        """To whoever leads, also if that is this process; it may be lost."""
+
+    def status(self) -> dict[str, Any]: ...
+
+
+class Asking:
+    """What a call asked for, until the record has it."""
+
+    __slots__ = ("number", "said", "told_at", "until", "verb", "what")
+
+    def __init__(self, number: int, verb: str, what: Wish | str | int, until: int) -> None:
+        self.number = number
+        self.verb = verb
+        self.what = what
+        self.until = until
+        self.told_at: int | None = None
+        self.said = State.WISHED.value  # then: agreed, lost, or the name of an error
+
+
+class Keeper:
+    """Times in µs. `cold_share` and `cold_us` are the deployment's. `on_open` is called once, when
+    this process may send: the record is known, or not waited for any more."""
+
+    def __init__(
+        self,
+        accord: Accord,
+        roll: Roll,
+        source: UpkeepSource,
+        clock: Clock,
+        settings: UpkeepSettings,
+        cold_share: float,
+        cold_us: int,
+        log: Log,
+        on_open: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.accord = accord
+        self.roll = roll
+        self.source = source
+        self.clock = clock
+        self.settings = settings
+        self.cold_share = cold_share
+        self.cold_us = cold_us
+        self.log = log
+        self.on_open = on_open
+        self.may_confirm: Callable[[], bool] = lambda: True
+        self.confirmations = Confirmations()
+        self.ages = Ages()
+        self.asked: deque[Asking] = deque(maxlen=ASKS_MOST)  # the last ones, pending or not
+        self.asks = 0
+        self.told: tuple[int, int] | None = None  # the last confirmation: index, and when
+        self.proposed: dict[bytes, int] = {}
+        self.reign: tuple[object, bool] = (None, False)  # era, and whether it led
+        self.alone = False  # the record is not waited for any more
+        self.timer: Handle | None = None
+        self.soon: Handle | None = None
+        self.closed = False
+
+    def start(self) -> None:
+        self.accord.heard = self.heard
+        self.accord.on_change = self.come
+        self.source.on_list = self.come
+        self.source.knows = lambda: self.accord.known
+        if self.settings.start_alone == "serve":
+            self.clock.at(self.clock.now() + self.settings.learn_us, self._learn_no_more)
+        self._look()
+
+    def close(self) -> None:
+        self.closed = True
+        for handle in (self.timer, self.soon):
+            if handle is not None:
+                handle.cancel()
+
+    def _learn_no_more(self) -> None:
+        if not self.closed and not self.source.open:
+            self.log(
+                "upkeep: the record is not known; serves by discovery's list alone, a clear may be untrue"
+            )
+            self.alone = True
+            self._open(False)
+            self.come()
+
+    def _open(self, learned: bool) -> None:
+        was_open = self.source.open
+        self.source.go_on(learned)
+        if not was_open:
+            self.on_open()
+
+    # --- Its turns --------------------------------------------------------------------
+
+    def come(self) -> None:
+        """Something changed: look in the next turn, once for all that changes in this one."""
+        if self.soon is None and not self.closed:
+            self.soon = self.clock.at(self.clock.now(), self._look)
+
+    def _look(self) -> None:
+        if self.closed:
+            return
+        for handle in (self.timer, self.soon):
+            if handle is not None:
+                handle.cancel()
+        self.soon = None
+        moving = self._step(self.clock.now())
+        self.timer = self.clock.at(self.clock.now() + (BUSY_US if moving else REST_US), self._look)
+
+    def _step(self, now: int) -> bool:
+        """Whether something moves."""
+        accord, roll = self.accord, self.roll
+        if accord.known and not self.source.learned:
+            self._open(True)
+        self.source.refresh()
+        self.ages.follow(roll, now)
+        reign = accord.era, accord.leading
+        if reign != self.reign:
+            self.reign = reign
+            self.confirmations = Confirmations()
+            self.proposed.clear()
+            self.told = None
+        self._confirm(now)
+        self._ask(now)
+        if accord.leading and accord.known:
+            self._propose(plan(self.sight(now)), now)
+        pending = any(one.said == State.WISHED for one in self.asked)
+        return pending or self.is_waited_for or self.source.telling or (accord.leading and bool(roll.wishes))
+
+    @property
+    def is_waited_for(self) -> bool:
+        """Whether somebody waits for this process's word."""
+        if not self.source.learned:
+            return self.alone
+        if self.accord.me in self.roll.absent:
+            return True
+        return any(one.state == State.LEAVING for one in self.roll.machines.values())
+
+    def _confirm(self, now: int) -> None:
+        if not self.is_waited_for or not self.may_confirm():
+            return
+        quiet = self.source.quiet()
+        if self.told is not None and self.told[0] == quiet and now < self.told[1] + AGAIN_US:
+            return
+        self.told = quiet, now
+        self.accord.word(pack(Confirm(quiet)))
+
+    # --- What calls ask for -----------------------------------------------------------
+
+    def ask(self, verb: str, what: Wish | str | int) -> Asking:
+        """Tell it until the record has it. `UpkeepError` if that can't be now."""
+        if not self.accord.in_touch or not self.accord.known:
+            raise CutOffError("no leader is heard")
+        for one in self.asked:
+            if one.said == State.WISHED and (one.verb, one.what) == (verb, what):
+                return one
+        if sum(1 for one in self.asked if one.said == State.WISHED) >= ASKS_MOST:
+            raise ManyError(f"{ASKS_MOST} calls wait to be agreed")
+        number = self.asks + 1
+        pack(Ask(self.accord.me, self.accord.incarnation, number, verb, what))  # FitError
+        self.asks = number
+        one = Asking(number, verb, what, self.clock.now() + ASK_US)
+        while len(self.asked) >= ASKS_MOST:
+            self.asked.remove(next(old for old in self.asked if old.said != State.WISHED))
+        self.asked.append(one)
+        self.come()
+        return one
+
+    def _ask(self, now: int) -> None:
+        """One at a time, in their order: the record takes each number once."""
+        last = self.roll.asked.get(self.accord.me)
+        agreed = last.number if last is not None and last.incarnation == self.accord.incarnation else 0
+        for one in self.asked:
+            if one.said != State.WISHED:
+                continue
+            if one.number <= agreed:
+                verdict = last.verdict if last is not None and one.number == last.number else ""
+                one.said = verdict or "agreed"
+            elif now >= one.until:
+                one.said = "lost"
+                self.log(f"upkeep: {one.verb} was not agreed in {ASK_US // 1_000_000} s: ask again")
+            else:
+                if one.told_at is None or now >= one.told_at + AGAIN_US:
+                    one.told_at = now
+                    incarnation = self.accord.incarnation
+                    self.accord.word(pack(Ask(self.accord.me, incarnation, one.number, one.verb, one.what)))
+                return
+
+    # --- Leading ----------------------------------------------------------------------
+
+    def heard(self, peer: int, incarnation: int, data: bytes) -> None:
+        """A word came to this process, which leads."""
+        word = unpack_word(data)
+        if isinstance(word, Confirm):
+            self.confirmations.hear(peer, incarnation, word.quiet)
+            self._propose(present(self.roll, peer), self.clock.now())
+            self.come()
+        elif isinstance(word, Ask) and (word.peer, word.incarnation) == (peer, incarnation):
+            last = self.roll.asked.get(peer)
+            if last is None or last.incarnation != incarnation or last.number < word.number:
+                self._propose([word], self.clock.now())
+
+    def _propose(self, entries: list[Entry], now: int) -> None:
+        for data, due in list(self.proposed.items()):
+            if now >= due:
+                del self.proposed[data]
+        for entry in entries:
+            try:
+                data = pack(entry)
+                if data not in self.proposed:
+                    self.accord.propose(data)
+                    self.proposed[data] = now + AGAIN_US
+            except FitError as error:
+                self.log(f"upkeep: {error}: {entry}")
+            except (NotLeadingError, BusyError):
+                return
+
+    def sight(self, now: int) -> Sight:
+        return Sight(
+            self.roll, self.source.table, self.confirmations, self.ages, self.accord.peers,
+            self.cold_share, self.cold_us, self.settings.overdue_us, now,
+        )  # fmt: skip
--- a/woadyard/upkeep/plan.py
+++ b/woadyard/upkeep/plan.py
@@ -167,8 +167,8 @@
     if wish.ids:
         return wish.ids
     named = (("zone", wish.zone), ("cell", wish.cell), ("kind", wish.kind))
-    groups: list[set[str]] = [table.groups.get(key, set()) for key in named if key[1] is not None]
-    return min(groups, key=lambda group: len(group)) if groups else ()
+    groups = [table.groups.get(key, set()) for key in named if key[1] is not None]
+    return sorted(groups, key=len)[0] if groups else ()
 
 
 def _is_named(wish: Wish, one: Member) -> bool:
--- a/woadyard/upkeep/source.py
+++ b/woadyard/upkeep/source.py
@@ -50,7 +50,9 @@
         self.out_at: Callable[[int], int] = lambda endpoint: 0
         self.on_list: Callable[[], None] = lambda: None
         self.open = False  # lists are passed on
-        self.learned = False  # the roll is that of the record
+        self.learned = False  # the roll was that of the record once
+        # Whether it is now: a roll that is being learned anew says nothing of what stands.
+        self.knows: Callable[[], bool] = lambda: self.learned
         self.reading = False  # a long list of the inner source is on its way
         self.telling = False  # one of our own is
         self.whole_due = False
@@ -169,7 +171,7 @@
         """The roll or the list changed: tell what is shown otherwise now."""
         if not self.is_passing:
             return
-        if self.learned:
+        if self.learned and self.knows():
             wall_ms = self.clock.wall() // 1000
             for id in self.shown.follow(self.roll, self.table, self.clock.now(), wall_ms):
                 self.changed[id] = None
@@ -213,7 +215,7 @@
 
     def quiet(self) -> int:
         """See `shown.Shown.quiet`; -1 while this process does not go by the record."""
-        if not self.learned or not self.open:
+        if not self.learned or not self.open or not self.knows():
             return -1
         on_its_way = self.telling or self.reading
 
