--- a/woadyard/upkeep/desk.py
+++ b/woadyard/upkeep/desk.py
@@ -86,7 +86,9 @@
 
     def absent(self, peer: int) -> Asking | None:
         if not 0 <= peer < self.keeper.accord.peers or peer == self.keeper.accord.me:
-            raise UnknownPeerError(f"peer: {peer}: expected another copy, 0 to {self.keeper.accord.peers - 1}")
+            raise UnknownPeerError(
+                f"peer: {peer}: expected another copy, 0 to {self.keeper.accord.peers - 1}"
+            )
         return None if peer in self.keeper.roll.absent else self.keeper.ask("absent", peer)
 
     def status(self) -> dict[str, Any]:
@@ -145,13 +147,15 @@
         wish = self.keeper.roll.wishes.get(one.wish)
         missing = None
         if self.keeper.accord.leading and one.state == State.LEAVING:
-            missing = self.keeper.confirmations.missing(one.left, self.keeper.accord.peers, self.keeper.roll.absent)
+            missing = self.keeper.confirmations.missing(
+                one.left, self.keeper.accord.peers, self.keeper.roll.absent
+            )
         return {
             "id": one.id,
             "wish": wish.wish.name if wish is not None else "",
             "state": one.state.value,
             "for_s": self.keeper.ages.of(one, now) // 1_000_000,
-            "missing": missing if missing is None else missing[:SHOWN_MOST],
+            "missing": missing,
             "quiet_here": self.keeper.source.quiet() >= one.left,
         }
 
--- a/woadyard/upkeep/options.py
+++ b/woadyard/upkeep/options.py
@@ -1,19 +1,17 @@
-"""What the operator's file says of upkeep. Pure; times in µs."""
+"""The settings of `[upkeep]`."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 from typing import Literal
 
-# What a process does from its start on, until it knows the record.
 StartAlone = Literal["wait", "serve"]
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class UpkeepSettings:
-    """`overdue_us`: after how long at work a machine is told overdue, where its wish says nothing.
-    `start_alone`: `wait` is not ready and sends nothing until the record is known; `serve` goes by
-    discovery's list after `learn_us`, at the price that a clear may then be untrue."""
+    """Times in µs. `start_alone`: what a process does with requests that has come from nothing
+    and can't learn what was agreed: wait for it, or serve by discovery's list after `learn_us`."""
 
     overdue_us: int = 14_400_000_000
     start_alone: StartAlone = "wait"
