Let a copy send only once the record has its start, so that absent stays true

Cause: a copy declared absent could start again and send before the word was agreed; machines then became clear without it (docs/design/upkeep.md, Absent, and back). Change: each start is an entry of its own (Here), and a copy sends nothing before it is agreed. absent names the start that is meant, and is refused (OrderError) if the copy has come again. Confirmations count for the start in the roll only. The status lists copies that never began (unheard).

--- a/woadyard/upkeep/desk.py
+++ b/woadyard/upkeep/desk.py
@@ -105,6 +105,7 @@
             "wishes": [self._told_wish(sight, one) for one in self.keeper.roll.wishes.values()],
             "machines": [self._told_machine(one, now) for one in self.keeper.roll.machines.values()],
             "absent": sorted(self.keeper.roll.absent),
+            "unheard": self._unheard(),
             "past": [
                 {
                     "name": one.name,
@@ -125,6 +126,11 @@
             "accord": self.keeper.accord.status(),
         }
 
+    def _unheard(self) -> list[int]:
+        """Copies that never began since the record was founded: nothing is clear without them."""
+        peers = range(self.keeper.accord.peers)
+        return [peer for peer in peers if peer not in self.keeper.roll.here][:SHOWN_MOST]
+
     def _told_wish(self, sight: Sight, one: OpenWish) -> dict[str, Any]:
         left = [] if one.withdrawn else waiting(sight, one)
         kept, never = ("", False) if one.withdrawn else explain(sight, one)
--- a/woadyard/upkeep/entries.py
+++ b/woadyard/upkeep/entries.py
@@ -28,6 +28,7 @@
     number: int
     verb: str  # wish, withdraw, begin, done or absent
     what: Wish | str | int
+    whose: int = 0  # absent: the incarnation that is declared so
 
 
 class Leave(_Entry, frozen=True, tag=2):
@@ -64,10 +65,12 @@
     wish: int
 
 
-class Present(_Entry, frozen=True, tag=5):
-    """A copy that was declared absent was heard."""
+class Here(_Entry, frozen=True, tag=5):
+    """A copy has begun, as a word by itself and as an entry: it sends nothing before this is agreed,
+    so that what is declared absent is never one that has come back meanwhile."""
 
     peer: int
+    incarnation: int
 
 
 class Confirm(_Entry, frozen=True, tag=6):
@@ -77,13 +80,14 @@
     quiet: int
 
 
-Entry = Ask | Leave | Step | End | Present
+Entry = Ask | Leave | Step | End | Here
+Word = Ask | Here | Confirm
 _encode: Final = msgspec.msgpack.Encoder().encode
 _entries: Final[msgspec.msgpack.Decoder[Entry]] = msgspec.msgpack.Decoder(Entry)
-_words: Final[msgspec.msgpack.Decoder[Ask | Confirm]] = msgspec.msgpack.Decoder(Ask | Confirm)
+_words: Final[msgspec.msgpack.Decoder[Word]] = msgspec.msgpack.Decoder(Word)
 
 
-def pack(entry: Entry | Confirm) -> bytes:
+def pack(entry: Entry | Word) -> bytes:
     """`FitError` for what is too long for the record."""
     data = KIND + _encode(entry)
     if len(data) > ENTRY_MOST:
@@ -101,7 +105,7 @@
         return None
 
 
-def unpack_word(data: bytes) -> Ask | Confirm | None:
+def unpack_word(data: bytes) -> Word | None:
     if data[:1] != KIND or len(data) > ENTRY_MOST:
         return None
     try:
--- a/woadyard/upkeep/keeper.py
+++ b/woadyard/upkeep/keeper.py
@@ -16,9 +16,9 @@
 
 from woadyard.accord.errors import BusyError, NotLeadingError
 from woadyard.engine.ports import Clock, Handle, Log
-from woadyard.upkeep.entries import Ask, Confirm, Entry, pack, unpack_word
+from woadyard.upkeep.entries import Ask, Confirm, Entry, Here, pack, unpack_word
 from woadyard.upkeep.options import UpkeepSettings
-from woadyard.upkeep.plan import Ages, Confirmations, Sight, plan, present
+from woadyard.upkeep.plan import Ages, Confirmations, Sight, plan
 from woadyard.upkeep.roll import Roll
 from woadyard.upkeep.source import UpkeepSource
 from woadyard.upkeep.states import State
@@ -68,12 +68,13 @@
 class Asking:
     """What a call asked for, until the record has it."""
 
-    __slots__ = ("number", "said", "told_at", "until", "verb", "what")
+    __slots__ = ("number", "said", "told_at", "until", "verb", "what", "whose")
 
-    def __init__(self, number: int, verb: str, what: Wish | str | int, until: int) -> None:
+    def __init__(self, number: int, verb: str, what: Wish | str | int, whose: int, until: int) -> None:
         self.number = number
         self.verb = verb
         self.what = what
+        self.whose = whose
         self.until = until
         self.told_at: int | None = None
         self.said = State.WISHED.value  # then: agreed, lost, or the name of an error
@@ -110,6 +111,7 @@
         self.asked: deque[Asking] = deque(maxlen=ASKS_MOST)  # the last ones, pending or not
         self.asks = 0
         self.told: tuple[int, int] | None = None  # the last confirmation: index, and when
+        self.told_here: int | None = None  # when it last said that it is here
         self.proposed: dict[bytes, int] = {}
         self.reign: tuple[object, bool] = (None, False)  # era, and whether it led
         self.alone = False  # the record is not waited for any more
@@ -167,7 +169,7 @@
     def _step(self, now: int) -> bool:
         """Whether something moves."""
         accord, roll = self.accord, self.roll
-        if accord.known and not self.source.learned:
+        if accord.known and self.is_here and not self.source.learned:
             self._open(True)
         self.source.refresh()
         self.ages.follow(roll, now)
@@ -176,21 +178,33 @@
             self.reign = reign
             self.confirmations = Confirmations()
             self.proposed.clear()
-            self.told = None
+            self.told = self.told_here = None
+        self._come_in(now)
         self._confirm(now)
         self._ask(now)
         if accord.leading and accord.known:
             self._propose(plan(self.sight(now)), now)
-        pending = any(one.said == State.WISHED for one in self.asked)
+        pending = any(one.said == State.WISHED for one in self.asked) or (accord.known and not self.is_here)
         return pending or self.is_waited_for or self.source.telling or (accord.leading and bool(roll.wishes))
 
+    @property
+    def is_here(self) -> bool:
+        """Whether the record has this incarnation, and nobody declares it absent."""
+        me = self.accord.me
+        return self.roll.here.get(me) == self.accord.incarnation and me not in self.roll.absent
+
+    def _come_in(self, now: int) -> None:
+        if not self.accord.known or self.is_here:
+            self.told_here = None
+        elif self.told_here is None or now >= self.told_here + AGAIN_US:
+            self.told_here = now
+            self.accord.word(pack(Here(self.accord.me, self.accord.incarnation)))
+
     @property
     def is_waited_for(self) -> bool:
         """Whether somebody waits for this process's word."""
         if not self.source.learned:
             return self.alone
-        if self.accord.me in self.roll.absent:
-            return True
         return any(one.state == State.LEAVING for one in self.roll.machines.values())
 
     def _confirm(self, now: int) -> None:
@@ -213,16 +227,19 @@
                 return one
         if sum(1 for one in self.asked if one.said == State.WISHED) >= ASKS_MOST:
             raise ManyError(f"{ASKS_MOST} calls wait to be agreed")
-        number = self.asks + 1
-        pack(Ask(self.accord.me, self.accord.incarnation, number, verb, what))  # FitError
-        self.asks = number
-        one = Asking(number, verb, what, self.clock.now() + ASK_US)
+        whose = self.roll.here.get(what, 0) if verb == "absent" and isinstance(what, int) else 0
+        one = Asking(self.asks + 1, verb, what, whose, self.clock.now() + ASK_US)
+        pack(self._worded(one))  # FitError
+        self.asks += 1
         while len(self.asked) >= ASKS_MOST:
             self.asked.remove(next(old for old in self.asked if old.said != State.WISHED))
         self.asked.append(one)
         self.come()
         return one
 
+    def _worded(self, one: Asking) -> Ask:
+        return Ask(self.accord.me, self.accord.incarnation, one.number, one.verb, one.what, one.whose)
+
     def _ask(self, now: int) -> None:
         """One at a time, in their order: the record takes each number once."""
         last = self.roll.asked.get(self.accord.me)
@@ -239,8 +256,7 @@
             else:
                 if one.told_at is None or now >= one.told_at + AGAIN_US:
                     one.told_at = now
-                    incarnation = self.accord.incarnation
-                    self.accord.word(pack(Ask(self.accord.me, incarnation, one.number, one.verb, one.what)))
+                    self.accord.word(pack(self._worded(one)))
                 return
 
     # --- Leading ----------------------------------------------------------------------
@@ -250,12 +266,17 @@
         word = unpack_word(data)
         if isinstance(word, Confirm):
             self.confirmations.hear(peer, incarnation, word.quiet)
-            self._propose(present(self.roll, peer), self.clock.now())
+            if peer in self.roll.absent:
+                self._propose([Here(peer, incarnation)], self.clock.now())
             self.come()
-        elif isinstance(word, Ask) and (word.peer, word.incarnation) == (peer, incarnation):
-            last = self.roll.asked.get(peer)
-            if last is None or last.incarnation != incarnation or last.number < word.number:
-                self._propose([word], self.clock.now())
+        elif word is not None and (word.peer, word.incarnation) == (peer, incarnation):
+            self._propose([] if self._is_done(word) else [word], self.clock.now())
+
+    def _is_done(self, word: Ask | Here) -> bool:
+        if isinstance(word, Here):
+            return self.roll.here.get(word.peer) == word.incarnation and word.peer not in self.roll.absent
+        last = self.roll.asked.get(word.peer)
+        return last is not None and last.incarnation == word.incarnation and last.number >= word.number
 
     def _propose(self, entries: list[Entry], now: int) -> None:
         for data, due in list(self.proposed.items()):
--- a/woadyard/upkeep/plan.py
+++ b/woadyard/upkeep/plan.py
@@ -2,7 +2,8 @@
 
 Rules that everything here serves:
 
-1. A machine is clear when every copy of the tier has confirmed, in the incarnation heard last, that
+1. A machine is clear when every copy of the tier has confirmed, in the incarnation that
+   began last, that
    it sends nothing to what left at that index; those that somebody declared absent are left out.
    No time-out stands in for a confirmation.
 2. The order follows from the roll: wishes by number, their machines by zone, cell and id. The first
@@ -21,40 +22,36 @@
 
 from woadyard.engine.members import endpoint_number
 from woadyard.interface import READY
-from woadyard.upkeep.entries import End, Entry, Leave, Present, Step
+from woadyard.upkeep.entries import End, Entry, Leave, Step
 from woadyard.upkeep.members import Member, MemberTable
 from woadyard.upkeep.roll import Machine, OpenWish, Roll
 from woadyard.upkeep.states import State
 from woadyard.upkeep.wishes import MACHINES_MOST, Wish
 
-# Incarnations of one copy that are known to be over.
-RETIRED_MOST: Final = 8
+# Incarnations of one copy whose words are remembered.
+INCARNATIONS_MOST: Final = 4
 
 
 class Confirmations:
-    """Up to which index each copy is quiet, in the incarnation that was heard last."""
+    """Up to which index each copy is quiet, by its incarnations."""
 
     def __init__(self) -> None:
-        self.quiet: dict[int, tuple[int, int]] = {}  # by peer: incarnation, index
-        self.retired: dict[int, list[int]] = {}
+        self.quiet: dict[int, dict[int, int]] = {}
 
     def hear(self, peer: int, incarnation: int, quiet: int) -> None:
-        """A later incarnation begins anew: what an earlier one confirmed binds a process that is
-        no more."""
-        if incarnation in self.retired.get(peer, ()):
-            return  # a word that was long on its way
-        last = self.quiet.get(peer)
-        if last is not None and last[0] != incarnation:
-            self.retired[peer] = [*self.retired.get(peer, ()), last[0]][-RETIRED_MOST:]
-            last = None
-        # Words may change places: an incarnation never becomes less quiet.
-        self.quiet[peer] = incarnation, quiet if last is None else max(last[1], quiet)
-
-    def missing(self, index: int, peers: int, absent: Iterable[int] = ()) -> list[int]:
-        """The copies that have not confirmed what left at this index."""
-        left_out = set(absent)
+        """Words may change places: an incarnation never becomes less quiet."""
+        known = self.quiet.setdefault(peer, {})
+        known[incarnation] = max(quiet, known.get(incarnation, quiet))
+        if len(known) > INCARNATIONS_MOST:
+            del known[next(iter(known))]
+
+    def missing(self, index: int, roll: Roll, peers: int) -> list[int]:
+        """The copies that have not confirmed what left at this index, in the incarnation that
+        began last: what an earlier one confirmed binds a process that is no more."""
         return [
-            peer for peer in range(peers) if peer not in left_out and self.quiet.get(peer, (0, -1))[1] < index
+            peer
+            for peer in range(peers)
+            if peer not in roll.absent and self.quiet.get(peer, {}).get(roll.here.get(peer, -1), -1) < index
         ]
 
 
@@ -103,16 +100,11 @@
     return []
 
 
-def present(roll: Roll, peer: int) -> list[Entry]:
-    """What to propose when a copy was heard."""
-    return [Present(peer)] if peer in roll.absent else []
-
-
 def _step(sight: Sight, one: Machine) -> Step | None:
     age = sight.ages.of(one, sight.now)
     if one.state == State.LEAVING:
         event, why = _lost(sight, one)
-        if not event and not sight.confirmations.missing(one.left, sight.peers, sight.roll.absent):
+        if not event and not sight.confirmations.missing(one.left, sight.roll, sight.peers):
             event = "clear"
     elif one.state == State.RETURNING:
         event, why = "back" if age >= sight.cold_us else "", ""
--- a/woadyard/upkeep/roll.py
+++ b/woadyard/upkeep/roll.py
@@ -23,7 +23,7 @@
 
 from woadyard.engine.members import endpoint_number
 from woadyard.errors import LaurelstepError
-from woadyard.upkeep.entries import Ask, End, Leave, Present, Step, unpack_entry
+from woadyard.upkeep.entries import Ask, End, Entry, Here, Leave, Step, unpack_entry
 from woadyard.upkeep.states import HELD, State, move
 from woadyard.upkeep.wishes import MACHINES_MOST, WISHES_MOST, Limits, Wish
 
@@ -88,6 +88,7 @@
     past: list[PastWish]
     asked: dict[int, Asked]
     absent: list[int]
+    here: dict[int, int]
 
 
 _encode: Final = msgspec.msgpack.Encoder(order="deterministic").encode
@@ -104,7 +105,8 @@
         self.machines: dict[str, Machine] = {}
         self.past: list[PastWish] = []
         self.asked: dict[int, Asked] = {}
-        self.absent: set[int] = set()
+        self.here: dict[int, int] = {}  # the incarnation of each copy that began last
+        self.absent: set[int] = set()  # copies that somebody declared so
         self.unread = 0  # entries that could not be read
         self.ignored = 0  # and those that did not hold
 
@@ -125,23 +127,25 @@
         saved = _Saved(
             self.index, self.changed, list(self.wishes.values()), list(self.machines.values()), self.past,
             dict(sorted(self.asked.items())), sorted(self.absent),
+            dict(sorted(self.here.items())),
         )  # fmt: skip
         return _encode(saved)
 
     def load(self, raw: bytes) -> None:
         """`SnapshotError`, with nothing changed, if it can't be read."""
         try:
-            saved = _read.decode(raw) if raw else _Saved(0, 0, [], [], [], {}, [])
+            saved = _read.decode(raw) if raw else _Saved(0, 0, [], [], [], {}, [], {})
         except (msgspec.DecodeError, RecursionError, OverflowError) as error:
             raise SnapshotError(str(error)) from None
         self.index, self.changed = saved.index, saved.changed
         self.wishes = {one.number: one for one in saved.wishes}
         self.machines = {one.id: one for one in saved.machines}
         self.past, self.asked, self.absent = saved.past, saved.asked, set(saved.absent)
+        self.here = saved.here
 
     # --- Entries ----------------------------------------------------------------------
 
-    def _apply(self, index: int, entry: Ask | Leave | Step | End | Present) -> bool:
+    def _apply(self, index: int, entry: Entry) -> bool:
         match entry:
             case Ask():
                 return self._asked(index, entry)
@@ -151,11 +155,17 @@
                 return self._step(index, entry)
             case End():
                 return self._end(entry)
-            case Present():
-                if entry.peer not in self.absent:
-                    return False
-                self.absent.discard(entry.peer)
-                return True
+            case Here():
+                return self._came(entry)
+
+    def _came(self, entry: Here) -> bool:
+        if not 0 <= entry.peer < PEERS_MOST:
+            return False
+        if self.here.get(entry.peer) == entry.incarnation and entry.peer not in self.absent:
+            return False
+        self.here[entry.peer] = entry.incarnation
+        self.absent.discard(entry.peer)
+        return True
 
     def _asked(self, index: int, ask: Ask) -> bool:
         last = self.asked.get(ask.peer)
@@ -177,6 +187,8 @@
         if ask.verb in ("begin", "done") and isinstance(what, str):
             return self._work(index, ask.verb, what)
         if ask.verb == "absent" and type(what) is int and 0 <= what < PEERS_MOST:
+            if self.here.get(what, 0) != ask.whose:
+                return "OrderError"  # it has come again since
             self.absent.add(what)
             return ""
         return "WishError"
