Word upkeep's words through one place

Cause: the record may refuse a word with BusyError, which the keeper did not take; and a confirmation of another start could propose that start as here. Change: all words go out by one method, which takes a busy record as a lost word and tells it again. Here is proposed from a confirmation only for the start that the roll has. The desk shows a bounded part of the missing copies. No test was added here.

--- a/woadyard/upkeep/desk.py
+++ b/woadyard/upkeep/desk.py
@@ -153,9 +153,8 @@
         wish = self.keeper.roll.wishes.get(one.wish)
         missing = None
         if self.keeper.accord.leading and one.state == State.LEAVING:
-            missing = self.keeper.confirmations.missing(
-                one.left, self.keeper.accord.peers, self.keeper.roll.absent
-            )
+            keeper = self.keeper
+            missing = keeper.confirmations.missing(one.left, keeper.roll, keeper.accord.peers)[:SHOWN_MOST]
         return {
             "id": one.id,
             "wish": wish.wish.name if wish is not None else "",
--- a/woadyard/upkeep/keeper.py
+++ b/woadyard/upkeep/keeper.py
@@ -10,13 +10,14 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections import deque
 from collections.abc import Callable
 from typing import Any, Final, Protocol
 
 from woadyard.accord.errors import BusyError, NotLeadingError
 from woadyard.engine.ports import Clock, Handle, Log
-from woadyard.upkeep.entries import Ask, Confirm, Entry, Here, pack, unpack_word
+from woadyard.upkeep.entries import Ask, Confirm, Entry, Here, Word, pack, unpack_word
 from woadyard.upkeep.options import UpkeepSettings
 from woadyard.upkeep.plan import Ages, Confirmations, Sight, plan
 from woadyard.upkeep.roll import Roll
@@ -60,7 +61,7 @@
         """NotLeadingError, BusyError."""
 
     def word(self, data: bytes) -> None:
-        """To whoever leads, also if that is this process; it may be lost."""
+        """To whoever leads, also if that is this process; it may be lost. BusyError."""
 
     def status(self) -> dict[str, Any]: ...
 
@@ -187,6 +188,10 @@
         pending = any(one.said == State.WISHED for one in self.asked) or (accord.known and not self.is_here)
         return pending or self.is_waited_for or self.source.telling or (accord.leading and bool(roll.wishes))
 
+    def _say(self, word: Word) -> None:
+        with contextlib.suppress(BusyError):  # as if it were lost: it is told again
+            self.accord.word(pack(word))
+
     @property
     def is_here(self) -> bool:
         """Whether the record has this incarnation, and nobody declares it absent."""
@@ -198,7 +203,7 @@
             self.told_here = None
         elif self.told_here is None or now >= self.told_here + AGAIN_US:
             self.told_here = now
-            self.accord.word(pack(Here(self.accord.me, self.accord.incarnation)))
+            self._say(Here(self.accord.me, self.accord.incarnation))
 
     @property
     def is_waited_for(self) -> bool:
@@ -214,7 +219,7 @@
         if self.told is not None and self.told[0] == quiet and now < self.told[1] + AGAIN_US:
             return
         self.told = quiet, now
-        self.accord.word(pack(Confirm(quiet)))
+        self._say(Confirm(quiet))
 
     # --- What calls ask for -----------------------------------------------------------
 
@@ -256,7 +261,7 @@
             else:
                 if one.told_at is None or now >= one.told_at + AGAIN_US:
                     one.told_at = now
-                    self.accord.word(pack(self._worded(one)))
+                    self._say(self._worded(one))
                 return
 
     # --- Leading ----------------------------------------------------------------------
@@ -266,7 +271,7 @@
         word = unpack_word(data)
         if isinstance(word, Confirm):
             self.confirmations.hear(peer, incarnation, word.quiet)
-            if peer in self.roll.absent:
+            if peer in self.roll.absent and self.roll.here.get(peer) == incarnation:
                 self._propose([Here(peer, incarnation)], self.clock.now())
             self.come()
         elif word is not None and (word.peer, word.incarnation) == (peer, incarnation):
