--- a/woadyard/upkeep/keeper.py
+++ b/woadyard/upkeep/keeper.py
@@ -127,7 +127,7 @@
         self.source.knows = lambda: self.accord.known
         if self.settings.start_alone == "serve":
             self.clock.at(self.clock.now() + self.settings.learn_us, self._learn_no_more)
-        self._look()
+        self.look()
 
     def close(self) -> None:
         self.closed = True
@@ -155,9 +155,10 @@
     def come(self) -> None:
         """Something changed: look in the next turn, once for all that changes in this one."""
         if self.soon is None and not self.closed:
-            self.soon = self.clock.at(self.clock.now(), self._look)
+            self.soon = self.clock.at(self.clock.now(), self.look)
 
-    def _look(self) -> None:
+    def look(self) -> None:
+        """Do what is to be done now. Harmless at any time."""
         if self.closed:
             return
         for handle in (self.timer, self.soon):
@@ -165,7 +166,7 @@
                 handle.cancel()
         self.soon = None
         moving = self._step(self.clock.now())
-        self.timer = self.clock.at(self.clock.now() + (BUSY_US if moving else REST_US), self._look)
+        self.timer = self.clock.at(self.clock.now() + (BUSY_US if moving else REST_US), self.look)
 
     def _step(self, now: int) -> bool:
         """Whether something moves."""
--- a/woadyard/upkeep/plan.py
+++ b/woadyard/upkeep/plan.py
@@ -18,7 +18,6 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Final
 
 from woadyard.engine.members import endpoint_number
 from woadyard.interface import READY
@@ -28,31 +27,31 @@
 from woadyard.upkeep.states import State
 from woadyard.upkeep.wishes import MACHINES_MOST, Wish
 
-# Incarnations of one copy whose words are remembered.
-INCARNATIONS_MOST: Final = 4
-
 
 class Confirmations:
-    """Up to which index each copy is quiet, by its incarnations."""
+    """Up to which index each copy is quiet, in the incarnation that was heard last."""
 
     def __init__(self) -> None:
-        self.quiet: dict[int, dict[int, int]] = {}
+        self.quiet: dict[int, tuple[int, int]] = {}  # by peer: incarnation, index
 
     def hear(self, peer: int, incarnation: int, quiet: int) -> None:
-        """Words may change places: an incarnation never becomes less quiet."""
-        known = self.quiet.setdefault(peer, {})
-        known[incarnation] = max(quiet, known.get(incarnation, quiet))
-        if len(known) > INCARNATIONS_MOST:
-            del known[next(iter(known))]
+        """Another incarnation begins anew; one and the same never becomes less quiet, as words may
+        change places."""
+        last = self.quiet.get(peer)
+        if last is not None and last[0] == incarnation:
+            quiet = max(last[1], quiet)
+        self.quiet[peer] = incarnation, quiet
 
     def missing(self, index: int, roll: Roll, peers: int) -> list[int]:
-        """The copies that have not confirmed what left at this index, in the incarnation that
-        began last: what an earlier one confirmed binds a process that is no more."""
-        return [
-            peer
-            for peer in range(peers)
-            if peer not in roll.absent and self.quiet.get(peer, {}).get(roll.here.get(peer, -1), -1) < index
-        ]
+        """The copies that have not confirmed what left at this index, in the incarnation that the
+        record has: what an earlier one confirmed binds a process that is no more, and a later one
+        that was heard sends without the record."""
+        found = []
+        for peer in range(peers):
+            incarnation, quiet = self.quiet.get(peer, (0, -1))
+            if peer not in roll.absent and (incarnation != roll.here.get(peer) or quiet < index):
+                found.append(peer)
+        return found
 
 
 class Ages:
