--- a/woadyard/upkeep/desk.py
+++ b/woadyard/upkeep/desk.py
@@ -11,7 +11,7 @@
 from typing import Any, Final
 
 from woadyard.upkeep.keeper import Asking, Keeper
-from woadyard.upkeep.plan import Sight, explain, matching, waiting
+from woadyard.upkeep.plan import explain, matching, waiting
 from woadyard.upkeep.roll import Machine, OpenWish, Roll
 from woadyard.upkeep.states import State, move
 from woadyard.upkeep.wishes import (
@@ -93,7 +93,6 @@
 
     def status(self) -> dict[str, Any]:
         now = self.keeper.clock.now()
-        sight = self.keeper.sight(now)
         return {
             "copy": self.keeper.accord.me,
             "copies": self.keeper.accord.peers,
@@ -102,7 +101,7 @@
             "in_touch": self.keeper.accord.in_touch,
             "serving_alone": self.keeper.alone and not self.keeper.source.learned,
             "index": self.keeper.roll.index,
-            "wishes": [self._told_wish(sight, one) for one in self.keeper.roll.wishes.values()],
+            "wishes": [self.told_wish(one) for one in self.keeper.roll.wishes.values()],
             "machines": [self._told_machine(one, now) for one in self.keeper.roll.machines.values()],
             "absent": sorted(self.keeper.roll.absent),
             "unheard": self._unheard(),
@@ -131,7 +130,8 @@
         peers = range(self.keeper.accord.peers)
         return [peer for peer in peers if peer not in self.keeper.roll.here][:SHOWN_MOST]
 
-    def _told_wish(self, sight: Sight, one: OpenWish) -> dict[str, Any]:
+    def told_wish(self, one: OpenWish) -> dict[str, Any]:
+        sight = self.keeper.sight(self.keeper.clock.now())
         left = [] if one.withdrawn else waiting(sight, one)
         kept, never = ("", False) if one.withdrawn else explain(sight, one)
         limits = one.wish.limits
--- a/woadyard/upkeep/roll.py
+++ b/woadyard/upkeep/roll.py
@@ -86,9 +86,9 @@
     wishes: list[OpenWish]
     machines: list[Machine]
     past: list[PastWish]
-    asked: dict[int, Asked]
+    asked: list[tuple[int, Asked]]
     absent: list[int]
-    here: dict[int, int]
+    here: list[tuple[int, int]]
 
 
 _encode: Final = msgspec.msgpack.Encoder(order="deterministic").encode
@@ -126,22 +126,22 @@
     def dump(self) -> bytes:
         saved = _Saved(
             self.index, self.changed, list(self.wishes.values()), list(self.machines.values()), self.past,
-            dict(sorted(self.asked.items())), sorted(self.absent),
-            dict(sorted(self.here.items())),
+            sorted(self.asked.items()), sorted(self.absent),
+            sorted(self.here.items()),
         )  # fmt: skip
         return _encode(saved)
 
     def load(self, raw: bytes) -> None:
         """`SnapshotError`, with nothing changed, if it can't be read."""
         try:
-            saved = _read.decode(raw) if raw else _Saved(0, 0, [], [], [], {}, [], {})
+            saved = _read.decode(raw) if raw else _Saved(0, 0, [], [], [], [], [], [])
         except (msgspec.DecodeError, RecursionError, OverflowError) as error:
             raise SnapshotError(str(error)) from None
         self.index, self.changed = saved.index, saved.changed
         self.wishes = {one.number: one for one in saved.wishes}
         self.machines = {one.id: one for one in saved.machines}
-        self.past, self.asked, self.absent = saved.past, saved.asked, set(saved.absent)
-        self.here = saved.here
+        self.past, self.asked, self.here = saved.past, dict(saved.asked), dict(saved.here)
+        self.absent = set(saved.absent)
 
     # --- Entries ----------------------------------------------------------------------
 
