Begin some of upkeep's schedules with four cases that are seldom drawn

Need: four cases were seldom drawn by themselves: one that is back before it is declared absent, one that serves without the record, one with an old list, one clear that comes late. Change: a tenth of the schedules begin with one of them; copies may hear no lists or learn the record late for a while. The checker lets nobody send to a clear machine but a copy that went alone and has not confirmed since, and notes for each leader who told it so.

--- a/tests/test_upkeep_schedules.py
+++ b/tests/test_upkeep_schedules.py
@@ -17,7 +17,7 @@
 from woadyard.interface import READY
 from woadyard.upkeep import plan as plan_module
 from woadyard.upkeep import roll as roll_module
-from woadyard.upkeep.entries import Confirm, Leave, Step, pack, unpack_entry, unpack_word
+from woadyard.upkeep.entries import Ask, Confirm, Leave, Step, pack, unpack_entry, unpack_word
 from woadyard.upkeep.keeper import Keeper
 from woadyard.upkeep.options import UpkeepSettings
 from woadyard.upkeep.plan import Confirmations
@@ -38,7 +38,7 @@
 
 
 class Proposal:
-    def __init__(self, by: Copy, data: bytes) -> None:
+    def __init__(self, by: Copy, data: bytes, by_sending: dict[int, int]) -> None:
         self.data = data
         table = by.source.table.members.values()
         self.listed = {one.id: (one.phase == READY, one.size) for one in table}
@@ -56,7 +56,9 @@
     def __init__(self, seed: int) -> None:
         self.draw = random.Random(seed)
         self.pending: list[Proposal] = []
-        self.heal = False
+        self.sending: dict[int, dict[int, int]] = {}  # by leader: who told it to send without the record
+        self.deaf: set[int] = set()  # copies that hear no lists
+        self.slow: set[int] = set()  # copies that learn the record late
         self.truths: dict[str, tuple[str, int]] = {}  # zone and cell, whoever says what
         settings = UpkeepSettings(
             overdue_us=20 * SECOND,
@@ -72,7 +74,7 @@
     # --- The record -------------------------------------------------------------------
 
     def proposed(self, by: Copy, data: bytes) -> None:
-        self.pending.append(Proposal(by, data))
+        self.pending.append(Proposal(by, data, self.sending.get(by.incarnation, {})))
 
     def agree(self, proposal: Proposal) -> None:
         before = {id: (one.state, one.left) for id, one in self.roll.machines.items()}
@@ -129,9 +131,10 @@
         for copy in self.alive:
             engine, source = copy.engine, copy.source
             for id in cleared:
-                if engine.is_out(id) and source.learned:
-                    self.broken("clear while somebody may send")
-                if engine.is_out(id) and source.open and self.settings.start_alone == "wait":
+                hold = source.shown.holds.get(id)
+                # It began without the record, as its operator chose, and has not confirmed since.
+                went_alone = copy.keeper.alone and (hold is None or not hold.quiet)
+                if engine.is_out(id) and not went_alone:
                     self.broken("clear while somebody may send")
             if not source.open and engine.ready:
                 self.broken("sends before it may")
@@ -203,9 +206,20 @@
                 del self.words[at]
             if self.draw.random() < 0.2:
                 continue  # lost
-            for copy in self.alive:
-                if copy.leading and not copy.cut:
-                    copy.heard(peer, incarnation, data)
+            self.tell(peer, incarnation, data)
+
+    def tell(self, peer: int, incarnation: int, data: bytes) -> None:
+        """A word gets to those who lead, or believe that they do."""
+        for copy in self.alive:
+            if copy.leading and not copy.cut:
+                if unpack_word(data) == Confirm(-1):
+                    self.sending.setdefault(copy.incarnation, {})[peer] = incarnation
+                copy.heard(peer, incarnation, data)
+
+    def carry_words(self) -> None:
+        words, self.words = self.words, []
+        for word in words:
+            self.tell(*word)
 
     def agrees(self) -> None:
         for _ in range(min(len(self.pending), 3)):
@@ -331,27 +345,105 @@
             if copy.roll.here.get(peer, 0) in (0, self.copies[peer].incarnation):
                 self.asks(lambda: copy.desk.absent(peer))
 
-    def goes_well(self) -> None:
+    def goes_well(self, rounds: int = 0) -> None:
         """A few rounds in which what can get through does."""
-        for _ in range(self.draw.randint(1, 4)):
+        for _ in range(rounds or self.draw.randint(1, 4)):
             for copy in self.alive:
                 if not copy.cut:
-                    copy.hear()
-                    copy.catch_up()
-                    copy.known = True
+                    if copy.me not in self.deaf:
+                        copy.hear()
+                    if copy.known or copy.me not in self.slow:
+                        copy.catch_up()
+                        copy.known = True
+                before = set(copy.engine.ready)
+                fresh = copy.source.shown.fresh
                 copy.keeper.look()
+                if not fresh:
+                    self.check_taking(copy, before)
             self.carry_words()
             while self.pending:
                 self.agree(self.pending.pop(0))
             self.check()
             self.clock.time += self.draw.choice((100_000, 700_000))
 
+    def heals(self) -> None:
+        self.deaf.clear()
+        self.slow.clear()
+
+    # --- Beginnings that are seldom drawn by themselves ----------------------------------
+
+    def set_aside(self, rounds: int, kind: Callable[[Any], bool]) -> list[Proposal]:
+        """Rounds in which what is proposed of a kind gets nowhere yet."""
+        aside: list[Proposal] = []
+        for _ in range(rounds):
+            self.goes_well(1)
+            for copy in self.alive:
+                copy.keeper.look()
+            self.carry_words()
+            aside += [one for one in self.pending if kind(unpack_entry(one.data))]
+            self.pending = [one for one in self.pending if not kind(unpack_entry(one.data))]
+        return aside
+
+    def one_comes_back_before_it_is_declared_absent(self) -> None:
+        last = self.copies[-1]
+        self.goes_well(3)
+        last.die()
+        self.asks(lambda: self.copies[0].desk.absent(last.me))
+        aside = self.set_aside(2, lambda entry: isinstance(entry, Ask))
+        self.restart(last.me)
+        self.goes_well(4)
+        for proposal in aside:
+            self.agree(proposal)
+        self.copies[-1].cut = True
+        self.asks(lambda: self.copies[0].desk.wish(wish_of("w0", 2, ids=("m0",))))
+        self.goes_well(6)
+
+    def one_serves_without_the_record(self) -> None:
+        first, last = self.copies[0], self.copies[-1]
+        self.goes_well(3)
+        self.copies[-2].cut = len(self.copies) > 2
+        self.asks(lambda: first.desk.wish(wish_of("w0", 2, ids=("m0",))))
+        self.set_aside(5, lambda entry: isinstance(entry, Step))
+        last.die()
+        self.slow.add(last.me)
+        self.restart(last.me)
+        self.set_aside(6, lambda entry: isinstance(entry, Step))
+        self.copies[-2].cut = False
+        self.goes_well(6)
+
+    def one_has_an_old_list(self) -> None:
+        ids = sorted(self.list)
+        last = self.copies[-1]
+        self.list_as(*({**self.list[id], "lifecycle": "draining"} for id in ids[1:]))
+        self.goes_well(3)
+        self.deaf.add(last.me)
+        self.list_as(*({**self.list[id], "lifecycle": "ready"} for id in ids))
+        self.asks(lambda: self.copies[0].desk.wish(wish_of("w0", 2, ids=(ids[0],))))
+        self.goes_well(5)
+
+    def one_clear_is_late(self) -> None:
+        desk = self.copies[0].desk
+        self.goes_well(3)
+        self.asks(lambda: desk.wish(wish_of("w0", 2, ids=("m0",))))
+        aside = self.set_aside(8, lambda entry: isinstance(entry, Step))
+        self.asks(lambda: desk.withdraw("w0"))
+        self.goes_well(3)
+        self.asks(lambda: desk.wish(wish_of("w1", 2, ids=("m0",))))
+        for _ in range(6):
+            self.set_aside(1, lambda entry: isinstance(entry, Step))
+            if "m0" in self.roll.machines:
+                break
+        for proposal in aside:
+            self.agree(proposal)
+            self.check()
+
     # --- After the faults ---------------------------------------------------------------
 
     def recover(self) -> None:
         """Faults end; staff does its work. All wishes come to an end."""
         for copy in self.copies:
             copy.cut = False
+            self.heals()
             if copy.dead:
                 self.restart(copy.me)
         self.leaders = {0}
@@ -392,6 +484,8 @@
         for _ in range(self.draw.randint(1, 3)):
             self.turn()
             self.agrees()
+        if self.draw.random() < 0.1:
+            self.draw.choice(BEGINNINGS)(self)
         for _ in range(STEPS):
             self.step()
         self.recover()
@@ -401,8 +495,14 @@
     World.looks, World.delivers, World.learns, World.hears_words, World.agrees, World.hears_list,
     World.passes, World.leads, World.cuts, World.dies, World.all_die, World.comes, World.discovers,
     World.sends, World.ends, World.wishes, World.withdraws, World.works, World.declares, World.goes_well,
+    World.heals,
+]  # fmt: skip
+WEIGHTS = [24, 14, 6, 14, 14, 6, 8, 2, 1, 1, 1, 5, 2, 5, 5, 4, 1, 5, 3, 9, 2]
+
+BEGINNINGS: list[Callable[[World], None]] = [
+    World.one_comes_back_before_it_is_declared_absent, World.one_serves_without_the_record,
+    World.one_has_an_old_list, World.one_clear_is_late,
 ]  # fmt: skip
-WEIGHTS = [24, 14, 6, 14, 14, 6, 8, 2, 1, 1, 1, 5, 2, 5, 5, 4, 1, 5, 3, 9]
 
 
 def play(seed: int) -> None:
