--- a/tests/upkeeping.py
+++ b/tests/upkeeping.py
@@ -109,6 +109,7 @@
         self.applied = 0
         self.known = False
         self.cut = False
+        self.learns = True  # it can ask those who decide
         self.dead = False
         self.heard: Callable[[int, int, bytes], None] = lambda peer, incarnation, data: None
         self.on_change: Callable[[], None] = lambda: None
@@ -266,6 +267,7 @@
         for one in self.alive:
             if not one.cut:
                 one.hear()
+            if not one.cut and one.learns:
                 one.catch_up()
                 one.known = True
             one.keeper.look()
