--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -80,6 +80,11 @@
 # --- The table of states --------------------------------------------------------------------
 
 
+def agree(roll: Roll, index: int, entry: Any) -> None:
+    """As the record hands it on, without the byte that says whose it is."""
+    roll.apply(index, pack(entry)[1:])
+
+
 def held(state: State) -> Roll:
     """A roll with one machine in this state."""
     roll = Roll()
@@ -90,8 +95,8 @@
         State.OVERDUE: ["clear", "overdue"],
         State.RETURNING: ["clear", "done"],
     }
-    roll.apply(1, pack(Ask(0, 5, 1, "wish", wish_of(zone="a"))))
-    roll.apply(2, pack(leave(roll)))
+    agree(roll, 1, Ask(0, 5, 1, "wish", wish_of(zone="a")))
+    agree(roll, 2, leave(roll))
     for event in ways[state]:
         tell(roll, event)
     assert roll.machines["m0"].state == state
@@ -112,15 +117,15 @@
     index = roll.index + 1
     if event in ("begin", "done"):
         number = roll.asked[0].number + 1
-        roll.apply(index, pack(Ask(0, 5, number, event, "m0")))
+        agree(roll, index, Ask(0, 5, number, event, "m0"))
     elif event == "withdraw":
         number = roll.asked[0].number + 1
-        roll.apply(index, pack(Ask(0, 5, number, "withdraw", "w")))
+        agree(roll, index, Ask(0, 5, number, "withdraw", "w"))
     elif event == "leave":
-        roll.apply(index, pack(leave(roll)))
+        agree(roll, index, leave(roll))
     else:
         since = roll.machines["m0"].since if "m0" in roll.machines else 2
-        roll.apply(index, pack(Step("m0", since, event, "why")))
+        agree(roll, index, Step("m0", since, event, "why"))
 
 
 EVENTS = sorted({event for event, _ in MOVES} - {"agree"})
@@ -172,15 +177,15 @@
 
 def test_fields_of_a_later_version_are_passed_over() -> None:
     raw = msgspec.msgpack.decode(pack(Here(1, 7))[1:])
-    assert unpack_entry(KIND + msgspec.msgpack.encode([*raw, "more"])) == Here(1, 7)
+    assert unpack_entry(msgspec.msgpack.encode([*raw, "more"])) == Here(1, 7)
 
 
 def test_the_same_entries_make_the_same_roll_also_by_a_snapshot() -> None:
     roll, other = held(State.AT_WORK), Roll()
     other.load(roll.dump())
     for one in (roll, other):
-        one.apply(20, pack(Here(2, 9)))
-        one.apply(21, pack(Ask(0, 5, 9, "done", "m0")))
+        agree(one, 20, Here(2, 9))
+        agree(one, 21, Ask(0, 5, 9, "done", "m0"))
     assert roll.dump() == other.dump() and other.machines["m0"].state == State.RETURNING
     other.load(b"")
     assert other.dump() == Roll().dump()
@@ -199,16 +204,16 @@
         {"wish": 77},
         {"away": (0, 0, -1)},
     ):
-        roll.apply(roll.index + 1, pack(leave(roll, "m2", **facts)))
+        agree(roll, roll.index + 1, leave(roll, "m2", **facts))
     assert list(roll.machines) == ["m0"] and roll.ignored == 6
 
 
 def test_one_asking_is_done_once_also_when_it_comes_again_late() -> None:
     roll = Roll()
-    ask = pack(Ask(0, 5, 1, "wish", wish_of(zone="a")))
-    roll.apply(1, ask)
-    roll.apply(2, pack(Ask(0, 5, 2, "withdraw", "w")))
-    roll.apply(3, ask)
+    ask = Ask(0, 5, 1, "wish", wish_of(zone="a"))
+    agree(roll, 1, ask)
+    agree(roll, 2, Ask(0, 5, 2, "withdraw", "w"))
+    agree(roll, 3, ask)
     assert not roll.wishes and roll.past[0].withdrawn
 
 
@@ -231,7 +236,7 @@
     roll = held(State.LEAVING)
     roll.here[3] = 11
     machines, wishes = msgspec.to_builtins(roll.machines), len(roll.wishes)
-    roll.apply(9, pack(Ask(0, 5, 9, verb, what)))
+    agree(roll, 9, Ask(0, 5, 9, verb, what))
     assert roll.asked[0].verdict == verdict
     assert (msgspec.to_builtins(roll.machines), len(roll.wishes), roll.absent) == (machines, wishes, set())
 
@@ -239,27 +244,27 @@
 def test_the_roll_is_bounded() -> None:
     roll = Roll()
     for n in range(3 * WISHES_MOST):
-        roll.apply(n + 1, pack(Ask(0, 5, n + 1, "wish", wish_of(f"w{n}", out=1000, zone="a"))))
+        agree(roll, n + 1, Ask(0, 5, n + 1, "wish", wish_of(f"w{n}", out=1000, zone="a")))
     assert len(roll.wishes) == WISHES_MOST and roll.asked[0].verdict == "ManyError"
     for n in range(OUT_MOST + 5):
-        roll.apply(1000 + n, pack(leave(roll, f"m{n}", listed_weight=2000.0, ready_weight=2000.0)))
+        agree(roll, 1000 + n, leave(roll, f"m{n}", listed_weight=2000.0, ready_weight=2000.0))
     assert len(roll.machines) == OUT_MOST
-    roll.apply(5000, pack(Here(5000, 1)))
+    agree(roll, 5000, Here(5000, 1))
     assert 5000 not in roll.here
 
 
 def test_a_late_end_or_step_is_for_another_roll() -> None:
     roll = held(State.RETURNING)
     number, base = next(iter(roll.wishes)), roll.changed
-    roll.apply(10, pack(End(base, number)))
+    agree(roll, 10, End(base, number))
     assert number in roll.wishes, "it has a machine out"
     since = roll.machines["m0"].since
-    roll.apply(11, pack(Step("m0", since - 1, "back")))
+    agree(roll, 11, Step("m0", since - 1, "back"))
     assert "m0" in roll.machines
-    roll.apply(12, pack(Step("m0", since, "back")))
-    roll.apply(13, pack(End(base, number)))
+    agree(roll, 12, Step("m0", since, "back"))
+    agree(roll, 13, End(base, number))
     assert number in roll.wishes
-    roll.apply(14, pack(End(roll.changed, number)))
+    agree(roll, 14, End(roll.changed, number))
     assert not roll.wishes and roll.past[0].machines == 1
 
 
@@ -301,7 +306,7 @@
     assert wish == wish_of(
         "disk", 2, "zone", 0.7, ids=("m1", "m2", "m9"), zone="a", cell=4, kind="small", overdue_s=60
     )
-    assert unpack_entry(pack(Ask(1, 2, 3, "wish", wish))) == Ask(1, 2, 3, "wish", wish)
+    assert unpack_entry(pack(Ask(1, 2, 3, "wish", wish))[1:]) == Ask(1, 2, 3, "wish", wish)
 
 
 def test_every_error_says_its_cause_and_a_remedy() -> None:
@@ -710,7 +715,8 @@
             copy.die()
         if not lasting:
             one.log.clear()
-            one.roll, one.era = Roll(), 2
+            one.machines.load(b"")
+            one.era = 2
         for me in range(3):
             one.restart(me)
         one.leaders = {1}
@@ -981,8 +987,8 @@
 
     def hold(self, id: str) -> None:
         if not self.roll.wishes:
-            self.roll.apply(1, pack(Ask(0, 5, 1, "wish", wish_of(out=99, zone="a"))))
-        self.roll.apply(self.roll.index + 1, pack(leave(self.roll, id)))
+            agree(self.roll, 1, Ask(0, 5, 1, "wish", wish_of(out=99, zone="a")))
+        agree(self.roll, self.roll.index + 1, leave(self.roll, id))
         assert id in self.roll.machines
 
 
@@ -1033,7 +1039,7 @@
 
 def test_a_whole_list_while_ours_is_on_its_way_is_told_behind_it() -> None:
     world = World(known=False)
-    world.source.give_known(LONG)
+    world.source.give_known(41, LONG)
     world.source.go_on(True)
     world.source.listed(3, True, [line("m8")])
     for _ in world.source.list_in_steps(True, [line("m8"), line("m9")], 5):
--- a/tests/test_upkeep_schedules.py
+++ b/tests/test_upkeep_schedules.py
@@ -86,7 +86,7 @@
     def agree(self, proposal: Proposal) -> None:
         before = {id: (one.state, one.left) for id, one in self.roll.machines.items()}
         self.append(proposal.data)
-        entry = unpack_entry(proposal.data)
+        entry = unpack_entry(proposal.data[1:])
         if isinstance(entry, Leave) and entry.id in self.roll.machines and entry.id not in before:
             self.check_limits(entry, proposal)
         if isinstance(entry, Step) and entry.event == "clear":
@@ -371,7 +371,7 @@
             self.carry_words()
             while self.pending:
                 proposal = self.pending.pop(0)
-                if aside is not None and aside(unpack_entry(proposal.data)):
+                if aside is not None and aside(unpack_entry(proposal.data[1:])):
                     found.append(proposal)
                 else:
                     self.agree(proposal)
--- a/tests/upkeeping.py
+++ b/tests/upkeeping.py
@@ -9,10 +9,11 @@
 
 from tests.fakes import ManualClock
 from woadyard.accord.errors import NotLeadingError
+from woadyard.accord.machines import Machines
 from woadyard.engine.members import endpoint_number
 from woadyard.engine.ports import MemberSink
 from woadyard.upkeep.desk import UpkeepDesk
-from woadyard.upkeep.entries import unpack_word
+from woadyard.upkeep.entries import KIND, unpack_word
 from woadyard.upkeep.keeper import Keeper
 from woadyard.upkeep.options import UpkeepSettings
 from woadyard.upkeep.roll import Roll
@@ -106,6 +107,7 @@
     def __init__(self, tier: Tier, me: int, incarnation: int) -> None:
         self.tier, self.me, self.incarnation = tier, me, incarnation
         self.roll = Roll()
+        self.machines = Machines({KIND[0]: self.roll})
         self.applied = 0
         self.known = False
         self.cut = False
@@ -182,12 +184,12 @@
         upto = len(log) if upto is None else upto
         while self.applied < upto:
             self.applied += 1
-            self.roll.apply(self.applied, log[self.applied - 1])
+            self.machines.apply(self.applied, log[self.applied - 1])
         self.on_change()
 
     def jump(self) -> None:
         """Get a snapshot in place of entries."""
-        self.roll.load(self.tier.roll.dump())
+        self.machines.load(self.tier.machines.dump())
         self.applied = len(self.tier.log)
         self.on_change()
 
@@ -215,6 +217,7 @@
         self.era: object = 1
         self.log: list[bytes] = []
         self.roll = Roll()  # all that is agreed, applied
+        self.machines = Machines({KIND[0]: self.roll})
         self.words: list[tuple[int, int, bytes]] = []
         self.list = {raw["instanceId"]: raw for raw in machines}
         self.list_version = 0
@@ -233,7 +236,7 @@
 
     def append(self, data: bytes) -> None:
         self.log.append(data)
-        self.roll.apply(len(self.log), data)
+        self.machines.apply(len(self.log), data)
 
     def list_as(self, *raws: dict[str, Any]) -> None:
         for raw in raws:
--- a/woadyard/daemon.py
+++ b/woadyard/daemon.py
@@ -10,7 +10,7 @@
 
 from woadyard.engine.listing import dump_in_steps
 from woadyard.engine.ports import MemberSource
-from woadyard.lifecycle import Lifecycle
+from woadyard.lifecycle import Lifecycle, Phase
 from woadyard.net.assembly import Assembly
 from woadyard.net.collector import Collector
 from woadyard.net.discovery import Discovery
@@ -26,6 +26,7 @@
     from woadyard.handover.place import Place
     from woadyard.handover.taker import Taken
     from woadyard.management.server import Management
+    from woadyard.upkeep.assembly import Upkeep
     from woadyard.workers.child import Seat
 
 ReadConfig = Callable[[dict[str, str]], Config]
@@ -79,8 +80,10 @@
         self.ended = asyncio.Event()
         self.management: Management | None = None
         self.giver: Giver | None = None
-        self.has_predecessor = False
+        self.has_predecessor = arrival is not None and arrival.taken is not None
+        self.was_alone = arrival is None or not arrival.others
         self.node: Node | None = None
+        self.upkeep: Upkeep | None = None
         self.leaving = False
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -90,8 +93,10 @@
         recorder = None
         if config.orders is not None:
             recorder = await open_recorder(config.orders, config.names.classes, log)
+        self.upkeep = self._upkeep()
         self.node = self._shared()
-        self.parts = Assembly(self.loop, config, log, recorder, collector=Collector())
+        holding = None if self.upkeep is None else self.upkeep.hold
+        self.parts = Assembly(self.loop, config, log, recorder, collector=Collector(), holding=holding)
         self.parts.start()
         self.server = Server(
             self.loop,
@@ -102,12 +107,14 @@
             config.memory_mb,
         )
         await self._take_part()
+        if self.upkeep is not None:
+            self._heed_signals(read_config)  # a start may have to wait
         try:
             await self._listen(shared=seat is not None)
         except OSError as error:
             raise ConfigError(f"can't listen: {error}") from None
         self._heed_signals(read_config)
-        if seat is not None:
+        if seat is not None and not self.ended.is_set():
             from woadyard.workers.child import join
 
             await join(self.loop, seat, self.parts.engine, self.stop)
@@ -120,7 +127,11 @@
             await recorder.close()
 
     def stop(self) -> None:
-        self.server.stop(self.ended.set)
+        if self.lifecycle.phase is Phase.STARTING:  # nobody was taken yet
+            self.lifecycle.stop(self.loop.time())
+            self.ended.set()
+        else:
+            self.server.stop(self.ended.set)
 
     def _heed_signals(self, read_config: ReadConfig) -> None:
         self.loop.add_signal_handler(
@@ -131,6 +142,8 @@
 
     def _close(self) -> None:
         self.slices.close()
+        if self.upkeep is not None:
+            self.upkeep.close()
         self.parts.close()
         if self.giver is not None:
             self.giver.close()
@@ -154,7 +167,8 @@
 
         try:
             check_folder(settings.store_path)
-            return node_of(settings, Machines({}), self.loop, LoopClock(self.loop), log)
+            machines = Machines({} if self.upkeep is None else self.upkeep.machines)
+            return node_of(settings, machines, self.loop, LoopClock(self.loop), log)
         except ImportError as error:
             problem = f"{error.name} is missing: pip install 'laurelstep[store]'"
         except OSError as error:
@@ -173,6 +187,37 @@
             listen = self.config.accord.listen if self.config.accord is not None else ""
             problem = f"{listen}: {error.strerror}: expected an address of this machine"
             raise ConfigError(f"{self._file}accord.peer_listen: {problem}") from None
+        if self.upkeep is not None:
+            self.upkeep.begin(self.node, self.parts.engine, self._is_alone)
+
+    def _upkeep(self) -> Upkeep | None:
+        """Machines out for work, not yet begun; None where it is off, or has nothing to rest on."""
+        settings, accord = self.config.upkeep, self.config.accord
+        if settings is None or accord is None or not accord.is_linked:
+            return None
+        # Imported where it is on.
+        from woadyard.upkeep.assembly import Upkeep
+
+        return Upkeep(self.loop, self.config, settings, log)
+
+    def _is_alone(self) -> bool:
+        """Whether no process of the version before sends to endpoints any more. Asked at the lock:
+        one that has given this process up may live on."""
+        if self.has_predecessor:
+            return False
+        if not self.was_alone:
+            self.was_alone = self.arrival is None or not self.arrival.place.enter()
+        return self.was_alone
+
+    async def _know(self) -> bool:
+        """Wait until this process may send: False if it was stopped meanwhile."""
+        if self.upkeep is None:
+            return True
+        waits = [self.loop.create_task(one.wait()) for one in (self.upkeep.opened, self.ended)]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for one in waits:
+            one.cancel()
+        return not self.ended.is_set()
 
     @property
     def _file(self) -> str:
@@ -199,6 +244,8 @@
         # The second address answers before callers are taken: a start can be watched.
         if config.management is not None:
             await self._manage(*config.management)
+        if not await self._know():
+            return
         if arrival is None:
             await self.server.listen(*config.listen, shared=shared)
             return
@@ -217,9 +264,11 @@
         from woadyard.management.server import Management
         from woadyard.management.telemetry import figures
 
-        def asked(method: bytes, path: bytes) -> Reply:
+        more = None if self.upkeep is None else self.upkeep.reply
+
+        def asked(method: bytes, target: bytes) -> Reply:
             now = self.loop.time()
-            return reply_to(method, path, self.lifecycle, now, lambda: figures(self.parts.engine))
+            return reply_to(method, target, self.lifecycle, now, lambda: figures(self.parts.engine), more)
 
         self.management = Management(self.loop, asked)
         await self.management.listen(host, port)
@@ -276,7 +325,12 @@
             else:
                 self._spawn(self._retire(self.node, state, give))
 
-        self.slices.run(dump_in_steps(self.parts.engine.members, generation, known), ended)
+        if self.upkeep is not None and self.upkeep.source is not None:
+            # What is held back is not in the engine's list, and is the next process's all the same.
+            steps = self.upkeep.source.dump_in_steps(generation, known)
+        else:
+            steps = dump_in_steps(self.parts.engine.members, generation, known)
+        self.slices.run(steps, ended)
 
     async def _retire(
         self, node: Node, state: dict[str, bytes], give: Callable[[dict[str, bytes]], None]
--- a/woadyard/engine/ports.py
+++ b/woadyard/engine/ports.py
@@ -13,6 +13,7 @@
     "Decisions",
     "Front",
     "Handle",
+    "HoldingSource",
     "Log",
     "MemberSink",
     "MemberSource",
@@ -109,6 +110,13 @@
     def fetch(self) -> None: ...
 
 
+class HoldingSource(MemberSource, Protocol):
+    """A source that stands between another one and the engine, and may hold members back."""
+
+    def give_known(self, generation: int, entries: Sequence[Any]) -> None:
+        """The list that the process was started with, before `start`. ValueError if it can't be read."""
+
+
 class Recorded(Protocol):
     """The engine, as a recorder knows it."""
 
--- a/woadyard/net/assembly.py
+++ b/woadyard/net/assembly.py
@@ -3,23 +3,27 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from woadyard.engine.clock import LoopClock
 from woadyard.engine.engine import Engine
 from woadyard.engine.given import GivenMembers
-from woadyard.engine.ports import Log, Recorder
+from woadyard.engine.ports import Clock, HoldingSource, Log, MemberSource, Recorder
 from woadyard.net.collector import Collector
 from woadyard.net.discovery import LIST_PATH, Discovery
 from woadyard.net.upstream import Upstream
 from woadyard.settings import Config, ConfigError
 
+# Puts a source between one of members and the engine.
+Holding = Callable[[MemberSource, Clock], HoldingSource]
+
 
 class Assembly:
     """An engine with its upstream and its source of members, which a front is plugged into.
 
-    The members are `given`, or the configuration's where it names no discovery."""
+    The members are `given`, or the configuration's where it names no discovery. `holding`: what
+    stands between them and the engine, where something does."""
 
     def __init__(
         self,
@@ -29,6 +33,7 @@
         recorder: Recorder | None = None,
         given: Sequence[Any] | None = None,
         collector: Collector | None = None,
+        holding: Holding | None = None,
     ) -> None:
         self.config = config
         settings = config.settings
@@ -51,13 +56,14 @@
         if given is None:
             given = config.known["instances"] if config.known else ()
         self.given = given
+        self.held = None if holding is None else holding(self.source, clock)
         self.engine = Engine(
             clock,
             config.seed,
             settings,
             config.names,
             self.upstream,
-            self.source,
+            self.held or self.source,
             config.drain_grace_us,
             log,
             recorder,
@@ -69,6 +75,10 @@
             if isinstance(self.source, GivenMembers):
                 self.engine.start()
                 self.source.give(self.given)
+            elif self.held is not None:
+                if (known := self.config.known) is not None:
+                    self.held.give_known(int(known["generation"]), known["instances"])
+                self.engine.start()
             else:
                 self.engine.start(self.config.known)
         except ValueError as error:
--- a/woadyard/upkeep/entries.py
+++ b/woadyard/upkeep/entries.py
@@ -1,8 +1,9 @@
 """What travels of upkeep: entries of the record, and words to whoever leads. Pure.
 
-All begin with the byte `KIND`, so that one record and one link may carry other things too; then
-a tagged array in msgpack. Fields are only ever added at the end: an older version passes over
-what it does not know, and reads what it does."""
+All begin with the byte `KIND`, as one record and one link carry other things too (of an entry it
+is taken off before the roll has it: `woadyard.accord.machines`); then a tagged array in msgpack.
+Fields are only ever added at the end: an older version passes over what it does not know, and
+reads what it does."""
 
 from __future__ import annotations
 
@@ -100,11 +101,11 @@
 
 
 def unpack_entry(data: bytes) -> Entry | None:
-    """None for what is no entry of upkeep."""
-    if data[:1] != KIND or len(data) > ENTRY_MOST:
+    """Without its first byte. None for what is no entry of upkeep."""
+    if len(data) >= ENTRY_MOST:
         return None
     try:
-        return _entries.decode(data[1:])
+        return _entries.decode(data)
     except (msgspec.DecodeError, RecursionError, OverflowError):
         return None
 
--- a/woadyard/upkeep/source.py
+++ b/woadyard/upkeep/source.py
@@ -47,6 +47,7 @@
         self.table = MemberTable()
         self.shown = Shown()
         self.sink: MemberSink | None = None
+        self.generation = 0  # of the list that the process was started with
         self.out_at: Callable[[int], int] = lambda endpoint: 0
         self.on_list: Callable[[], None] = lambda: None
         self.open = False  # lists are passed on
@@ -62,7 +63,7 @@
 
     def start(self, sink: MemberSink, generation: int) -> None:
         self.sink = sink
-        self.inner.start(self, generation)
+        self.inner.start(self, generation or self.generation)
 
     def watch(self, on: bool) -> None:
         self.inner.watch(on)
@@ -154,9 +155,9 @@
 
     # --- What is told -----------------------------------------------------------------
 
-    def give_known(self, entries: Sequence[Any]) -> None:
-        """The list that the process was started with. ValueError if it can't be read."""
+    def give_known(self, generation: int, entries: Sequence[Any]) -> None:
         self._keep(True, [read_member(raw) for raw in entries])
+        self.generation = generation
         self.whole_due = True
         self.refresh()
 
@@ -169,7 +170,7 @@
 
     def refresh(self) -> None:
         """The roll or the list changed: tell what is shown otherwise now."""
-        if not self.is_passing:
+        if not self.is_passing or self.sink is None:
             return
         if self.learned and self.knows():
             wall_ms = self.clock.wall() // 1000
