Name the benchmark's requests by their way

Cause: the benchmark plays three ways one after the other, and its ids and keys began anew with each, so one way's request had the name of another's. Change: ids and keys carry the name of their way. At the end the benchmark leaves the registry 0.1 s to see its watches end. A benchmark only; no test.

--- a/benchmarks/upkeep.py
+++ b/benchmarks/upkeep.py
@@ -96,7 +96,8 @@
 class Load:
     """Callers that ask until they are told to stop, each at a copy of its own, and what they met."""
 
-    def __init__(self, ports: list[int]) -> None:
+    def __init__(self, ports: list[int], name: str) -> None:
+        self.name = name
         self.met: Counter[str] = Counter()
         self.late = 0
         self.asked = 0
@@ -108,10 +109,10 @@
         while not self.stopped:
             self.asked += 1
             cls = ("page", "put", "pay")[self.asked % 3]
-            key = f"k{self.asked}" if cls == "put" else None
+            key = f"{self.name}-k{self.asked}" if cls == "put" else None
             began = time.monotonic()
             await self._ask(
-                caller, request(cls, b"" if cls == "page" else b"b", rid=f"r{self.asked}", key=key)
+                caller, request(cls, b"" if cls == "page" else b"b", rid=f"{self.name}-{self.asked}", key=key)
             )
             self.late += time.monotonic() - began > AIM_S
             await asyncio.sleep(THINK_S)
@@ -272,7 +273,7 @@
 
 
 async def measure_one(site: Site, way: str) -> dict[str, Any]:
-    load = Load(site.ports)
+    load = Load(site.ports, way.replace(" ", "-"))
     await asyncio.sleep(0.5)
     doubles = len(site.effects.twice())
     for one in site.machines:
@@ -305,6 +306,7 @@
         await stack.enter_async_context(await site.registry.start())
         watching = asyncio.create_task(site.watch())
         stack.callback(watching.cancel)
+        stack.push_async_callback(asyncio.sleep, 0.1)  # the registry sees its watches end
         stack.callback(site.end)
         ready_s = await site.start()
         ways = {}
