Ask on from the number that the version before came to

Cause: a version that follows is the same incarnation but counted its askings from one again, and the record passed over them (docs/design/upkeep.md, The version that follows). Change: the next asking's number follows the last one that the record has of this incarnation. Tested: test_a_version_that_follows_asks_on_from_the_number_of_the_one_before.

--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -785,6 +785,19 @@
     assert lost.said == "lost" and "ask again" in one.copies[1].logged[-1]
 
 
+def test_a_version_that_follows_asks_on_from_the_number_of_the_one_before() -> None:
+    one = tier()
+    one.copies[1].desk.wish(wish_of(zone="a"))
+    one.settle()
+    before = one.copies[1].incarnation
+    after = one.restart(1)
+    after.incarnation = before
+    one.settle(1)
+    asked = after.desk.work("begin", "m0")
+    one.settle(1)
+    assert asked is not None and asked.said == "agreed" and one.state("m0") == "at work"
+
+
 def test_askings_are_bounded() -> None:
     one = tier()
     one.leaders.clear()
--- a/woadyard/upkeep/keeper.py
+++ b/woadyard/upkeep/keeper.py
@@ -235,9 +235,11 @@
         if sum(1 for one in self.asked if one.said == State.WISHED) >= ASKS_MOST:
             raise ManyError(f"{ASKS_MOST} calls wait to be agreed")
         whose = self.roll.here.get(what, 0) if verb == "absent" and isinstance(what, int) else 0
-        one = Asking(self.asks + 1, verb, what, whose, self.clock.now() + ASK_US)
+        # A version before this one may have asked as the same incarnation.
+        number = max(self.asks, self._agreed()[0]) + 1
+        one = Asking(number, verb, what, whose, self.clock.now() + ASK_US)
         pack(self._worded(one))  # FitError
-        self.asks += 1
+        self.asks = number
         while len(self.asked) >= ASKS_MOST:
             self.asked.remove(next(old for old in self.asked if old.said != State.WISHED))
         self.asked.append(one)
@@ -247,16 +249,21 @@
     def _worded(self, one: Asking) -> Ask:
         return Ask(self.accord.me, self.accord.incarnation, one.number, one.verb, one.what, one.whose)
 
+    def _agreed(self) -> tuple[int, str]:
+        """The last asking of this incarnation that the record has, and its verdict."""
+        last = self.roll.asked.get(self.accord.me)
+        if last is None or last.incarnation != self.accord.incarnation:
+            return 0, ""
+        return last.number, last.verdict
+
     def _ask(self, now: int) -> None:
         """One at a time, in their order: the record takes each number once."""
-        last = self.roll.asked.get(self.accord.me)
-        agreed = last.number if last is not None and last.incarnation == self.accord.incarnation else 0
+        agreed, last_verdict = self._agreed()
         for one in self.asked:
             if one.said != State.WISHED:
                 continue
             if one.number <= agreed:
-                verdict = last.verdict if last is not None and one.number == last.number else ""
-                one.said = verdict or "agreed"
+                one.said = (last_verdict if one.number == agreed else "") or "agreed"
             elif now >= one.until:
                 one.said = "lost"
                 self.log(f"upkeep: {one.verb} was not agreed in {ASK_US // 1_000_000} s: ask again")
