Let an older list neither end a wish nor drop a machine at once

Cause: an older list at whoever leads ended a wish for a machine that it did not have yet, and a new leader with one dropped a machine that leaves. Change: what a wish names by id stays wished while it is not listed, and a wish that finds no machine stays open; the status says so. A machine that leaves is dropped, as gone, drained or replaced, only after two seconds of knowing that it leaves. Tested: two cases in tests/test_upkeep.py, one for each fault.

--- a/woadyard/upkeep/plan.py
+++ b/woadyard/upkeep/plan.py
@@ -11,6 +11,8 @@
 3. Nothing is proposed from half a list.
 4. What discovery drains, removes or replaces while it leaves is dropped from its wish; once it
    is clear, its going and coming is the work, and it stays out until somebody says done.
+   Lists are of different age: who has just come to know of a leaving waits `LISTS_US` with that,
+   and what a wish names by id stays wished while it is not listed.
 5. All that is proposed names the state that it was made for: late, it is ignored.
 """
 
@@ -18,7 +20,9 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Final
 
+from woadyard.engine.members import endpoint_number
 from woadyard.interface import READY
 from woadyard.upkeep.entries import End, Entry, Leave, Step, fits
 from woadyard.upkeep.members import Member, MemberTable
@@ -26,6 +30,9 @@
 from woadyard.upkeep.states import State
 from woadyard.upkeep.wishes import MACHINES_MOST, Wish
 
+# Within this a list reaches all copies, or the next one does.
+LISTS_US: Final = 2_000_000
+
 
 class Confirmations:
     """Up to which index each copy is quiet, in the incarnation that was heard last."""
@@ -107,7 +114,7 @@
 def _step(sight: Sight, one: Machine) -> Step | None:
     age = sight.ages.of(one, sight.now)
     if one.state == State.LEAVING:
-        event, why = _lost(sight, one)
+        event, why = _lost(sight, one, age)
         if not event and not sight.confirmations.missing(one.left, sight.roll, sight.peers):
             event = "clear"
     elif one.state == State.RETURNING:
@@ -122,17 +129,18 @@
     return wish.wish.overdue_s * 1_000_000 if wish and wish.wish.overdue_s else sight.overdue_us
 
 
-def _lost(sight: Sight, one: Machine) -> tuple[str, str]:
+def _lost(sight: Sight, one: Machine, age: int) -> tuple[str, str]:
     """What discovery made of a machine that is leaving."""
     if not sight.table.whole or not sight.table.settled:
         return "", ""
     member = sight.table.members.get(one.id)
-    if member is None:
-        return "drop", "gone"
-    if member.phase != READY:
-        return "drop", "drained by discovery"
-    if member.started_ms > one.started_ms:
-        return "drop", "replaced"
+    if age >= LISTS_US:
+        if member is None:
+            return "drop", "gone"
+        if member.phase != READY:
+            return "drop", "drained by discovery"
+        if member.started_ms > one.started_ms:
+            return "drop", "replaced"
     if unheld(sight.roll, sight.table)[0] == 0:
         return "spare", "last"
     return "", ""
@@ -185,6 +193,14 @@
     ]
 
 
+def _unlisted(sight: Sight, one: OpenWish) -> str:
+    """What it names that this list does not have, in words: an older list must not end a wish."""
+    for id in one.wish.ids:
+        if id not in sight.table.members and endpoint_number(id) not in one.done:
+            return f"{id}: not listed"
+    return "" if one.wish.ids or one.done else "no machine that is listed"
+
+
 def leave_of(sight: Sight, wish: int, member: Member) -> Leave:
     ready, ready_weight, weight = unheld(sight.roll, sight.table)
     return Leave(
@@ -210,7 +226,7 @@
         return None
     left = waiting(sight, one)
     if not left and not any(out.wish == one.number for out in sight.roll.machines.values()):
-        return End(sight.roll.changed, one.number)
+        return None if _unlisted(sight, one) else End(sight.roll.changed, one.number)
     kept = set()  # one machine stands for all that are like it to the limits
     for member in left:
         like = member.zone, member.cell, member.size
@@ -241,7 +257,7 @@
             never = sight.roll.binding(whole, alone=True)
             return f"{member.id}: {never or text}", never is not None
         return "", False
-    return "", False
+    return _unlisted(sight, one), False
 
 
 def _as_if_alone(sight: Sight, entry: Leave) -> Leave:
