Tell eras apart in upkeep's schedules on the real record

Cause: the checker told eras apart by generation alone; two eras of one generation may both be there when all that remember have died one after the other. Change: rolls are compared within one era, and the truth is that of the era which most seats are in. 120 seeds are played in place of 40.

--- a/tests/test_upkeep_core.py
+++ b/tests/test_upkeep_core.py
@@ -26,7 +26,7 @@
 
 MS = 1000
 COPIES, SEATS, OUT, MACHINES = 4, 3, 2, 6
-SEEDS = 40
+SEEDS = 120
 SETTINGS = UpkeepSettings(overdue_us=600 * SECOND)
 
 
@@ -181,9 +181,11 @@
     # --- The rules ----------------------------------------------------------------------
 
     def truth(self) -> CoreCopy:
-        """The copy that knows most of what is agreed."""
+        """The copy that knows most of what is agreed, in the era that most seats are in: where all
+        that remember have died one after the other, one without a seat may still be in an earlier one."""
         alive = [one for one in self.copies if not one.dead]
-        return max(alive, key=lambda one: (one.era.generation, one.core.applied))
+        eras = [one.era for one in alive if one.me < SEATS]
+        return max(alive, key=lambda one: (eras.count(one.era), one.core.applied))
 
     def check(self) -> None:
         roll = self.truth().roll
@@ -192,10 +194,10 @@
             for one in self.copies:
                 if machine.state in CLEARED and not one.dead:
                     assert not one.engine.is_out(id), f"clear while somebody may send (seed {self.seed})"
-        same: dict[tuple[int, int], bytes] = {}
+        same: dict[tuple[Era, int], bytes] = {}
         for one in self.copies:
             if not one.dead and one.known:
-                at = one.era.generation, one.core.applied
+                at = one.era, one.core.applied
                 assert same.setdefault(at, one.roll.dump()) == one.roll.dump(), (
                     f"two rolls (seed {self.seed})"
                 )
