End a version that waits for the record where the one before serves on

Cause: a version that waited for the record was given up by the one before, which served on; once the record was known, both would have taken callers. Change: while it waits, the new one watches the channel to the old one. Given up by one that lives, it ends with one line and exit 2; if that one has ended, it waits on. Tested: both cases, in tests/test_upkeep_daemon.py.

--- a/tests/test_upkeep_daemon.py
+++ b/tests/test_upkeep_daemon.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 import signal
+import socket
 from pathlib import Path
 from typing import Any
 
@@ -13,6 +14,8 @@
 
 from tests.sockets import TIMEOUT_S, Endpoint, free_port, read_message, request, run
 from tests.upgrades import Site, Version
+from woadyard.handover.giver import Giver
+from woadyard.handover.place import Place
 from woadyard.testing import whole_list
 
 OPERATOR = "[accord]\nheartbeat_ms = 20\nelection_ms = 60\n[upkeep]\n"
@@ -114,6 +117,35 @@
     run(main())
 
 
+@pytest.mark.parametrize("lives", [True, False])
+def test_a_version_that_waits_for_the_record_is_given_up_by_the_one_before(
+    tmp_path: Path, lives: bool
+) -> None:
+    """If that one serves on, this one ends with one line; if it has ended, this one waits on."""
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        async with site(tmp_path, Endpoint(), copies=3) as one, asyncio.timeout(TIMEOUT_S):
+            place = Place(("127.0.0.1", one.port), str(tmp_path))
+            place.enter()
+            with socket.create_server(("127.0.0.1", one.port)) as listener:
+                before = Giver(loop, place, listener, lambda give: give({}), lambda: None, print)
+                version = await start(one)
+                await answers(version)
+                if lives:
+                    for successor in list(before.successors):
+                        successor.cut()
+                    _, errors = await version.process.communicate()
+                    assert version.process.returncode == 2 and errors.count(b"\n") == 1
+                    assert b"the version before serves on" in errors
+                before.close()
+            if not lives:
+                assert await version.call("GET /api/ready") == 503
+                assert await version.stop() == b""
+
+    run(main())
+
+
 def test_a_start_may_go_on_without_the_record(tmp_path: Path) -> None:
     async def main() -> None:
         endpoint = Endpoint()
--- a/woadyard/daemon.py
+++ b/woadyard/daemon.py
@@ -210,14 +210,30 @@
         return self.was_alone
 
     async def _know(self) -> bool:
-        """Wait until this process may send: False if it was stopped meanwhile."""
+        """Wait until this process may send: False if it was stopped meanwhile. `ConfigError` if the
+        one before it did not wait as long, and serves on: two of them would take callers."""
         if self.upkeep is None:
             return True
-        waits = [self.loop.create_task(one.wait()) for one in (self.upkeep.opened, self.ended)]
-        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-        for one in waits:
-            one.cancel()
-        return not self.ended.is_set()
+        taken = None if self.arrival is None else self.arrival.taken
+        given_up = asyncio.Event()
+        if taken is not None:
+            self.loop.add_reader(taken.channel.fileno(), given_up.set)  # nothing else is said there yet
+        while True:
+            events = [self.upkeep.opened, self.ended, *([] if taken is None else [given_up])]
+            waits = [self.loop.create_task(one.wait()) for one in events]
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            for one in waits:
+                one.cancel()
+            if taken is not None:
+                self.loop.remove_reader(taken.channel.fileno())
+            if taken is None or not given_up.is_set():
+                return not self.ended.is_set()
+            if self.arrival is not None and self.arrival.place.enter():
+                raise ConfigError(
+                    f"{self._file}upkeep.start_alone: what is out was not known in time, the version before "
+                    "serves on: start this one again once a majority of the seats is up"
+                )
+            taken = None  # it has ended: there is nobody to come after
 
     @property
     def _file(self) -> str:
