Log what becomes overdue or is dropped, and what a record founded anew forgot

Need: staff could see only by asking that a machine is overdue or was dropped, and nothing said that a record founded anew had forgotten what is out. Change: the leader logs overdue, drop and spare with the reason; a process that holds machines back logs which of them a new era does not know. Tested: both lines, in tests/test_upkeep.py.

--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -715,6 +715,7 @@
     one.copies[0].desk.work("begin", "m0")
     one.settle(12)
     assert one.states() == {"m0": "overdue"}, "the next does not go: one is out"
+    assert one.copies[0].logged == ["upkeep: m0: overdue"]
     one.copies[0].desk.withdraw("one")
     one.settle(1)
     one.copies[0].desk.wish(wish_of("two", 2, ids=("m2", "m4")))
@@ -754,6 +755,24 @@
         assert all(("m0" in copy.engine.ready) is not lasting for copy in one.copies)
 
 
+def test_a_record_founded_anew_says_what_it_forgot() -> None:
+    """One without a seat lives on, and held back what those that decided have all forgotten."""
+    one = tier()
+    one.copies[0].desk.wish(wish_of(zone="a"))
+    one.settle()
+    last = one.copies[2]
+    one.log.clear()
+    one.machines.load(b"")
+    one.era, last.applied = 2, 0
+    for me in range(2):
+        one.restart(me)
+    one.leaders = {0}
+    last.roll.load(b"")
+    one.settle()
+    assert last.logged == ["upkeep: the record was founded anew and forgot what is out: m0"]
+    assert "m0" in last.engine.ready
+
+
 def test_the_last_ready_machines_stay() -> None:
     one = tier(machines=[line("m0"), line("m1")])
     one.copies[0].desk.wish(wish_of(out=2, zone="a"))
--- a/woadyard/upkeep/keeper.py
+++ b/woadyard/upkeep/keeper.py
@@ -17,7 +17,7 @@
 
 from woadyard.accord.errors import BusyError, NotLeadingError
 from woadyard.engine.ports import Clock, Handle, Log
-from woadyard.upkeep.entries import Ask, Confirm, Entry, Here, Word, pack, unpack_word
+from woadyard.upkeep.entries import Ask, Confirm, Entry, Here, Step, Word, pack, unpack_word
 from woadyard.upkeep.options import UpkeepSettings
 from woadyard.upkeep.plan import Ages, Confirmations, Sight, plan
 from woadyard.upkeep.roll import Roll
@@ -116,6 +116,7 @@
         self.settled: tuple[int, int] | None = None  # the basis for which nothing was found to leave
         self.proposed: dict[bytes, int] = {}
         self.reign: tuple[object, bool] = (None, False)  # era, and whether it led
+        self.era: object = None  # in which the record was known last
         self.alone = False  # the record is not waited for any more
         self.timer: Handle | None = None
         self.soon: Handle | None = None
@@ -174,6 +175,7 @@
         accord, roll = self.accord, self.roll
         if accord.known and self.is_here and not self.source.learned:
             self._open(True)
+        self._note_era()
         self.source.refresh()
         self.ages.follow(roll, now)
         reign = accord.era, accord.leading
@@ -194,6 +196,15 @@
         with contextlib.suppress(BusyError):  # as if it were lost: it is told again
             self.accord.word(pack(word))
 
+    def _note_era(self) -> None:
+        """A record that was founded anew without what this process holds back."""
+        if not self.accord.known or self.accord.era == self.era:
+            return
+        lost = [id for id in self.source.shown.holds if id not in self.roll.machines]
+        if self.era is not None and lost:
+            self.log(f"upkeep: the record was founded anew and forgot what is out: {', '.join(lost[:8])}")
+        self.era = self.accord.era
+
     @property
     def is_here(self) -> bool:
         """Whether the record has this incarnation, and nobody declares it absent."""
@@ -309,6 +320,9 @@
                 if data not in self.proposed:
                     self.accord.propose(data)
                     self.proposed[data] = now + AGAIN_US
+                    if isinstance(entry, Step) and entry.event in ("overdue", "drop", "spare"):
+                        why = f" ({entry.why})" if entry.why else ""
+                        self.log(f"upkeep: {entry.id}: {entry.event}{why}")
             except FitError as error:
                 self.log(f"upkeep: {error}: {entry}")
             except (NotLeadingError, BusyError):
