Hold upkeep's source to the contract of sources: its own tellings have the last version

Cause: what upkeep's source told by itself carried version 0, not that of the last list. Change: the source keeps the version of the last list and tells its own short changes with it; a start takes the higher of the two generations it knows. Tested: tests/test_upkeep_contracts.py runs the contract of sources over it, around given members and around discovery, pushed and asked; with nothing held it must not be seen.

--- a/woadyard/upkeep/source.py
+++ b/woadyard/upkeep/source.py
@@ -47,7 +47,7 @@
         self.table = MemberTable()
         self.shown = Shown()
         self.sink: MemberSink | None = None
-        self.generation = 0  # of the list that the process was started with
+        self.generation = 0  # of the last list: what is told by itself is of the same
         self.out_at: Callable[[int], int] = lambda endpoint: 0
         self.on_list: Callable[[], None] = lambda: None
         self.open = False  # lists are passed on
@@ -63,7 +63,8 @@
 
     def start(self, sink: MemberSink, generation: int) -> None:
         self.sink = sink
-        self.inner.start(self, generation or self.generation)
+        self.generation = max(generation, self.generation)
+        self.inner.start(self, self.generation)
 
     def watch(self, on: bool) -> None:
         self.inner.watch(on)
@@ -87,6 +88,7 @@
             self.sink.listed(version, whole, raws)
         else:
             self._tell_later(whole, read)
+        self.generation = version
         self._keep(whole, read)
         self._after_list()
 
@@ -186,7 +188,7 @@
         assert self.sink is not None
         if len(ids) <= SHORT:
             try:
-                self.sink.listed(0, whole, [self._raw_of(id) for id in ids])
+                self.sink.listed(self.generation, whole, [self._raw_of(id) for id in ids])
             except ValueError as error:
                 self.log(f"upkeep: the engine did not take its list: {error}")
         else:
