Count a copy that came again and serves alone, also where somebody saw it dead

Cause: with start_alone = serve a copy that was seen dead came again, sent without the record and said so; it was left out all the same, and machines became clear. Change: absent leaves a copy out only while no other start of it is heard. Words of starts that the record had before are passed over. A confirmation is told again ever more seldom, up to 8 s, and to a new leader at once. Tested: three cases in tests/test_upkeep.py: absent and alone, a late word of an earlier life, the rate of words.

--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -429,6 +429,37 @@
     assert out(one) == ["m0"] and "m0" not in alone.engine.ready
 
 
+def test_one_that_was_declared_absent_and_serves_alone_keeps_machines_from_clear() -> None:
+    """Somebody saw it dead; it has come again since, sends, and says so."""
+    one = tier(start_alone="serve", learn_us=2 * SECOND)
+    one.copies[2].die()
+    one.copies[1].desk.absent(2)
+    one.settle(1)
+    alone = one.restart(2)
+    alone.learns = False
+    one.settle(3)
+    one.copies[1].desk.wish(wish_of(zone="a"))
+    one.settle(12)
+    assert one.roll.absent == {2} and one.state("m0") == "leaving"
+    one.restart(2)
+    one.settle(10)
+    assert one.roll.absent == set() and out(one) == ["m0"]
+
+
+def test_a_word_of_an_earlier_life_that_comes_late_is_passed_over() -> None:
+    one = tier()
+    before = one.copies[2].incarnation
+    one.restart(2)
+    one.settle(1)
+    heard = one.copies[0].keeper.confirmations
+    heard.hear(2, before, 10**6)
+    assert heard.quiet.get(2, (0, 0))[0] != before
+    one.roll.here[2] = before  # a late word had it agreed: it is taken again
+    heard.follow(one.roll)
+    heard.hear(2, before, 10**6)
+    assert heard.quiet[2] == (before, 10**6)
+
+
 def test_a_copy_that_is_cut_off_holds_what_it_knows_and_takes_nobody_out() -> None:
     one = tier()
     one.copies[0].desk.wish(wish_of(out=2, zone="a"))
@@ -846,6 +877,25 @@
     assert asked is not None and asked.said == "agreed" and one.state("m0") == "at work"
 
 
+def test_what_is_confirmed_is_told_ever_more_seldom_and_to_a_new_leader_at_once() -> None:
+    one = tier()
+    one.copies[2].cut = True
+    one.copies[0].desk.wish(wish_of(zone="a"))
+    one.settle(20)
+    words = 0
+    for _ in range(600):
+        one.copies[1].keeper.look()
+        words += len(one.words)
+        one.words.clear()
+        one.clock.time += SECOND // 10
+    assert 7 <= words <= 9
+    one.copies[0].keeper.confirmations.forget()
+    one.leaders = {1}
+    for copy in one.copies[:2]:
+        copy.keeper.look()
+    assert {peer for peer, _, _ in one.words} == {0, 1}
+
+
 def test_askings_are_bounded() -> None:
     one = tier()
     one.leaders.clear()
--- a/tests/test_upkeep_core.py
+++ b/tests/test_upkeep_core.py
@@ -138,6 +138,10 @@
     def leading(self) -> bool:
         return self.core.role == "leader"
 
+    @property
+    def leader(self) -> int | None:
+        return self.core.leader
+
     @property
     def known(self) -> bool:
         return self.core.known
--- a/tests/upkeeping.py
+++ b/tests/upkeeping.py
@@ -160,6 +160,10 @@
     def leading(self) -> bool:
         return self.me in self.tier.leaders and not self.dead
 
+    @property
+    def leader(self) -> int | None:
+        return min(self.tier.leaders, default=None)
+
     @property
     def in_touch(self) -> bool:
         return not self.cut
--- a/woadyard/upkeep/keeper.py
+++ b/woadyard/upkeep/keeper.py
@@ -30,6 +30,9 @@
 REST_US: Final = 1_000_000
 # A word, or a proposal, is told again after this.
 AGAIN_US: Final = 1_000_000
+# A confirmation, each time twice as long up to this: one that is missing may be so for hours, and
+# a new leader is told at once.
+AGAIN_MOST_US: Final = 8_000_000
 ASK_US: Final = 15_000_000
 ASKS_MOST: Final = 16
 
@@ -53,6 +56,8 @@
     @property
     def leading(self) -> bool: ...
     @property
+    def leader(self) -> int | None: ...
+    @property
     def known(self) -> bool: ...
     @property
     def in_touch(self) -> bool: ...
@@ -111,11 +116,12 @@
         self.ages = Ages()
         self.asked: deque[Asking] = deque(maxlen=ASKS_MOST)  # the last ones, pending or not
         self.asks = 0
-        self.told: tuple[int, int] | None = None  # the last confirmation: index, and when
+        # The last confirmation: index, when it is told again, and how long that is after it was told.
+        self.told: tuple[int, int, int] | None = None
         self.told_here: int | None = None  # when it last said that it is here
         self.settled: tuple[int, int] | None = None  # the basis for which nothing was found to leave
         self.proposed: dict[bytes, int] = {}
-        self.reign: tuple[object, bool] = (None, False)  # era, and whether it led
+        self.reign: tuple[object, ...] = ()  # era, who led, and whether that was this one
         self.era: object = None  # in which the record was known last
         self.alone = False  # the record is not waited for any more
         self.timer: Handle | None = None
@@ -178,10 +184,11 @@
         self._note_era()
         self.source.refresh()
         self.ages.follow(roll, now)
-        reign = accord.era, accord.leading
+        self.confirmations.follow(roll)
+        reign = accord.era, accord.leader, accord.leading
         if reign != self.reign:
             self.reign = reign
-            self.confirmations = Confirmations()
+            self.confirmations.forget()
             self.proposed.clear()
             self.told = self.told_here = None
         self._come_in(now)
@@ -229,9 +236,12 @@
         if not self.is_waited_for or not self.may_confirm():
             return
         quiet = self.source.quiet()
-        if self.told is not None and self.told[0] == quiet and now < self.told[1] + AGAIN_US:
-            return
-        self.told = quiet, now
+        again_us = AGAIN_US
+        if self.told is not None and self.told[0] == quiet:
+            if now < self.told[1]:
+                return
+            again_us = min(2 * self.told[2], AGAIN_MOST_US)
+        self.told = quiet, now + again_us, again_us
         self._say(Confirm(quiet))
 
     # --- What calls ask for -----------------------------------------------------------
--- a/woadyard/upkeep/plan.py
+++ b/woadyard/upkeep/plan.py
@@ -34,15 +34,39 @@
 LISTS_US: Final = 2_000_000
 
 
+# Of one copy, incarnations that are known to be over.
+RETIRED_MOST: Final = 4
+
+
 class Confirmations:
     """Up to which index each copy is quiet, in the incarnation that was heard last."""
 
     def __init__(self) -> None:
         self.quiet: dict[int, tuple[int, int]] = {}  # by peer: incarnation, index
+        self.here: dict[int, int] = {}  # as the roll has it
+        self.retired: dict[int, list[int]] = {}  # incarnations that the record had before
+
+    def follow(self, roll: Roll) -> None:
+        """Those that the record had before are no more: what comes of them was long on its way."""
+        for peer, incarnation in roll.here.items():
+            before = self.here.get(peer)
+            if before == incarnation:
+                continue
+            old = [one for one in self.retired.get(peer, ()) if one != incarnation]
+            self.retired[peer] = ([*old, before] if before is not None else old)[-RETIRED_MOST:]
+            self.here[peer] = incarnation
+            if peer in self.quiet and self.quiet[peer][0] in self.retired[peer]:
+                del self.quiet[peer]
+
+    def forget(self) -> None:
+        """What was heard as the leader of another time."""
+        self.quiet.clear()
 
     def hear(self, peer: int, incarnation: int, quiet: int) -> None:
         """Another incarnation begins anew; one and the same never becomes less quiet, as words may
         change places."""
+        if incarnation in self.retired.get(peer, ()):
+            return
         last = self.quiet.get(peer)
         if last is not None and last[0] == incarnation:
             quiet = max(last[1], quiet)
@@ -51,11 +75,13 @@
     def missing(self, index: int, roll: Roll, peers: int) -> list[int]:
         """The copies that have not confirmed what left at this index, in the incarnation that the
         record has: what an earlier one confirmed binds a process that is no more, and a later one
-        that was heard sends without the record."""
+        that was heard sends without the record, also where somebody saw the earlier one dead."""
         found = []
         for peer in range(peers):
-            incarnation, quiet = self.quiet.get(peer, (0, -1))
-            if peer not in roll.absent and (incarnation != roll.here.get(peer) or quiet < index):
+            here = roll.here.get(peer, 0)
+            incarnation, quiet = self.quiet.get(peer, (here, -1))
+            is_absent = peer in roll.absent and incarnation == here
+            if not is_absent and (not here or incarnation != here or quiet < index):
                 found.append(peer)
         return found
 
