--- a/tests/test_upkeep_schedules.py
+++ b/tests/test_upkeep_schedules.py
@@ -420,6 +420,22 @@
         self.copies[-2].cut = False
         self.goes_well(6)
 
+    def one_was_declared_absent_and_serves(self) -> None:
+        first, last = self.copies[0], self.copies[-1]
+        self.goes_well(3)
+        last.die()
+        self.asks(lambda: first.desk.absent(last.me))
+        self.goes_well(3)
+        self.slow.add(last.me)
+        last = self.restart(last.me)
+        for _ in range(30):
+            self.goes_well(1)
+            if last.keeper.alone:
+                break
+        self.goes_well(2)
+        self.asks(lambda: first.desk.wish(wish_of("w0", 2, ids=("m0",))))
+        self.goes_well(8)
+
     def one_has_an_old_list(self) -> None:
         ids = sorted(self.list)
         last = self.copies[-1]
@@ -510,6 +526,7 @@
 
 BEGINNINGS: list[Callable[[World], None]] = [
     World.one_comes_back_before_it_is_declared_absent, World.one_serves_without_the_record,
+    World.one_was_declared_absent_and_serves,
     World.one_has_an_old_list, World.one_clear_is_late,
 ]  # fmt: skip
 
@@ -629,6 +646,15 @@
     patch.setattr(Roll, "_do", any_incarnation)
 
 
+def absent_for_one_that_is_heard(patch: pytest.MonkeyPatch) -> None:
+    missing = Confirmations.missing
+
+    def blind(self: Confirmations, index: int, roll: Roll, peers: int) -> list[int]:
+        return [peer for peer in missing(self, index, roll, peers) if peer not in roll.absent]
+
+    patch.setattr(Confirmations, "missing", blind)
+
+
 def last_one_taken(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(Shown, "_free", lambda self, table: 1000)
 
@@ -672,9 +698,9 @@
 
 
 Fault = Callable[[pytest.MonkeyPatch], None]
-FAULTS: dict[Fault, str] = {
+FAULTS: dict[Fault, str | tuple[str, str]] = {
     one_confirmation_early: "clear while",
-    limits_only_by_the_leader: "more out than",
+    limits_only_by_the_leader: ("more out than", "less stays than"),
     older_incarnation_counted: "clear while one had said",
     hold_forgotten_when_cut_off: "clear while somebody",
     return_without_the_limits: "more out than",
@@ -682,6 +708,7 @@
     quiet_with_requests_out: "clear while somebody",
     sends_before_it_knows: "clear while somebody",
     absent_names_no_incarnation: "clear while somebody",
+    absent_for_one_that_is_heard: "clear while one had said",
     last_one_taken: "the last ready machine was taken",
     late_steps_hold: "clear while somebody",
     discovery_loses: "ready against discovery",
