Keep what is known of those that send without the record across leaders

Cause: with each change of leader the keeper cleared all that it had heard, also that a copy sends without the record, so that one could be left out again. Change: forget keeps the copies that said so, for a start that the record does not have. No test was added here; test_one_that_was_declared_absent_and_serves_alone_keeps_machines_from_clear and the schedules play the rule.

--- a/woadyard/upkeep/plan.py
+++ b/woadyard/upkeep/plan.py
@@ -59,8 +59,12 @@
                 del self.quiet[peer]
 
     def forget(self) -> None:
-        """What was heard as the leader of another time."""
-        self.quiet.clear()
+        """What was heard as the leader of another time, but for those that sent without the record."""
+        self.quiet = {
+            peer: (incarnation, quiet)
+            for peer, (incarnation, quiet) in self.quiet.items()
+            if quiet < 0 and incarnation != self.here.get(peer)
+        }
 
     def hear(self, peer: int, incarnation: int, quiet: int) -> None:
         """Another incarnation begins anew; one and the same never becomes less quiet, as words may
