--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -835,15 +835,15 @@
 class Overtaking(Discovery):
     """Reads on while a long list is applied."""
 
-    def line(self, raw: bytearray, stream: Any, told_at: int | None) -> None:
-        super().line(raw, stream, told_at)
+    def take(self, raw: bytearray, stream: Any, told_at: int | None) -> None:
+        super().take(raw, stream, told_at)
         self.busy = False
 
 
 class Silent(Discovery):
     """Doesn't say that a list did not come."""
 
-    def lost(self, stream: Any) -> None: ...
+    def lost(self, stream: Any, silent: bool) -> None: ...
 
 
 @pytest.mark.parametrize(
