Deliver datagrams that are delayed by less than the loop measures

uvloop gives a plain handle, without its time, for a delay that it rounds to none: the next datagram's look at what is over raised, and all weather with short delays lost what it meant to delay. Each handle is now kept by a number until it is delivered.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -363,6 +363,23 @@
     play(main())
 
 
+def test_delays_below_the_loops_own_measure_are_kept_too() -> None:
+    async def main() -> None:
+        peers = Peers(2)
+        await peers.relay.start()
+        peers.relay.ways.change_weather(Weather(delay_us=(1, 400)))
+        for data in (b"a", b"b", b"c"):
+            peers.send(0, 1, data)
+        assert {(await peers.receive(1))[0] for _ in range(3)} == {b"a", b"b", b"c"}
+        peers.relay.ways.change_weather(Weather(delay_us=(60_000_000, 60_000_000)))
+        peers.send(0, 1, b"never")
+        while peers.relay.way(0, 1).passed < 4:
+            await asyncio.sleep(0)
+        peers.close()
+
+    play(main())
+
+
 def test_a_cut_keeps_what_it_has_and_tells_what_was_sent() -> None:
     async def main() -> None:
         sent: list[str] = []
--- a/woadyard/testing/processes/relays.py
+++ b/woadyard/testing/processes/relays.py
@@ -13,6 +13,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 import re
 import time
@@ -64,7 +65,8 @@
         self.foreign = self.too_long = 0
         self.arrived = [0] * len(real)  # bytes, by receiver
         self._stops: dict[tuple[int, int], _Stop] = {}
-        self._later: set[asyncio.TimerHandle] = set()
+        self._later: dict[int, asyncio.TimerHandle] = {}  # by number, until it is delivered
+        self._numbers = itertools.count()
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
@@ -103,12 +105,17 @@
         loop = asyncio.get_running_loop()
         for parcel in parcels:
             if parcel.after_us:
-                self._later = {handle for handle in self._later if handle.when() > loop.time()}
-                handle = loop.call_later(parcel.after_us / 1e6, self._deliver, one, other, parcel.data)
-                self._later.add(handle)
+                number, after_s = next(self._numbers), parcel.after_us / 1e6
+                self._later[number] = loop.call_later(
+                    after_s, self._deliver_late, number, one, other, parcel.data
+                )
             else:
                 self._deliver(one, other, parcel.data)
 
+    def _deliver_late(self, number: int, one: int, other: int, data: bytes) -> None:
+        del self._later[number]
+        self._deliver(one, other, data)
+
     def _deliver(self, one: int, other: int, data: bytes) -> None:
         transport = self._stops[other, one].transport
         if transport is not None and not transport.is_closing():
@@ -119,7 +126,7 @@
         return self.ways.by_pair[one, other]
 
     def close(self) -> None:
-        for handle in self._later:
+        for handle in self._later.values():
             handle.cancel()
         for stop in self._stops.values():
             if stop.transport is not None:
