Hold upkeep in real processes to the four rules, under kills, pauses and cuts

The schedules hold the pure parts; this holds the program: tiers of three and five processes under load, with stand-in endpoints that count. A machine is noted clear as soon as any process says so, and nothing may be sent there until a worker says done. The leader is killed and paused while a machine leaves, two of five are cut off, one of three is cut off before the wish, all are killed at once.

--- /dev/null
+++ b/tests/test_upkeep_processes.py
@@ -0,0 +1,335 @@
+"""Upkeep in tiers of real processes, under load and faults. Endpoints and relays count what came of it:
+no request lost, none run twice, none sent to a machine after any process said that it is clear.
+
+Each test looks at all its processes all the time (`Watch`): the first that says clear is held to it.
+Where a machine must stay in `leaving`, an endpoint holds its answers or a process is cut off: what a
+test brings about then comes between leaving and clear however slow the machine is."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterable
+from typing import Any, Final
+from urllib.parse import urlencode
+
+from tests.sockets import run
+from woadyard.testing.processes import Load, Tier, until
+from woadyard.testing.processes.program import LOOK_S
+
+TEST_S = 90.0  # for a test that hangs; nothing is measured by it
+SHORT: Final[dict[str, Any]] = {
+    "invariants": {"drain-grace-us": 200_000, "cold-share": 0.5, "cold-us": 200_000}
+}
+# Longer than any hold of a test: what is held is answered, and not given up.
+DEADLINE_MS: Final = 15_000
+OUT: Final = ("clear", "at work", "overdue")
+
+
+def play(test: Coroutine[Any, Any, None]) -> None:
+    async def limited() -> None:
+        async with asyncio.timeout(TEST_S):
+            await test
+
+    run(limited())
+
+
+class Watch:
+    """What each process says at its second address; the first that calls a machine clear is noted."""
+
+    def __init__(self, tier: Tier) -> None:
+        self.tier = tier
+        self.load: Load
+        self.seen: dict[int, dict[str, Any]] = {}  # by process: the last answer
+        self.cleared: list[str] = []  # machines that were clear, in their order
+        self.returned: set[tuple[str, str]] = set()  # wish and machine
+        self._noted: set[tuple[str, str]] = set()
+        self._tasks = [asyncio.create_task(self._follow(one.number)) for one in tier.programs]
+
+    async def _follow(self, process: int) -> None:
+        """Its answers, one after the other: one of a process that is paused comes when it goes on."""
+        program = self.tier.programs[process]
+        while True:
+            if program.running:
+                with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                    message = await program.ask("GET", "/api/upkeep")
+                    if message.status == 200:
+                        self._see(process, json.loads(message.body))
+            else:
+                self.seen.pop(process, None)
+            await asyncio.sleep(LOOK_S)
+
+    def _see(self, process: int, told: dict[str, Any]) -> None:
+        self.seen[process] = told
+        for one in told["machines"]:
+            pair = one["wish"], one["id"]
+            if one["state"] in OUT and pair not in self._noted | self.returned:
+                self._noted.add(pair)
+                self.cleared.append(one["id"])
+                self.tier.note_clear(int(one["id"].removeprefix("s-")))
+
+    def back(self, wish: str, machine: str) -> None:
+        """Somebody is about to say that it is done."""
+        self.returned.add((wish, machine))
+        self.tier.note_back(int(machine.removeprefix("s-")))
+
+    def close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+
+    # --- What they say ----------------------------------------------------------------
+
+    def state(self, process: int, machine: str) -> str:
+        """Of a machine that is out; empty if it is not."""
+        told = self.seen.get(process, {}).get("machines", ())
+        return next((one["state"] for one in told if one["id"] == machine), "")
+
+    def missing(self, machine: str) -> list[int] | None:
+        """Whose confirmation whoever leads says that it waits for."""
+        for process, told in self.seen.items():
+            if not told["leading"] or self.tier.programs[process].paused:
+                continue
+            for one in told["machines"]:
+                if one["id"] == machine and one["missing"] is not None:
+                    return list(one["missing"])
+        return None
+
+    def era(self, process: int) -> str:
+        return str(self.seen[process]["accord"]["era"]["id"])
+
+    async def until(self, look: Callable[[], object], what: str) -> None:
+        async def seen() -> bool:
+            return bool(look())
+
+        try:
+            await until(seen, what)
+        except AssertionError as error:
+            raise AssertionError(f"{error}; they say {self.seen}") from None
+
+    async def until_state(self, machine: str, state: str, processes: Iterable[int]) -> None:
+        named = list(processes)
+        what = f"{machine} {state or 'not out'} at {named}"
+        await self.until(lambda: all(self.state(one, machine) == state for one in named), what)
+
+    async def until_led(self, *among: int) -> int:
+        """One of these leads, and all of them follow it; which."""
+
+        def led() -> bool:
+            told = [self.seen[one] for one in among if one in self.seen]
+            leaders = {one["accord"].get("leader") for one in told}
+            return len(told) == len(among) and len(leaders) == 1 and leaders <= set(among)
+
+        await self.until(led, f"a leader among {among}")
+        return int(self.seen[among[0]]["accord"]["leader"])
+
+    async def until_over(self, wish: str, processes: Iterable[int]) -> None:
+        named = list(processes)
+
+        def over() -> bool:
+            return all(
+                any(one["name"] == wish for one in self.seen.get(process, {}).get("past", ()))
+                for process in named
+            )
+
+        await self.until(over, f"wish {wish} over at {named}")
+
+    # --- What they are asked ----------------------------------------------------------
+
+    async def call(self, process: int, verb: str, **query: Any) -> tuple[int, dict[str, Any]]:
+        target = f"/api/upkeep/{verb}?{urlencode(query, doseq=True)}"
+        message = await self.tier.call(process, "POST", target)
+        return message.status, json.loads(message.body)
+
+    async def ask(self, process: int, verb: str, **query: Any) -> None:
+        """Until this process takes it: one that has no leader yet says so."""
+        said: list[Any] = []
+
+        async def taken() -> bool:
+            said[:] = await self.call(process, verb, **query)
+            assert said[0] in (200, 202, 503), f"{verb} {query} at {process}: {said}"
+            return bool(said[0] != 503)
+
+        await until(taken, f"{verb} {query} taken by {process}")
+
+    async def wish(self, process: int, *machines: str, name: str = "disk", **limits: Any) -> None:
+        await self.ask(process, "wish", name=name, id=machines, **limits)
+
+    async def work(self, process: int, machine: str, wish: str = "disk") -> None:
+        """The worker's night with one machine: clear, begin, done; all said at one process."""
+        await self.until_state(machine, "clear", [process])
+        await self.ask(process, "begin", machine=machine)
+        await self.until_state(machine, "at work", [process])
+        await self.finish(process, machine, wish)
+
+    async def finish(self, process: int, machine: str, wish: str = "disk") -> None:
+        self.back(wish, machine)
+        await self.ask(process, "done", machine=machine)
+        await self.until(lambda: self.state(process, machine) in ("returning", ""), f"{machine} back")
+
+
+@contextlib.asynccontextmanager
+async def watched(
+    processes: int, seats: int, callers: int = 2, **more: Any
+) -> AsyncIterator[tuple[Tier, Watch]]:
+    """Under load, all of them following one leader; held against the rules at the end."""
+    tables = {"accord": {"heartbeat_ms": 50, "election_ms": 200, "seats": seats}, "upkeep": {}}
+    tier = Tier(processes, operator_tables=tables, settings=SHORT, **more)
+    async with tier:
+        watch = Watch(tier)
+        try:
+            async with tier.load(callers=callers, deadline_ms=DEADLINE_MS) as load:
+                watch.load = load
+                await load.more(5)
+                await watch.until_led(*range(processes))
+                yield tier, watch
+        finally:
+            watch.close()
+
+
+# --- A night without faults -------------------------------------------------------------
+
+
+def test_three_machines_are_rolled_one_after_the_other() -> None:
+    async def main() -> None:
+        async with watched(3, 3) as (tier, watch):
+            machines = ["s-0", "s-2", "s-1"]  # by their zones
+            await watch.wish(0, *machines, out=1, share=0.5)
+            for process, machine in enumerate(machines):
+                await watch.work(process, machine)
+                await tier.until_sent(process, *range(3))
+            await watch.until_over("disk", range(3))
+            await watch.load.more(10)
+        assert watch.cleared == machines
+        tier.check()
+
+    play(main())
+
+
+# --- One that leads, and is not there ---------------------------------------------------
+
+
+def test_the_one_that_leads_is_killed_while_a_machine_leaves() -> None:
+    async def main() -> None:
+        async with watched(3, 3) as (tier, watch):
+            leader = await watch.until_led(*range(3))
+            others = [one for one in range(3) if one != leader]
+            tier.hold(0)
+            await tier.until_sent(0, *others)
+            await watch.wish(others[0], "s-0")
+            await watch.until_state("s-0", "leaving", others)
+            await tier.kill(leader)
+            await watch.until_led(*others)
+            assert watch.cleared == []
+            await tier.restart(leader)
+            tier.let_go(0)
+            await watch.work(leader, "s-0")
+            await watch.until_over("disk", range(3))
+            await tier.until_sent(0, *range(3))
+        assert watch.cleared == ["s-0"]
+        tier.check()
+
+    play(main())
+
+
+def test_the_one_that_leads_is_paused_while_a_machine_leaves() -> None:
+    """For longer than the others wait for it. It sends there still, for all they know: not clear."""
+
+    async def main() -> None:
+        async with watched(3, 3) as (tier, watch):
+            leader = await watch.until_led(*range(3))
+            others = [one for one in range(3) if one != leader]
+            tier.hold(0)
+            await tier.until_sent(0, *others)
+            await watch.wish(others[0], "s-0", "s-1")
+            await watch.until_state("s-0", "leaving", range(3))
+            tier.pause(leader)
+            await watch.until_led(*others)
+            tier.let_go(0)
+            await watch.until(lambda: watch.missing("s-0") == [leader], "the paused one is missed")
+            tier.resume(leader)
+            await watch.until_led(*range(3))
+            await watch.work(leader, "s-0")
+            await watch.work(others[0], "s-1")
+            await watch.until_over("disk", range(3))
+        assert watch.cleared == ["s-0", "s-1"]
+        tier.check()
+
+    play(main())
+
+
+# --- Cut off ----------------------------------------------------------------------------
+
+
+def test_the_lesser_part_serves_on_and_takes_nobody_out() -> None:
+    async def main() -> None:
+        async with watched(5, 5, callers=1) as (tier, watch):
+            leader = await watch.until_led(*range(5))
+            minority = [leader, (leader + 1) % 5]
+            majority = [one for one in range(5) if one not in minority]
+            tier.cut(minority, majority)
+            await watch.until(lambda: not any(watch.seen[one]["in_touch"] for one in minority), "cut off")
+            status, told = await watch.call(minority[0], "wish", name="lost", id="s-1")
+            assert status == 503 and told["error"] == "CutOffError" and told["remedy"]
+            await watch.until_led(*majority)
+            await watch.wish(majority[0], "s-0")
+            await watch.until(lambda: watch.missing("s-0") == sorted(minority), "the lesser part is missed")
+            await tier.until_sent(0, *minority)
+            await watch.load.more(10)
+            assert all(not watch.seen[one]["machines"] for one in minority) and watch.cleared == []
+            tier.heal()
+            await watch.until_led(*range(5))
+            await watch.wish(minority[0], "s-1", name="lost")
+            await watch.work(minority[1], "s-0")
+            await watch.work(minority[0], "s-1", "lost")
+            await watch.until_over("lost", range(5))
+        assert watch.cleared == ["s-0", "s-1"]
+        tier.check()
+
+    play(main())
+
+
+def test_one_that_was_cut_off_before_the_wish_keeps_clear_from_being_said() -> None:
+    async def main() -> None:
+        async with watched(3, 3) as (tier, watch):
+            leader = await watch.until_led(*range(3))
+            cut, other = (one for one in range(3) if one != leader)
+            tier.cut({cut}, {leader, other})
+            await watch.wish(other, "s-0")
+            await watch.until(lambda: watch.missing("s-0") == [cut], "it is named")
+            await tier.until_sent(0, cut)
+            await watch.until(lambda: not watch.seen[cut]["in_touch"], "it says that it is cut off")
+            assert watch.cleared == []
+            tier.heal()
+            await watch.work(cut, "s-0")
+            await tier.until_sent(0, cut)
+        assert watch.cleared == ["s-0"]
+        tier.check()
+
+    play(main())
+
+
+# --- All at once ------------------------------------------------------------------------
+
+
+def test_all_are_killed_between_leaving_and_clear() -> None:
+    async def main() -> None:
+        async with watched(3, 3) as (tier, watch):
+            before = watch.era(0)
+            tier.hold(0)
+            await tier.until_sent(0, 0, 1, 2)
+            await watch.wish(0, "s-0")
+            await watch.until_state("s-0", "leaving", range(3))
+            await asyncio.gather(*(tier.kill(one) for one in range(3)))
+            tier.let_go(0)
+            await asyncio.gather(*(tier.start(one) for one in range(3)))
+            await watch.until_led(*range(3))
+            assert before not in [watch.era(one) for one in range(3)] and watch.cleared == []
+            await tier.until_sent(0, 0, 1, 2)
+            await watch.wish(1, "s-1", name="again")
+            await watch.work(2, "s-1", "again")
+            await watch.until_over("again", range(3))
+        assert watch.cleared == ["s-1"]
+        tier.check()
+
+    play(main())
