Upkeep in processes: halves, one way, a bridge, a release, bad weather, faulty programs

Need: upkeep in processes had been tested under kills, pauses and cuts; other faults, and that the checker can fail there, were not seen. Change: tests with seven and six processes in halves, a leader that is not heard, a bridge that leads and one that does not, a release while three wishes are under way, a roll in bad weather (a tenth of datagrams lost, a tenth doubled). A program that says clear one confirmation early, and one that tells no drains, are each found as sent after clear; the rig starts them by begin.

--- a/tests/test_upkeep_processes.py
+++ b/tests/test_upkeep_processes.py
@@ -14,8 +14,11 @@
 from typing import Any, Final
 from urllib.parse import urlencode
 
+import pytest
+
 from tests.sockets import run
-from woadyard.testing.processes import Load, Tier, until
+from woadyard.testing.processes import Load, Tier, Weather, until
+from woadyard.testing.processes.history import SENT_AFTER_CLEAR
 from woadyard.testing.processes.program import LOOK_S
 
 TEST_S = 90.0  # for a test that hangs; nothing is measured by it
@@ -333,3 +336,186 @@
         tier.check()
 
     play(main())
+
+
+# --- Parts without a majority, one way, and a bridge ------------------------------------
+
+
+def test_seven_in_halves_agree_nothing_and_serve_on() -> None:
+    """Five of them decide, one of these is dead: two on each side."""
+
+    async def main() -> None:
+        async with watched(7, 5, callers=1) as (tier, watch):
+            await tier.kill(4)
+            sides = ([0, 1, 5], [2, 3, 6])
+            tier.cut(*sides)
+            await watch.until(
+                lambda: not any(watch.seen[one]["in_touch"] for one in (0, 1, 2, 3)), "nobody leads"
+            )
+            for side in sides:
+                status, told = await watch.call(side[0], "wish", name="disk", id="s-0")
+                assert status == 503 and told["error"] == "CutOffError"
+            await watch.load.more(10, *sides[0], *sides[1])
+            tier.heal()
+            await watch.until_led(0, 1, 2, 3)
+            await watch.wish(1, "s-0")
+            await watch.until_state("s-0", "leaving", (0, 1, 2, 3, 5, 6))
+            await watch.until(lambda: watch.missing("s-0") == [4], "the dead one is named")
+            assert watch.cleared == []
+            await tier.restart(4)
+            await watch.work(4, "s-0")
+            await watch.until_over("disk", range(7))
+        assert watch.cleared == ["s-0"]
+        tier.check()
+
+    play(main())
+
+
+def test_six_in_halves_go_on_where_most_of_the_five_are() -> None:
+    async def main() -> None:
+        async with watched(6, 5, callers=1) as (tier, watch):
+            most, rest = [0, 1, 2], [3, 4, 5]
+            tier.cut(most, rest)
+            await watch.until_led(*most)
+            await watch.until(lambda: not any(watch.seen[one]["in_touch"] for one in (3, 4)), "cut off")
+            await watch.wish(2, "s-0")
+            await watch.until(lambda: watch.missing("s-0") == rest, "the others are missed")
+            await tier.until_sent(0, *rest)
+            assert watch.cleared == []
+            tier.heal()
+            await watch.work(5, "s-0")
+            await watch.until_over("disk", range(6))
+        assert watch.cleared == ["s-0"]
+        tier.check()
+
+    play(main())
+
+
+def test_one_that_leads_and_is_not_heard_gives_way() -> None:
+    """It hears the others; they do not hear it."""
+
+    async def main() -> None:
+        async with watched(3, 3) as (tier, watch):
+            deaf = await watch.until_led(*range(3))
+            others = [one for one in range(3) if one != deaf]
+            tier.cut({deaf}, others, both=False)
+            await watch.until_led(*others)
+            await watch.until(lambda: not watch.seen[deaf]["leading"], "it gives way")
+            await watch.wish(others[0], "s-0")
+            await watch.until(lambda: watch.missing("s-0") == [deaf], "its word does not come")
+            assert watch.cleared == []
+            tier.heal()
+            await watch.work(deaf, "s-0")
+            await watch.until_over("disk", range(3))
+        assert watch.cleared == ["s-0"]
+        tier.check()
+
+    play(main())
+
+
+@pytest.mark.parametrize("leads", [True, False])
+def test_a_bridge(leads: bool) -> None:
+    """One hears both others, who do not hear each other. If it leads, all goes on; if not, it stays
+    with the one that leads, and the third is as one that is cut off."""
+
+    async def main() -> None:
+        async with watched(3, 3) as (tier, watch):
+            leader = await watch.until_led(*range(3))
+            one, other = (n for n in range(3) if n != leader)
+            bridge, ends = (leader, (one, other)) if leads else (one, (leader, other))
+            tier.cut({ends[0]}, {ends[1]})
+            await watch.wish(bridge, "s-0")
+            if leads:
+                await watch.work(ends[1], "s-0")
+            else:
+                await watch.until(lambda: watch.missing("s-0") == [other], "the third is missed")
+                await tier.until_sent(0, other)
+                assert watch.cleared == [] and watch.seen[bridge]["accord"]["leader"] == leader
+                tier.heal()
+                await watch.work(other, "s-0")
+            await watch.until_over("disk", range(3))
+        assert watch.cleared == ["s-0"]
+        tier.check()
+
+    play(main())
+
+
+# --- A release, and bad weather ---------------------------------------------------------
+
+
+def test_a_release_replaces_all_while_three_wishes_are_under_way() -> None:
+    async def main() -> None:
+        async with watched(3, 3) as (tier, watch):
+            for name, machine in (("disk", "s-0"), ("kernel", "s-1"), ("board", "s-2")):
+                await watch.wish(0, machine, name=name, out=2)
+            await watch.until_state("s-0", "clear", range(3))
+            await watch.ask(0, "begin", machine="s-0")
+            await watch.until_state("s-0", "at work", range(3))
+            for process in range(3):
+                assert await tier.replace(process) == 0
+                await watch.until_led(*range(3))
+            await watch.finish(1, "s-0", "disk")
+            await watch.work(2, "s-1", "kernel")
+            await watch.work(0, "s-2", "board")
+            await watch.until_over("board", range(3))
+            await tier.until_sent(0, *range(3))
+        assert sorted(watch.cleared) == ["s-0", "s-1", "s-2"]
+        tier.check()
+
+    play(main())
+
+
+def test_a_roll_through_bad_weather() -> None:
+    """A tenth of all datagrams is lost, a tenth comes twice, and they overtake each other."""
+
+    async def main() -> None:
+        async with watched(5, 5, callers=1) as (tier, watch):
+            tier.change_weather(Weather(lose=0.1, double=0.1, turn=0.1, delay_us=(0, 20_000)))
+            await watch.wish(0, "s-0", "s-1")
+            await watch.work(1, "s-0")
+            await watch.work(4, "s-1")
+            await watch.until_over("disk", range(5))
+            assert sum(one.lost for one in tier.datagrams.ways.by_pair.values()) > 0
+        assert watch.cleared == ["s-0", "s-1"]
+        tier.check()
+
+    play(main())
+
+
+# --- A faulty program -------------------------------------------------------------------
+
+# Clear as soon as all have confirmed but one.
+EARLY: Final = """
+import sys
+from woadyard.__main__ import main
+from woadyard.upkeep.plan import Confirmations
+missing = Confirmations.missing
+Confirmations.missing = lambda *given: missing(*given)[1:]
+sys.exit(main(sys.argv[1:]))
+"""
+# Drains are not told to the module: it sends where it sent before.
+UNTOLD: Final = """
+import sys
+from woadyard.__main__ import main
+from woadyard.upkeep.shown import Shown
+Shown.raw = lambda self, member: member.raw(member.phase, member.started_ms)
+sys.exit(main(sys.argv[1:]))
+"""
+
+
+@pytest.mark.parametrize("fault", [EARLY, UNTOLD], ids=["clear one confirmation early", "drain not told"])
+def test_a_program_with_a_fault_is_found(fault: str) -> None:
+    async def main() -> None:
+        async with watched(3, 3, begin=("-c", fault)) as (tier, watch):
+            leader = await watch.until_led(*range(3))
+            last = next(one for one in range(3) if one != leader)
+            if fault is EARLY:
+                tier.cut({last}, set(range(3)) - {last})
+            await watch.wish(leader, "s-0")
+            await watch.until(lambda: watch.cleared, "clear, which is untrue")
+            await tier.until_sent(0, last)
+        assert {one.name for one in tier.violations()} == {SENT_AFTER_CLEAR}
+        with pytest.raises(AssertionError, match=f"{SENT_AFTER_CLEAR}: s-0 at process"):
+            tier.check()
+
+    play(main())
--- a/woadyard/testing/processes/program.py
+++ b/woadyard/testing/processes/program.py
@@ -10,7 +10,7 @@
 import signal
 import sys
 from asyncio.subprocess import DEVNULL, PIPE, Process
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from pathlib import Path
 from typing import Any, Final
 
@@ -25,6 +25,7 @@
 # Between two looks at what can only be asked for. No verdict depends on it.
 LOOK_S: Final = 0.01
 LINES_MOST: Final = 10_000
+PROGRAM: Final = ("-m", "woadyard")
 
 
 async def until(look: Callable[[], Awaitable[bool]], what: str, seconds: float = PATIENCE_S) -> None:
@@ -40,13 +41,23 @@
 class Program:
     """Its name, addresses and folder stay; each start is a process from nothing."""
 
-    def __init__(self, number: int, folder: Path, history: History, seed: int, clock: bool = False) -> None:
+    def __init__(
+        self,
+        number: int,
+        folder: Path,
+        history: History,
+        seed: int,
+        clock: bool = False,
+        begin: Sequence[str] = PROGRAM,
+    ) -> None:
+        """`begin`: the words to the interpreter that stand before the program's own."""
         self.number = number
         self.folder = folder
         self.history = history
         self.listen: Address = (HOST, free_port())
         self.management: Address = (HOST, free_port())
         self.clock = folder / "clock" if clock else None
+        self.begin = begin
         self.lines: list[str] = []  # its log, of all its starts
         self.process: Process | None = None
         self.starts = 0
@@ -111,8 +122,8 @@
 
     async def _spawn(self) -> None:
         self._draw_seed()
-        module = ["woadyard"] if self.clock is None else [f"{__package__}.launch", str(self.clock)]
-        words = [*module, "run", "--operator", str(self.folder / "operator.toml")]
+        begin = self.begin if self.clock is None else ("-m", f"{__package__}.launch", str(self.clock))
+        words = [*begin, "run", "--operator", str(self.folder / "operator.toml")]
         environ = {name: value for name, value in os.environ.items() if not name.startswith("LB_")}
         told = {
             "LB_CONFIG": str(self.folder / "config.json"),
@@ -122,7 +133,7 @@
         self.starts += 1
         # A group of its own, for signals to it and its workers.
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", *words, stdin=DEVNULL, stdout=DEVNULL, stderr=PIPE, start_new_session=True,
+            sys.executable, *words, stdin=DEVNULL, stdout=DEVNULL, stderr=PIPE, start_new_session=True,
             env={**environ, **told},
         )  # fmt: skip
         self._ended = asyncio.create_task(self._follow(self.process))
--- a/woadyard/testing/processes/tier.py
+++ b/woadyard/testing/processes/tier.py
@@ -32,7 +32,7 @@
 )
 from woadyard.testing.processes.lists import Entry, Lists
 from woadyard.testing.processes.load import Load
-from woadyard.testing.processes.program import Program, until
+from woadyard.testing.processes.program import PROGRAM, Program, until
 from woadyard.testing.processes.relays import HOST, DatagramRelay, Direction, StreamRelay, now_us
 
 # The platform's settings, as far as a test does not give others. An answer that comes later than the
@@ -78,11 +78,14 @@
         clocks: bool = False,
         folder: Path | None = None,
         rules: Rules | None = None,
+        begin: Sequence[str] = PROGRAM,
     ) -> None:
         """`operator_tables` hold for all processes, `tables_of` for single ones beside them; in their
         texts `{process}` and `{folder}` stand for its number and a folder of its own that stays.
         `platform` and `settings` replace keys of the platform's JSON and of its settings. With `clocks`
-        each process has a wall clock that can be stepped."""
+        each process has a wall clock that can be stepped. `begin` starts another program in the place
+        of this one: a faulty one, which a checker must find; without `clocks`."""
+        assert not clocks or begin == PROGRAM, "the clock is a way to begin itself"
         self.operator_tables, self.tables_of = operator_tables or {}, tables_of or {}
         self.platform, self.settings = platform or {}, settings or {}
         self.zones = tuple(zones)
@@ -91,7 +94,7 @@
         self.rules = rules or Rules(late_us=LATE_US)
         self.history = History(now_us)
         self._stack = contextlib.AsyncExitStack()
-        self._folder, self._clocks, self._processes = folder, clocks, processes
+        self._folder, self._clocks, self._processes, self._begin = folder, clocks, processes, begin
         self.effects = [Effects() for _ in range(CELLS)]
         self.open = [asyncio.Event() for _ in range(endpoints)]  # held back: executed, and not answered
         self.endpoints = [Endpoint(self._handler(number), keep=False) for number in range(endpoints)]
@@ -123,7 +126,9 @@
         for endpoint in self.endpoints:
             await self._stack.enter_async_context(endpoint)
         for number in range(self._processes):
-            program = Program(number, folder / f"p{number}", self.history, self.seed, self._clocks)
+            program = Program(
+                number, folder / f"p{number}", self.history, self.seed, self._clocks, self._begin
+            )
             self.programs.append(program)
             self.paths.append([await self._path(number, at) for at in range(len(self.endpoints))])
             self._views.append([self._entry(number, at) for at in range(len(self.endpoints))])
