Let a word name its record's era: one of an earlier record is not heard

Seats that all forget found another record, whose places begin anew. A learner that has not heard of it goes on confirming by its old roll, to the same number that leads again. The leader kept the greatest index it heard of an incarnation, so a confirmation up to 100 of the old record made each machine that left before place 100 of the new one clear while that copy still sent there. A word now names the era it speaks of, also where it has to wait for the disk, and reaches no leader of another; one that has no record yet says NOWHERE, as a copy that serves alone must be heard.

--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -466,6 +466,29 @@
     assert sorted(heard) == [(me, core_of(world, me).incarnation, b"word%d" % me) for me in range(4)]
 
 
+def test_a_word_of_an_earlier_record_is_not_heard_in_a_later_one() -> None:
+    """A learner that has not heard of the new record yet speaks of places that have other entries there."""
+    world = tier(3, learners=1)
+    learner, era = core_of(world, 3), core_of(world, 3).era
+    now = world.processes[3].local(world.time)
+    ((_, early),) = learner.word(now, b"early").sends
+    for me in range(3):
+        world.restart(me)
+    settle(world)
+    leader = core_of(world, led(world, range(3)).me)
+    assert leader.era == learner.era != era
+    heard: list[bytes] = []
+    leader.heard = lambda peer, incarnation, data: heard.append(data)
+    lost = leader.counters["words_lost"]
+    leader.receive(world.processes[leader.me].local(world.time), 3, early)
+    assert not heard and leader.counters["words_lost"] == lost + 1
+    # Nor what was to be said of it, and had to wait until it was over.
+    assert not learner.word(world.processes[3].local(world.time), b"waited", era).sends
+    ((_, late),) = learner.word(world.processes[3].local(world.time), b"late", leader.era).sends
+    leader.receive(world.processes[leader.me].local(world.time), 3, late)
+    assert heard == [b"late"]
+
+
 # Bounds
 
 
@@ -510,7 +533,7 @@
         m.Vote(era, big, big, count, True, False),
         m.Chunk(era, small, count, count, count, small, small, small, count, bytes(m.CHUNK_MOST)),
         m.Chunked(era, big, count, count, small, small, count),
-        m.Word(big, bytes(WORD_MOST)),
+        m.Word(era, big, bytes(WORD_MOST)),
     ]
     for message in longest:
         raw = m.encode(message)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -29,7 +29,7 @@
 from woadyard.accord.ports import Link, Store
 from woadyard.accord.stores.embedded import EmbeddedStore
 from woadyard.accord.stores.none import NoStore
-from woadyard.accord.terms import NOWHERE, PENDING_MOST, Effects
+from woadyard.accord.terms import NOWHERE, PENDING_MOST, Effects, Era
 from woadyard.engine.clock import LoopClock
 from woadyard.handover.place import Place
 from woadyard.handover.state import KEPT_MOST, kept_in, state_of_accord
@@ -62,7 +62,7 @@
     role = "follower"
     leader = 2
     term = 3
-    era = NOWHERE
+    era: Era = NOWHERE
     committed = applied = 0
     known = True
     incarnation = 0
@@ -99,8 +99,8 @@
     def propose(self, now: int, data: bytes) -> Effects:
         return self._step("propose", data)
 
-    def word(self, now: int, data: bytes) -> Effects:
-        return self._step("word", data)
+    def word(self, now: int, data: bytes, era: Era | None = None) -> Effects:
+        return self._step("word", data, era)
 
     def in_touch(self, now: int) -> bool:
         return True
@@ -294,6 +294,21 @@
     run(main())
 
 
+def test_a_word_that_waits_stays_one_of_the_record_it_speaks_of() -> None:
+    async def main() -> None:
+        store = HeldStore()
+        bench = Bench(store)
+        await bench.node.start()  # begins with a write
+        bench.core.era = Era(1, 7)
+        bench.node.word(b"of the first")
+        bench.core.era = Era(2, 5)
+        await store.end()
+        assert bench.core.steps == [("word", b"of the first", Era(1, 7))]
+        await bench.node.close()
+
+    run(main())
+
+
 def test_one_timer_follows_the_core() -> None:
     async def main() -> None:
         bench = Bench()
@@ -360,7 +375,7 @@
         bench.core.answers["propose"] = SAY
         bench.node.propose(b"x" * 160)
         bench.node.word(b"w")
-        assert bench.core.steps[-2:] == [("propose", b"x" * 160), ("word", b"w")]
+        assert bench.core.steps[-2:] == [("propose", b"x" * 160), ("word", b"w", NOWHERE)]
         assert (1, b"said") in bench.arrive()
         await bench.node.close()
 
--- a/woadyard/accord/core.py
+++ b/woadyard/accord/core.py
@@ -237,16 +237,22 @@
         effects.index = index
         return effects
 
-    def word(self, now: int, data: bytes) -> Effects:
-        """A small message to whoever leads, perhaps lost. EntryError if too long."""
+    def word(self, now: int, data: bytes, era: Era | None = None) -> Effects:
+        """A small message to whoever leads, perhaps lost. EntryError if too long.
+
+        `era`: of the record that it speaks of, the present one unless told. It reaches nobody who leads
+        another one: places there have other entries.
+        """
         if len(data) > WORD_MOST:
             raise EntryError(f"{len(data)} bytes, of {WORD_MOST} at most")
         self._begin(now)
         state = self._state
-        if state.role == LEADER:
+        if era is not None and era != state.log.era:
+            state.counters["words_lost"] += 1
+        elif state.role == LEADER:
             state.heard(state.me, state.incarnation, data)
         elif state.leader is not None:
-            state.send(state.leader, m.Word(state.incarnation, data))
+            state.send(state.leader, m.Word(state.log.era, state.incarnation, data))
         else:
             state.counters["words_lost"] += 1
         return self._end()
@@ -336,10 +342,11 @@
             self._learner.on_feed(peer, message)
 
     def _on_word(self, peer: int, message: m.Word) -> None:
-        if self._state.role == LEADER:
-            self._state.heard(peer, message.incarnation, message.data)
+        state = self._state
+        if state.role == LEADER and message.era in (NOWHERE, state.log.era):
+            state.heard(peer, message.incarnation, message.data)
         else:
-            self._state.counters["words_lost"] += 1
+            state.counters["words_lost"] += 1
 
     def _enter(self, peer: int, message: m.Stand | m.Append | m.Chunk) -> bool:
         """Rule 2: whether the message is of this process's era, or has brought it there."""
--- a/woadyard/accord/messages.py
+++ b/woadyard/accord/messages.py
@@ -220,8 +220,11 @@
 
 
 class Word(_Message, frozen=True, tag=15):
-    """A word for the one that leads."""
+    """A word for the one that leads. `era`: of the record that it speaks of; NOWHERE from one that has
+    none yet.
+    """
 
+    era: Era
     incarnation: Random
     data: Annotated[bytes, msgspec.Meta(max_length=WORD_MOST)]
 
--- a/woadyard/accord/node.py
+++ b/woadyard/accord/node.py
@@ -155,7 +155,8 @@
         if len(data) > WORD_MOST:
             raise EntryError(f"a word of {len(data)} bytes, at most {WORD_MOST} are told")
         if core is not None:
-            self._demand(lambda now: core.word(now, data))
+            era = core.era  # it may have to wait, and the record be another one then
+            self._demand(lambda now: core.word(now, data, era))
 
     def status(self) -> dict[str, Any]:
         """For an operator, in JSON's types."""
