Count a hold's grace from when the engine was told, not from when it was taken

The hold noted its time before the engine heard of it. A process that was stopped in between, for longer than the grace, was quiet at once when it went on, while the engine's own grace had just begun; and a list that the engine did not take left the hold to become quiet, while the machine was sent to as before. Each let a machine be called clear too early. Now a hold counts from a telling that the engine took.

--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -4,7 +4,7 @@
 
 import itertools
 import json
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from typing import Any
 
 import msgspec
@@ -1159,6 +1159,43 @@
     assert world.engine.ready.keys() == {"m8", "m9"}
 
 
+def test_a_process_that_stands_still_as_it_tells_is_not_quiet_before_the_grace_is_over() -> None:
+    world = World()
+    world.source.listed(1, True, [line("m0"), line("m1")])
+    world.hold("m0")
+    listed = world.engine.listed
+
+    def late(version: int, whole: bool, entries: Sequence[Any]) -> None:
+        world.clock.advance(2 * GRACE_US)  # stopped between the hold and the engine
+        listed(version, whole, entries)
+
+    world.engine.listed = late  # type: ignore[method-assign]
+    world.source.refresh()
+    left = world.roll.machines["m0"].left
+    assert world.engine.may_send("m0") and world.source.quiet() < left
+    world.clock.advance(GRACE_US)
+    assert not world.engine.may_send("m0") and world.source.quiet() >= left
+
+
+def test_what_the_engine_did_not_take_is_never_quiet() -> None:
+    world = World()
+    world.source.listed(1, True, [line("m0"), line("m1")])
+    world.hold("m0")
+
+    def refuse(version: int, whole: bool, entries: Sequence[Any]) -> None:
+        raise ValueError("no entry")
+
+    listed, world.engine.listed = world.engine.listed, refuse  # type: ignore[method-assign]
+    world.source.refresh()
+    left = world.roll.machines["m0"].left
+    world.clock.advance(2 * GRACE_US)
+    assert world.engine.may_send("m0") and world.source.quiet() < left
+    world.engine.listed = listed  # type: ignore[method-assign]
+    world.source.listed(2, True, [line("m0"), line("m1")])
+    world.clock.advance(2 * GRACE_US)
+    assert not world.engine.may_send("m0") and world.source.quiet() >= left
+
+
 @pytest.mark.parametrize("bad", [{"instanceId": "x"}, 7, line("x", phase="asleep"), line("x", hostPort="no")])
 def test_a_bad_list_changes_nothing(bad: Any) -> None:
     for known in (True, False):
--- a/woadyard/upkeep/shown.py
+++ b/woadyard/upkeep/shown.py
@@ -17,7 +17,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from woadyard.interface import DRAINING, READY
@@ -27,12 +27,13 @@
 
 
 class Hold:
-    __slots__ = ("left", "quiet", "state", "taken_at")
+    __slots__ = ("left", "quiet", "state", "taken", "told_at")
 
     def __init__(self, left: int, state: State) -> None:
         self.left = left
         self.state = state
-        self.taken_at: int | None = None  # when the module was told, µs
+        self.taken = False  # shown as draining from now on
+        self.told_at: int | None = None  # since when the module surely knows, µs
         self.quiet = False
 
 
@@ -61,15 +62,17 @@
             if hold is None:
                 hold = self.holds[machine.id] = Hold(machine.left, machine.state)
             hold.state = machine.state
-            if hold.taken_at is None:
+            if not hold.taken:
                 member = table.members.get(machine.id)
                 is_ready = member is not None and member.phase == READY
                 if is_ready and free <= 1 and not self.fresh and machine.state not in CLEARED:
                     continue  # rule 3
-                hold.taken_at = now
+                hold.taken = True
                 if is_ready:
                     free -= 1
                     changed.append(machine.id)
+                else:
+                    hold.told_at = now  # by discovery's word nothing goes there already
         self.fresh = False
         return changed
 
@@ -80,16 +83,24 @@
         returns = worked if machine is None else machine.state == State.RETURNING
         if returns and id in table.members:
             self.returned[id] = wall_ms
-        return hold.taken_at is not None and id in table.members
+        return hold.taken and id in table.members
 
     def _free(self, table: MemberTable) -> int:
         """Ready machines that this process may send to."""
         taken = 0
         for id, hold in self.holds.items():
             member = table.members.get(id)
-            taken += hold.taken_at is not None and member is not None and member.phase == READY
+            taken += hold.taken and member is not None and member.phase == READY
         return table.ready - taken
 
+    def told(self, ids: Iterable[str], now: int) -> None:
+        """The module has taken in what is shown of these. Its grace counts from when it was told: that
+        is before now, but may be later than when the hold was taken."""
+        for id in ids:
+            hold = self.holds.get(id)
+            if hold is not None and hold.taken and hold.told_at is None:
+                hold.told_at = now
+
     def forget(self, table: MemberTable) -> None:
         """Starts that were told of machines that are not listed any more: rule 5."""
         for id in [id for id in self.returned if id not in table.members]:
@@ -99,7 +110,7 @@
 
     def is_held(self, id: str) -> bool:
         hold = self.holds.get(id)
-        return hold is not None and hold.taken_at is not None
+        return hold is not None and hold.taken
 
     def touches(self, id: str) -> bool:
         """Whether what is shown of it may differ from discovery's entry."""
@@ -120,11 +131,11 @@
             if machine.state not in HELD:
                 continue
             hold = self.holds.get(machine.id)
-            if hold is None or hold.left != machine.left or hold.taken_at is None:
+            if hold is None or hold.left != machine.left or hold.told_at is None:
                 index = min(index, machine.left - 1)  # not told yet
                 continue
             if not hold.quiet:
-                hold.quiet = now >= hold.taken_at + grace_us and out_at(machine.id) == 0
+                hold.quiet = now >= hold.told_at + grace_us and out_at(machine.id) == 0
             if not hold.quiet:
                 index = min(index, machine.left - 1)
         return index
--- a/woadyard/upkeep/source.py
+++ b/woadyard/upkeep/source.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import Any, Final
 
 from woadyard.engine.listing import STEP
@@ -86,6 +86,7 @@
         if self.is_passing and self.sink is not None:
             raws = [self._raw(one, raw) for one, raw in zip(read, entries, strict=True)]
             self.sink.listed(version, whole, raws)
+            self._passed(whole, [one.id for one in read])
         else:
             self._tell_later(whole, read)
         self.generation = version
@@ -110,6 +111,7 @@
                     yield
             if passing and self.sink is not None:
                 yield from self.sink.list_in_steps(whole, raws, told_at)
+                self._passed(whole, read)
             else:
                 self._tell_later(whole, read.values())
             yield from self._keep_in_steps(whole, read)
@@ -122,6 +124,10 @@
         """Whether a list that comes now goes straight on."""
         return self.open and not self.telling and not self.reading
 
+    def _passed(self, whole: bool, ids: Iterable[str]) -> None:
+        """The engine has taken a list with these."""
+        self.shown.told(self.shown.holds if whole else ids, self.clock.now())
+
     def _raw(self, one: Member, raw: Any) -> Any:
         return self.shown.raw(one) if self.shown.touches(one.id) else raw
 
@@ -191,6 +197,8 @@
                 self.sink.listed(self.generation, whole, [self._raw_of(id) for id in ids])
             except ValueError as error:
                 self.log(f"upkeep: the engine did not take its list: {error}")
+            else:
+                self._passed(whole, ids)
         else:
             self.telling = True
             self.run_steps(self._tell_in_steps(whole, ids, self.sink), self._told)
@@ -203,6 +211,7 @@
             if at % STEP == 0:
                 yield
         yield from sink.list_in_steps(whole, raws, told_at)
+        self._passed(whole, ids)
 
     def _told(self, error: Exception | None) -> None:
         self.telling = False
