Refuse ids that the engine can't number, and keep what is no Unicode out of the record

JSON may have a lone surrogate, and an id that is no string. The engine refuses a list with such an id; upkeep's table took it where lists are held back, and the whole list was then not told when the record became known. A machine in such a zone ended each turn of the leader's upkeep with an error, so that nothing was agreed any more. Now such a list is refused as the engine does it, and such a machine stays.

--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -975,6 +975,13 @@
     assert not fits(Step("y" * 150, 1, "clear")) and fits(Step("y", 1, "clear"))
 
 
+def test_a_zone_that_is_no_unicode_keeps_its_machine_and_no_other() -> None:
+    one = tier(2, [line("m0", zone="\ud800"), *(line(f"m{n}") for n in range(1, 4))])
+    one.copies[0].desk.wish(wish_of(out=9, kind="small"))
+    one.settle()
+    assert set(one.states()) == {"m1", "m2", "m3"}
+
+
 def test_a_wish_for_more_machines_than_the_record_holds() -> None:
     one = tier(2, [line(f"m{n}") for n in range(1100)])
     with pytest.raises(FitError, match="1024"):
@@ -1196,7 +1203,18 @@
     assert not world.engine.may_send("m0") and world.source.quiet() >= left
 
 
-@pytest.mark.parametrize("bad", [{"instanceId": "x"}, 7, line("x", phase="asleep"), line("x", hostPort="no")])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        {"instanceId": "x"},
+        7,
+        line("x", phase="asleep"),
+        line("x", hostPort="no"),
+        # As the engine, which makes its number of an id.
+        line("x") | {"instanceId": "\ud800"},
+        line("x") | {"instanceId": 7},
+    ],
+)
 def test_a_bad_list_changes_nothing(bad: Any) -> None:
     for known in (True, False):
         world = World(known)
--- a/woadyard/upkeep/entries.py
+++ b/woadyard/upkeep/entries.py
@@ -89,15 +89,22 @@
 
 
 def pack(entry: Entry | Word) -> bytes:
-    """`FitError` for what is too long for the record."""
-    data = KIND + _encode(entry)
+    """`FitError` for what is too long for the record, or has what is no Unicode."""
+    try:
+        data = KIND + _encode(entry)
+    except UnicodeEncodeError as error:  # a lone surrogate, which JSON may have
+        raise FitError(str(error)) from None
     if len(data) > ENTRY_MOST:
         raise FitError(f"{len(data)} bytes, {ENTRY_MOST} at most")
     return data
 
 
 def fits(entry: Entry) -> bool:
-    return len(_encode(entry)) < ENTRY_MOST
+    try:
+        pack(entry)
+    except FitError:
+        return False
+    return True
 
 
 def unpack_entry(data: bytes) -> Entry | None:
--- a/woadyard/upkeep/members.py
+++ b/woadyard/upkeep/members.py
@@ -74,8 +74,10 @@
         address = str(raw.get("hostPort", ""))
         if phase == READY:
             split_address(address)
+        id = raw["instanceId"]
+        id.encode()  # its number is made of that: see `endpoint_number`
         return Member(
-            id=str(raw["instanceId"]),
+            id=id,
             address=address,
             phase=phase,
             zone=sys.intern(str(raw.get("zone", ""))),
