Take no list of the old address once discovery has moved, also one that is being read

A long list is read in slices. One that had come before SIGHUP was applied after it, though what comes from the old address counts no more from then on.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -367,6 +367,28 @@
     run(main())
 
 
+def test_a_long_list_that_is_read_as_discovery_moves_is_not_taken() -> None:
+    async def main() -> None:
+        sink = Sink()
+        async with Agent() as old, Agent() as new:
+            one = source(old, sink, pushed=True, silent_s=60.0, answer_s=60.0)
+            one.slices.seconds = 0.0  # a step a turn
+            _, watch = await old.asked.get()
+            begin(watch)
+            push(watch, 90, True, *(entry(f"s-{n}") for n in range(3_000)))
+            while not one.busy:
+                await asyncio.sleep(0)
+            one.move(f"127.0.0.1:{new.port}")
+            _, watch = await new.asked.get()
+            begin(watch)
+            push(watch, 3, True, entry("t-0"))
+            assert await sink.told.get() == (3, ["t-0"]) and one.generation == 3
+            one.close()
+            await one.wait_closed()
+
+    run(main())
+
+
 def test_changes_missed_in_a_silence_are_told_by_the_next_answer() -> None:
     """Six in ten endpoints are replaced while the watch is silent."""
 
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -42,6 +42,7 @@
 
     def __init__(self, owner: Discovery, target: str, watch: bool, again: bool = False) -> None:
         self.owner, self.target, self.watch = owner, target, watch
+        self.address = owner.address
         self.again = again  # it was asked because the one before fell silent
         self.parser = httptools.HttpResponseParser(self)
         self.objects = Objects(OBJECT_MAX)
@@ -58,7 +59,7 @@
         if self.done:
             self.transport.abort()
             return
-        self.transport.write(f"GET {self.target} HTTP/1.1\r\nHost: {self.owner.address}\r\n\r\n".encode())
+        self.transport.write(f"GET {self.target} HTTP/1.1\r\nHost: {self.address}\r\n\r\n".encode())
 
     def data_received(self, data: bytes) -> None:
         if self.done:
@@ -322,6 +323,8 @@
         told = yield from parse_in_steps(raw.decode())
         version, whole, entries = _list_of(told)
         self.listed = len(entries)
+        if stream.address != self.address:
+            return  # moved while it was read: the new address has the word
         if self._counts(stream, version, whole):
             yield from sink.list_in_steps(whole, entries, told_at)
             if not stream.done:  # another source may be watched since
