--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -13,6 +13,7 @@
 from tests.fakes import Answers, ManualClock, PlayedUpstream, entry
 from tests.upkeeping import COLD_US, GRACE_US, SECOND, Copy, Inner, PlayedEngine, Tier, line, wish_of
 from woadyard.accord.errors import BusyError, NotLeadingError
+from woadyard.accord.machines import Machines
 from woadyard.engine import Answer, Call, Ending, Engine, Names, endpoint_number
 from woadyard.engine.call import Attempt
 from woadyard.engine.flow import Flow
@@ -21,6 +22,7 @@
 from woadyard.interface import OK, RequestClass, Settings
 from woadyard.lifecycle import Lifecycle
 from woadyard.management.calls import Reply, reply_to
+from woadyard.upkeep.assembly import carried
 from woadyard.upkeep.calls import METHODS, reply_about
 from woadyard.upkeep.desk import UpkeepDesk
 from woadyard.upkeep.entries import (
@@ -128,6 +130,15 @@
         agree(roll, index, Step("m0", since, event, "why"))
 
 
+def test_a_copy_with_upkeep_off_that_leads_forgets_no_wish() -> None:
+    """Its snapshot is all that a copy which fell behind gets."""
+    off, behind = Machines(carried()), Roll()
+    off.apply(1, pack(Ask(0, 5, 1, "wish", wish_of(zone="a"))))
+    off.apply(2, pack(Here(1, 7)))
+    Machines({KIND[0]: behind}).load(off.dump())
+    assert [one.wish.name for one in behind.wishes.values()] == ["w"] and behind.here == {1: 7}
+
+
 EVENTS = sorted({event for event, _ in MOVES} - {"agree"})
 
 
--- a/woadyard/daemon.py
+++ b/woadyard/daemon.py
@@ -164,10 +164,11 @@
         from woadyard.accord.machines import Machines
         from woadyard.accord.node import check_folder, node_of
         from woadyard.engine.clock import LoopClock
+        from woadyard.upkeep.assembly import carried
 
         try:
             check_folder(settings.store_path)
-            machines = Machines({} if self.upkeep is None else self.upkeep.machines)
+            machines = Machines(carried() if self.upkeep is None else self.upkeep.machines)
             return node_of(settings, machines, self.loop, LoopClock(self.loop), log)
         except ImportError as error:
             problem = f"{error.name} is missing: pip install 'laurelstep[store]'"
--- a/woadyard/upkeep/assembly.py
+++ b/woadyard/upkeep/assembly.py
@@ -21,6 +21,12 @@
 from woadyard.upkeep.source import UpkeepSource
 
 
+def carried() -> dict[int, Machine]:
+    """The record's machine of upkeep for a copy that shares the record and has upkeep off. It may
+    come to lead: a snapshot without what the others agreed would make them forget it."""
+    return {KIND[0]: Roll()}
+
+
 class Upkeep:
     """In the order of a start: `machines` into the record, `hold` into the engine, `begin`."""
 
