Let a cut-off copy not say that what it remembers is still so

begin, wish, withdraw and absent answered 200 from this copy's roll where it had it so already, in touch or not. A copy that was cut off while a machine was at work went on saying yes to begin after that one was done and sent to again, and staff goes by that answer. Now it says CutOffError, 503, as to other calls.

--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -493,6 +493,25 @@
     assert out(one) == ["m4"]
 
 
+def test_a_copy_that_is_cut_off_does_not_say_that_what_it_remembers_still_is() -> None:
+    one = tier(3, MACHINES)
+    first, last = one.copies[0], one.copies[2]
+    wish = wish_of(ids=("m0",))
+    first.desk.wish(wish)
+    one.settle()
+    first.desk.work("begin", "m0")
+    one.settle()
+    assert last.desk.work("begin", "m0") is None and last.desk.wish(wish) is None
+    last.cut = True
+    first.desk.work("done", "m0")
+    one.settle()
+    assert one.state("m0") != "at work" and last.roll.machines["m0"].state == "at work"
+    with pytest.raises(CutOffError):
+        last.desk.work("begin", "m0")
+    with pytest.raises(CutOffError):
+        last.desk.wish(wish)
+
+
 def test_a_record_that_is_learned_anew_lets_nothing_go() -> None:
     """A process that has to come again as another member has an empty roll for a while."""
     one = tier()
--- a/woadyard/upkeep/desk.py
+++ b/woadyard/upkeep/desk.py
@@ -4,7 +4,7 @@
 
 1. What is asked for is checked against the roll and the list as this copy has them, so that a bad
    call is told so at once; the record judges it once more when it is agreed.
-2. What is so already is no error."""
+2. What is so already is no error; but a copy that is cut off can't say that it still is."""
 
 from __future__ import annotations
 
@@ -45,7 +45,7 @@
         same = self.keeper.roll.named(wish.name)
         if same is not None:
             if same.wish == wish and not same.withdrawn:
-                return None
+                return self._so_already()
             raise ContradictionError(wish.name)
         for id in wish.ids:
             if id not in table.members:
@@ -72,9 +72,9 @@
     def withdraw(self, name: str) -> Asking | None:
         one = self.keeper.roll.named(name)
         if one is not None:
-            return None if one.withdrawn else self.keeper.ask("withdraw", name)
+            return self._so_already() if one.withdrawn else self.keeper.ask("withdraw", name)
         if any(past.name == name and past.withdrawn for past in self.keeper.roll.past):
-            return None
+            return self._so_already()
         raise UnknownWishError(name)
 
     def work(self, event: str, id: str) -> Asking | None:
@@ -82,14 +82,19 @@
         state = None if machine is None else move(event, machine.state)
         if machine is None or state is None:
             raise OrderError(f"{id}: {machine.state if machine is not None else 'not out'}")
-        return None if state == machine.state else self.keeper.ask(event, id)
+        return self._so_already() if state == machine.state else self.keeper.ask(event, id)
 
     def absent(self, peer: int) -> Asking | None:
         if not 0 <= peer < self.keeper.accord.peers or peer == self.keeper.accord.me:
             raise UnknownPeerError(
                 f"peer: {peer}: expected another copy, 0 to {self.keeper.accord.peers - 1}"
             )
-        return None if peer in self.keeper.roll.absent else self.keeper.ask("absent", peer)
+        return self._so_already() if peer in self.keeper.roll.absent else self.keeper.ask("absent", peer)
+
+    def _so_already(self) -> Asking | None:
+        """Nothing is to be asked for. `CutOffError` where that may not be so any more."""
+        self.keeper.need_touch()
+        return None
 
     def status(self) -> dict[str, Any]:
         now = self.keeper.clock.now()
--- a/woadyard/upkeep/keeper.py
+++ b/woadyard/upkeep/keeper.py
@@ -246,10 +246,14 @@
 
     # --- What calls ask for -----------------------------------------------------------
 
-    def ask(self, verb: str, what: Wish | str | int) -> Asking:
-        """Tell it until the record has it. `UpkeepError` if that can't be now."""
+    def need_touch(self) -> None:
+        """`CutOffError` where the roll may be an old one."""
         if not self.accord.in_touch or not self.accord.known:
             raise CutOffError("no leader is heard")
+
+    def ask(self, verb: str, what: Wish | str | int) -> Asking:
+        """Tell it until the record has it. `UpkeepError` if that can't be now."""
+        self.need_touch()
         for one in self.asked:
             if one.said == State.WISHED and (one.verb, one.what) == (verb, what):
                 return one
