Look once at what is out when the status is asked for

Each machine's line asked for the quiet index anew, which looks at all open requests for each machine that is not quiet: with 256 that leave and 2,000 requests open, over a hundred million looks in one turn.

--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -756,6 +756,19 @@
     assert one.states() == {"m0": "leaving"}
 
 
+def test_a_status_looks_once_at_what_is_out_at_each_machine() -> None:
+    one = tier(1, [line(f"m{n}") for n in range(40)])
+    copy = one.copies[0]
+    copy.engine.out.update(f"m{n}" for n in range(40))
+    copy.desk.wish(wish_of(out=30, kind="small", zone="a"))
+    one.settle(6.0)
+    assert len(one.roll.machines) == 30
+    looks: list[int] = []
+    copy.source.out_at = lambda endpoint: looks.append(endpoint) or 1  # type: ignore[func-returns-value]
+    assert not any(told["quiet_here"] for told in copy.desk.status()["machines"])
+    assert len(looks) == 30
+
+
 def test_two_hundred_copies() -> None:
     one = Tier(200, [line(f"m{n}", "ab"[n % 2]) for n in range(10)])
     one.settle(1)
--- a/woadyard/upkeep/desk.py
+++ b/woadyard/upkeep/desk.py
@@ -98,6 +98,7 @@
 
     def status(self) -> dict[str, Any]:
         now = self.keeper.clock.now()
+        quiet = self.keeper.source.quiet()  # it may look at all requests that are open
         return {
             "copy": self.keeper.accord.me,
             "copies": self.keeper.accord.peers,
@@ -107,7 +108,7 @@
             "serving_alone": self.keeper.alone and not self.keeper.source.learned,
             "index": self.keeper.roll.index,
             "wishes": [self.told_wish(one) for one in self.keeper.roll.wishes.values()],
-            "machines": [self._told_machine(one, now) for one in self.keeper.roll.machines.values()],
+            "machines": [self._told_machine(one, now, quiet) for one in self.keeper.roll.machines.values()],
             "absent": sorted(self.keeper.roll.absent),
             "unheard": self._unheard(),
             "past": [
@@ -154,7 +155,7 @@
             "never": never,
         }
 
-    def _told_machine(self, one: Machine, now: int) -> dict[str, Any]:
+    def _told_machine(self, one: Machine, now: int, quiet: int) -> dict[str, Any]:
         wish = self.keeper.roll.wishes.get(one.wish)
         missing = None
         if self.keeper.accord.leading and one.state == State.LEAVING:
@@ -166,7 +167,7 @@
             "state": one.state.value,
             "for_s": self.keeper.ages.of(one, now) // 1_000_000,
             "missing": missing,
-            "quiet_here": self.keeper.source.quiet() >= one.left,
+            "quiet_here": quiet >= one.left,
         }
 
 
