Count a long list from when it came, not from the end of the long one before

A watch was paused behind each long list, whether or not anything waited, and kept the time of that until the next list. So the second long list of a watch, minutes later, counted as told at the time of the first: the drain grace of what left with it was over at once, and the engine refused what the module still sent there until the list was applied. Now it is paused only when an object has begun, whose time it then is; one that is paused again with half an object waits again, too. White space begins no object.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -169,6 +169,7 @@
 
     told: asyncio.Queue[tuple[int, list[str]]] = field(default_factory=asyncio.Queue)
     failed: asyncio.Queue[None] = field(default_factory=asyncio.Queue)
+    told_at: list[int] = field(default_factory=list)  # of long lists
 
     def now(self) -> int:
         return int(asyncio.get_running_loop().time() * 1e6)
@@ -178,6 +179,7 @@
 
     def list_in_steps(self, whole: bool, entries: list[Any], told_at: int) -> Iterator[None]:
         names = [one["instanceId"] for one in entries]
+        self.told_at.append(told_at)
         yield
         self.told.put_nowait((-1, names))
 
@@ -367,6 +369,62 @@
     run(main())
 
 
+@pytest.mark.parametrize("meanwhile", [b"", b"\n"])
+def test_a_long_list_counts_from_when_it_came_not_from_the_one_before(meanwhile: bytes) -> None:
+    async def main() -> None:
+        sink = Sink()
+        async with Agent() as agent:
+            one = source(agent, sink, pushed=True, silent_s=60.0, answer_s=60.0)
+            one.slices.seconds = 0.0  # a step a turn
+            _, watch = await agent.asked.get()
+            begin(watch)
+            entries = [entry(f"s-{n}") for n in range(1_000)]
+            push(watch, 42, True, *entries)
+            while not one.busy:
+                await asyncio.sleep(0)
+            if meanwhile:
+                push_raw(watch, meanwhile)
+            assert (await sink.told.get())[0] == -1
+            while one.busy:
+                await asyncio.sleep(0)
+            before = sink.now()
+            push(watch, 43, True, *entries)
+            assert (await sink.told.get())[0] == -1
+            assert sink.told_at[0] <= before <= sink.told_at[1]
+            one.close()
+            await one.wait_closed()
+
+    run(main())
+
+
+def test_a_list_that_waits_for_a_long_one_counts_from_when_it_came() -> None:
+    async def main() -> None:
+        sink = Sink()
+        async with Agent() as agent:
+            one = source(agent, sink, pushed=True, silent_s=60.0, answer_s=60.0)
+            one.slices.seconds = 0.0
+            _, watch = await agent.asked.get()
+            begin(watch)
+            raw = json.dumps(listing(43, *(entry(f"s-{n}") for n in range(1_000)), whole=True)).encode()
+            push_raw(watch, json.dumps(listing(42, *(entry(f"s-{n}") for n in range(20_000)))).encode())
+            push_raw(watch, raw[:100])
+            stream = one.stream
+            assert stream is not None
+            while stream.paused_at is None:
+                await asyncio.sleep(0)
+            paused_at = stream.paused_at
+            assert (await sink.told.get())[0] == -1
+            while one.busy:
+                await asyncio.sleep(0)
+            push_raw(watch, raw[100:])
+            assert (await sink.told.get())[0] == -1
+            assert sink.told_at[1] == paused_at
+            one.close()
+            await one.wait_closed()
+
+    run(main())
+
+
 def test_a_long_list_that_is_read_as_discovery_moves_is_not_taken() -> None:
     async def main() -> None:
         sink = Sink()
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -102,7 +102,8 @@
             return
         while not self.done:
             if self.owner.busy:
-                self.pause()
+                if self.objects.begun:
+                    self.pause()
                 return
             try:
                 found = self.objects.take()
@@ -138,9 +139,11 @@
                 self.stop()
 
     def pause(self) -> None:
-        """Read no more, so that what waits is bounded. It counts as told from now on."""
-        if self.paused_at is None and self.transport is not None and self.owner.sink is not None:
-            self.paused_at = self.owner.sink.now()
+        """Read no more, so that what waits is bounded. It counts as told from now on: so nothing is
+        paused before there is something, or the next list would count from then, however late it comes."""
+        if self.transport is not None and self.owner.sink is not None:
+            if self.paused_at is None:
+                self.paused_at = self.owner.sink.now()
             self.transport.pause_reading()
 
     def resume(self) -> None:
--- a/woadyard/net/objects.py
+++ b/woadyard/net/objects.py
@@ -44,7 +44,7 @@
     @property
     def begun(self) -> bool:
         """Whether an object has begun that is not whole."""
-        return bool(self.depth or self.buffer)
+        return bool(self.depth) or self._space() < len(self.buffer)
 
     def feed(self, data: bytes) -> None:
         self.buffer += data
@@ -73,9 +73,7 @@
 
     def _opens(self) -> bool:
         """Whether an object begins; what comes before it is dropped."""
-        space = _SPACE.match(self.buffer)
-        assert space is not None  # it matches nothing, too
-        del self.buffer[: space.end()]
+        del self.buffer[: self._space()]
         self.at = 0
         if not self.buffer:
             return False
@@ -83,6 +81,12 @@
             raise ValueError(f"expected an object, got {bytes(self.buffer[:16])!r}")
         return True
 
+    def _space(self) -> int:
+        """Where the white space ends that the buffer begins with."""
+        space = _SPACE.match(self.buffer)
+        assert space is not None  # it matches nothing, too
+        return space.end()
+
     def _cut(self) -> bytearray:
         if self.at == len(self.buffer):  # most often: it need not be copied
             whole, self.buffer = self.buffer, bytearray()
