Keep a word that is told late from ending the next leaving of a machine

Cause: begin, done and withdraw named a machine or a wish, and not which of its times they meant. Where somebody said done at two copies, because the first did not answer, and the words of the first were lost, they could be agreed when the machine was clear again for another wish: it went back into service under the hands of whoever worked at it. Each is now for the index at which the machine left, or the wish's number; in an entry 0 stands for whichever there is.

--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -399,6 +399,39 @@
     assert one.roll.absent == set() and asked["state"] == "OrderError"
 
 
+def test_a_word_that_is_told_late_does_not_hit_the_next_time() -> None:
+    """Two copies are told that a machine is done, one of them in vain: it is out again by then."""
+    one = tier()
+    one.copies[0].desk.wish(wish_of("first", ids=("m0",)))
+    one.settle()
+    assert out(one) == ["m0"]
+    one.copies[1].desk.work("done", "m0")
+    one.copies[1].keeper.look()
+    late, one.words = one.words, []
+    one.copies[1].keeper.asked[0].told_at = one.clock.now() + 60 * SECOND  # the repeats are lost
+    one.copies[2].desk.work("done", "m0")
+    one.settle(COLD_US / SECOND + 1)
+    assert not one.roll.machines and not one.roll.wishes
+    one.copies[0].desk.wish(wish_of("second", ids=("m0",)))
+    one.settle()
+    assert out(one) == ["m0"]
+    one.words = late
+    one.settle(1)
+    assert out(one) == ["m0"] and one.roll.asked[1].verdict == "OrderError"
+
+
+def test_a_wish_withdrawn_late_is_not_the_next_one_of_its_name() -> None:
+    roll = held(State.RETURNING)
+    first = next(iter(roll.wishes))
+    agree(roll, 20, Ask(1, 6, 1, "withdraw", "w", first))
+    tell(roll, "back")
+    agree(roll, 22, Ask(0, 5, 30, "wish", wish_of(zone="a")))
+    agree(roll, 23, Ask(1, 6, 2, "withdraw", "w", first))
+    assert list(roll.wishes) == [22] and roll.asked[1].verdict == "UnknownWishError"
+    agree(roll, 24, Ask(1, 6, 3, "withdraw", "w", 22))
+    assert not roll.wishes
+
+
 def test_an_absent_copy_that_was_only_cut_off_ends_it() -> None:
     one = tier()
     one.copies[2].cut = True
--- a/woadyard/upkeep/entries.py
+++ b/woadyard/upkeep/entries.py
@@ -29,7 +29,9 @@
     number: int
     verb: str  # wish, withdraw, begin, done or absent
     what: Wish | str | int
-    whose: int = 0  # absent: the incarnation that is declared so
+    # absent: the incarnation that is declared so; begin and done: the index at which the machine
+    # left; withdraw: the number of the wish. 0 for these two: whichever there is.
+    whose: int = 0
 
 
 class Leave(_Entry, frozen=True, tag=2):
--- a/woadyard/upkeep/keeper.py
+++ b/woadyard/upkeep/keeper.py
@@ -254,12 +254,12 @@
     def ask(self, verb: str, what: Wish | str | int) -> Asking:
         """Tell it until the record has it. `UpkeepError` if that can't be now."""
         self.need_touch()
+        whose = self._whose(verb, what)
         for one in self.asked:
-            if one.said == State.WISHED and (one.verb, one.what) == (verb, what):
+            if one.said == State.WISHED and (one.verb, one.what, one.whose) == (verb, what, whose):
                 return one
         if sum(1 for one in self.asked if one.said == State.WISHED) >= ASKS_MOST:
             raise ManyError(f"{ASKS_MOST} calls wait to be agreed")
-        whose = self.roll.here.get(what, 0) if verb == "absent" and isinstance(what, int) else 0
         # A version before this one may have asked as the same incarnation.
         number = max(self.asks, self._agreed()[0]) + 1
         one = Asking(number, verb, what, whose, self.clock.now() + ASK_US)
@@ -271,6 +271,18 @@
         self.come()
         return one
 
+    def _whose(self, verb: str, what: Wish | str | int) -> int:
+        """For which life, wish or leaving it is meant: told late, it must not hit the next one."""
+        if verb == "absent" and isinstance(what, int):
+            return self.roll.here.get(what, 0)
+        if verb == "withdraw" and isinstance(what, str):
+            wish = self.roll.named(what)
+            return 0 if wish is None else wish.number
+        if verb in ("begin", "done") and isinstance(what, str):
+            machine = self.roll.machines.get(what)
+            return 0 if machine is None else machine.left
+        return 0
+
     def _worded(self, one: Asking) -> Ask:
         return Ask(self.accord.me, self.accord.incarnation, one.number, one.verb, one.what, one.whose)
 
--- a/woadyard/upkeep/roll.py
+++ b/woadyard/upkeep/roll.py
@@ -11,7 +11,9 @@
 4. A `Leave` or an `End` is good for the roll that its proposer saw, and for no other.
 5. A state changes as `states.MOVES` says, and a `Step` only from the very state that it was made for.
 6. What can't be read is counted and passed over; nothing that is applied raises.
-7. Everything has a bound: open wishes, machines out, what is remembered of those that are over.
+7. What is asked for one wish, or one time that a machine is out, is ignored when it comes late, for
+   the next.
+8. Everything has a bound: open wishes, machines out, what is remembered of those that are over.
 """
 
 from __future__ import annotations
@@ -183,9 +185,9 @@
         if ask.verb == "wish" and isinstance(what, Wish):
             return self._wish(index, what)
         if ask.verb == "withdraw" and isinstance(what, str):
-            return self._withdraw(index, what)
+            return self._withdraw(index, what, ask.whose)
         if ask.verb in ("begin", "done") and isinstance(what, str):
-            return self._work(index, ask.verb, what)
+            return self._work(index, ask.verb, what, ask.whose)
         if ask.verb == "absent" and type(what) is int and 0 <= what < PEERS_MOST:
             if self.here.get(what, 0) != ask.whose:
                 return "OrderError"  # it has come again since
@@ -203,9 +205,9 @@
         self.wishes[index] = OpenWish(index, wish)
         return ""
 
-    def _withdraw(self, index: int, name: str) -> str:
+    def _withdraw(self, index: int, name: str, whose: int) -> str:
         one = self.named(name)
-        if one is None:
+        if one is None or whose not in (0, one.number):
             return "UnknownWishError"
         one.withdrawn = True
         for machine in [held for held in self.machines.values() if held.wish == one.number]:
@@ -214,10 +216,10 @@
         self._close(one)
         return ""
 
-    def _work(self, index: int, event: str, id: str) -> str:
+    def _work(self, index: int, event: str, id: str, left: int) -> str:
         machine = self.machines.get(id)
         state = None if machine is None else move(event, machine.state)
-        if machine is None or state is None:
+        if machine is None or state is None or left not in (0, machine.left):
             return "OrderError"
         if state != machine.state:
             machine.state, machine.since = state, index
