Let a frozen seat not know the record: it reads the new one anew

A seat that accepted an era stayed known, and entering that era did not change it, as it had promised it already. Freezing ends it now; a founding that fails had ended it before.

--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -236,6 +236,18 @@
         assert all(b"kept" in process.tape.data for process in world.processes)
 
 
+def test_one_that_is_frozen_reads_the_new_record_anew() -> None:
+    world = tier(3)
+    last, era = core_of(world, 2), core_of(world, 2).era
+    assert last.known
+    world.restart(0)
+    world.restart(1)
+    assert world.run_for(10 * SECOND, lambda: last.role == "frozen" or last.era != era)
+    # Until then it goes by the old one, and must not take that for the record.
+    assert world.run_for(10 * SECOND, lambda: last.known)
+    assert last.role != "frozen" and last.era != era
+
+
 def test_a_majority_forgets_while_one_seat_is_cut_off_and_nothing_is_founded() -> None:
     world = tier(3)
     leader = led(world, range(3)).me
--- a/woadyard/accord/state.py
+++ b/woadyard/accord/state.py
@@ -175,6 +175,7 @@
         """Promise an era that is not known to live (rule 2)."""
         self.promised, self.term, self.voted = era, 0, None
         self.live = False
+        self.known = False  # of the new era nothing is: reading.py, rule 3
         self.frozen_at = self.now
         self.role = FROZEN
         self.leader = None
