Ask an agent that answers badly after a pause of up to 2 s, as before

Cause: the pause of 0.5 s is for silence; each bad answer is a line in the log, and would come four times a second (net/discovery.py, lost). Found by review.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -309,7 +309,10 @@
     run(main())
 
 
-def test_a_fleet_that_lost_its_discovery_does_not_come_back_at_once() -> None:
+@pytest.mark.parametrize(("bad", "pauses"), [(False, (0.4, 0.5, 0.5)), (True, (0.4, 0.8, 1.6, 2.0))])
+def test_a_fleet_that_lost_its_discovery_does_not_come_back_at_once(
+    bad: bool, pauses: tuple[float, ...]
+) -> None:
     waits: list[list[float]] = []
     for seed in range(8):
         told: list[float] = []
@@ -320,10 +323,10 @@
         discovery = Discovery(loop, "127.0.0.1:1", "/x", True, print, seed=seed)
         discovery.sink = cast(Any, object())
         for _ in range(6):
-            discovery.stream = cast(Any, SimpleNamespace(watch=True, again=False))
+            discovery.stream = cast(Any, SimpleNamespace(watch=True, again=False, bad=bad))
             discovery.lost(discovery.stream, silent=False)
         waits.append(told)
-    for step, most in enumerate((0.1, 0.2, 0.4, 0.5, 0.5, 0.5)):
+    for step, most in enumerate((0.1, 0.2, *pauses)):
         waited = [told[step] for told in waits]
         assert all(most / 2 <= wait <= most for wait in waited) and len(set(waited)) == 8
 
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -26,8 +26,9 @@
 # A silence is acted on this much later at most, drawn by each sidecar for itself: a fault that
 # silences the watches of a fleet must not have them all ask at once.
 SPREAD_S = 0.3
-# An agent that is silent costs nothing to ask, and what it has counts from when it has it.
-RETRY_S, RETRY_MOST_S = 0.1, 0.5
+# An agent that is silent costs nothing to ask, and what it has counts from when it has it. One that
+# answers with what can't be read will not be better soon, and each time is a line in the log.
+RETRY_S, RETRY_MOST_S, RETRY_SPOILT_MOST_S = 0.1, 0.5, 2.0
 # A renewal waits for a part of that between half and all of it, drawn by each sidecar for itself:
 # when discovery comes back, a fleet must not ask at once.
 RETRY_PART = 0.5
@@ -49,6 +50,7 @@
         self.paused_at: int | None = None  # on the engine's clock; objects since then wait
         self.transport: asyncio.Transport | None = None
         self.done = False  # whole, or given up: its end says nothing
+        self.bad = False  # it held what can't be read
         self.answered = False  # its head has come
         self.complete = False  # its last byte has come
         self.reading: asyncio.Handle | None = None
@@ -74,6 +76,7 @@
 
     def spoilt(self, error: Exception) -> None:
         self.owner.log(f"bad line from discovery: {error}")
+        self.bad = True
         self.fail()
 
     def on_headers_complete(self) -> None:
@@ -356,7 +359,8 @@
         else:
             part = RETRY_PART + (1.0 - RETRY_PART) * self.draw.random()
             self.loop.call_later(part * self.retry_s, self._renew, stream)
-            self.retry_s = min(RETRY_MOST_S, 2.0 * self.retry_s)
+            most = RETRY_SPOILT_MOST_S if stream.bad else RETRY_MOST_S
+            self.retry_s = min(most, 2.0 * self.retry_s)
 
     def _renew(self, stream: Stream, again: bool = False) -> None:
         if not stream.watch:
