Roll machines in real processes through faults as they are drawn

A worker calls whichever process answers, while kills, pauses, cuts, replacements and weather come as the seed draws them, one at a time; once they end, two more wishes must come to their end.

--- a/tests/test_upkeep_processes.py
+++ b/tests/test_upkeep_processes.py
@@ -77,8 +77,9 @@
 
     def back(self, wish: str, machine: str) -> None:
         """Somebody is about to say that it is done."""
-        self.returned.add((wish, machine))
-        self.tier.note_back(number_of(machine))
+        if (wish, machine) not in self.returned:
+            self.returned.add((wish, machine))
+            self.tier.note_back(number_of(machine))
 
     def close(self) -> None:
         for task in self._tasks:
@@ -517,6 +518,93 @@
     play(main())
 
 
+# --- Faults as they are drawn -----------------------------------------------------------
+
+
+class Worker:
+    """Rolls one wish after the other, told by and calling whichever process answers."""
+
+    def __init__(self, watch: Watch, machines: list[str]) -> None:
+        self.watch = watch
+        self.machines = machines
+        self.rolled = 0
+        self._task = asyncio.create_task(self._roll())
+
+    async def _roll(self) -> None:
+        while True:
+            for process in list(self.watch.seen):
+                with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+                    async with asyncio.timeout(1.0):  # one that is paused does not answer
+                        await self._turn(process, f"night-{self.rolled}")
+            await asyncio.sleep(LOOK_S)
+
+    async def _turn(self, process: int, name: str) -> None:
+        told = self.watch.seen.get(process)
+        if told is None or not told["in_touch"]:
+            return
+        if any(one["name"] == name for one in told["past"]):
+            self.rolled += 1
+        elif not any(one["name"] == name for one in told["wishes"]):
+            await self.watch.call(process, "wish", name=name, id=self.machines)
+        for one in told["machines"]:
+            if one["wish"] == name and one["state"] == "clear":
+                await self.watch.call(process, "begin", machine=one["id"])
+            elif one["wish"] == name and one["state"] == "at work":
+                self.watch.back(name, one["id"])
+                await self.watch.call(process, "done", machine=one["id"])
+
+    def close(self) -> None:
+        self._task.cancel()
+        if self._task.done() and not self._task.cancelled():
+            self._task.result()
+
+
+async def fault(tier: Tier, watch: Watch) -> None:
+    """One, drawn, for some answers of those that are not hit; then none."""
+    draw, numbers = tier.draw, range(len(tier.programs))
+    what = draw.choice(["cut", "one way", "kill", "pause", "weather", "replace"])
+    victim, answers = draw.choice(numbers), draw.randrange(60)
+    some = set(draw.sample(numbers, draw.randrange(1, len(numbers))))
+    spared = [one for one in numbers if one != victim]
+    if what == "replace":
+        assert await tier.replace(victim) == 0
+    elif what == "kill":
+        await tier.kill(victim)
+    elif what == "pause":
+        tier.pause(victim)
+    elif what == "weather":
+        tier.change_weather(Weather(lose=0.2, double=0.2, turn=0.2, delay_us=(0, 50_000)))
+    else:
+        tier.cut(some, set(numbers) - some, both=what == "cut")
+    await watch.load.more(answers, *spared)
+    tier.heal()
+    tier.change_weather(Weather())
+    if what == "kill":
+        await tier.start(victim)
+    elif what == "pause":
+        tier.resume(victim)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_rolls_go_on_through_faults_as_they_are_drawn(seed: int) -> None:
+    """One at a time, so that a majority remembers. Once they end, two more wishes come to their end."""
+
+    async def main() -> None:
+        async with watched(3 if seed % 2 else 5, 3, callers=1, seed=seed) as (tier, watch):
+            worker = Worker(watch, ["s-0", "s-1", "s-2"])
+            try:
+                for _ in range(5):
+                    await fault(tier, watch)
+                rolled = worker.rolled
+                await watch.until(lambda: worker.rolled > rolled + 1, "progress once faults end")
+            finally:
+                worker.close()
+        assert len(watch.cleared) >= 3
+        tier.check()
+
+    play(main())
+
+
 # --- A faulty program -------------------------------------------------------------------
 
 # Clear as soon as all have confirmed but one.
