--- a/woadyard/daemon.py
+++ b/woadyard/daemon.py
@@ -5,12 +5,12 @@
 import asyncio
 import signal
 import socket
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from typing import TYPE_CHECKING, Any
 
 from woadyard.engine.listing import dump_in_steps
 from woadyard.engine.ports import MemberSource
-from woadyard.lifecycle import Lifecycle
+from woadyard.lifecycle import Lifecycle, Phase
 from woadyard.net.assembly import Assembly
 from woadyard.net.collector import Collector
 from woadyard.net.discovery import Discovery
@@ -21,10 +21,12 @@
 from woadyard.settings import Config, ConfigError
 
 if TYPE_CHECKING:
+    from woadyard.accord.node import Node
     from woadyard.handover.giver import Giver
     from woadyard.handover.place import Place
     from woadyard.handover.taker import Taken
     from woadyard.management.server import Management
+    from woadyard.upkeep.assembly import Upkeep
     from woadyard.workers.child import Seat
 
 ReadConfig = Callable[[dict[str, str]], Config]
@@ -78,7 +80,12 @@
         self.ended = asyncio.Event()
         self.management: Management | None = None
         self.giver: Giver | None = None
-        self.has_predecessor = False
+        self.has_predecessor = arrival is not None and arrival.taken is not None
+        self.was_alone = arrival is None or not arrival.others
+        self.node: Node | None = None
+        self.upkeep: Upkeep | None = None
+        self.leaving = False
+        self.tasks: set[asyncio.Task[None]] = set()
 
     async def run(self, read_config: ReadConfig, seat: Seat | None = None) -> None:
         """Until a stop is over. `ConfigError` if it can't begin."""
@@ -86,7 +93,10 @@
         recorder = None
         if config.orders is not None:
             recorder = await open_recorder(config.orders, config.names.classes, log)
-        self.parts = Assembly(self.loop, config, log, recorder, collector=Collector())
+        self.upkeep = self._upkeep()
+        self.node = self._shared()
+        holding = None if self.upkeep is None else self.upkeep.hold
+        self.parts = Assembly(self.loop, config, log, recorder, collector=Collector(), holding=holding)
         self.parts.start()
         self.server = Server(
             self.loop,
@@ -96,22 +106,32 @@
             self.lifecycle,
             config.memory_mb,
         )
+        await self._take_part()
+        if self.upkeep is not None:
+            self._heed_signals(read_config)  # a start may have to wait
         try:
             await self._listen(shared=seat is not None)
         except OSError as error:
             raise ConfigError(f"can't listen: {error}") from None
         self._heed_signals(read_config)
-        if seat is not None:
+        if seat is not None and not self.ended.is_set():
             from woadyard.workers.child import join
 
             await join(self.loop, seat, self.parts.engine, self.stop)
         await self.ended.wait()
+        self.leaving = True
         self._close()
+        if self.node is not None:
+            await self.node.close()
         if recorder is not None:
             await recorder.close()
 
     def stop(self) -> None:
-        self.server.stop(self.ended.set)
+        if self.lifecycle.phase is Phase.STARTING:  # nobody was taken yet
+            self.lifecycle.stop(self.loop.time())
+            self.ended.set()
+        else:
+            self.server.stop(self.ended.set)
 
     def _heed_signals(self, read_config: ReadConfig) -> None:
         self.loop.add_signal_handler(
@@ -122,12 +142,117 @@
 
     def _close(self) -> None:
         self.slices.close()
+        if self.upkeep is not None:
+            self.upkeep.close()
         self.parts.close()
         if self.giver is not None:
             self.giver.close()
         if self.management is not None:
             self.management.close()
 
+    # --- What the copies of the tier share ----------------------------------------------
+
+    def _shared(self) -> Node | None:
+        """This process's part in it, not yet begun, with all that rests on it; None where it is off."""
+        settings = self.config.accord
+        if settings is None:
+            return None
+        if not settings.is_linked:
+            log("accord: off, and what rests on it: the configuration has no peers and peer_listen")
+            return None
+        # Imported where it is on.
+        from woadyard.accord.machines import Machines
+        from woadyard.accord.node import check_folder, node_of
+        from woadyard.engine.clock import LoopClock
+        from woadyard.upkeep.assembly import carried
+
+        try:
+            check_folder(settings.store_path)
+            machines = Machines(carried() if self.upkeep is None else self.upkeep.machines)
+            return node_of(settings, machines, self.loop, LoopClock(self.loop), log)
+        except ImportError as error:
+            problem = f"{error.name} is missing: pip install 'laurelstep[store]'"
+        except OSError as error:
+            problem = f"{settings.store_path}: {error.strerror}: expected a folder that this user may write"
+        raise ConfigError(f"{self._file}accord.store_path: {problem}")
+
+    async def _take_part(self) -> None:
+        if self.node is None:
+            return
+        from woadyard.handover.state import kept_in
+
+        taken = None if self.arrival is None else self.arrival.taken
+        try:
+            await self.node.start(None if taken is None else kept_in(taken.state))
+        except OSError as error:
+            listen = self.config.accord.listen if self.config.accord is not None else ""
+            problem = f"{listen}: {error.strerror}: expected where this process may listen, on this machine"
+            raise ConfigError(f"{self._file}accord.peer_listen: {problem}") from None
+        if self.upkeep is not None:
+            self.upkeep.begin(self.node, self.parts.engine, self._is_alone)
+
+    def _upkeep(self) -> Upkeep | None:
+        """Machines out for work, not yet begun; None where it is off, or has nothing to rest on."""
+        settings, accord = self.config.upkeep, self.config.accord
+        if settings is None or accord is None or not accord.is_linked:
+            return None
+        # Imported where it is on.
+        from woadyard.upkeep.assembly import Upkeep
+
+        return Upkeep(self.loop, self.config, settings, log)
+
+    def _is_alone(self) -> bool:
+        """Whether no process of the version before sends to endpoints any more. Asked at the lock:
+        one that has given this process up may live on."""
+        if self.has_predecessor:
+            return False
+        if not self.was_alone:
+            self.was_alone = self.arrival is None or not self.arrival.place.enter()
+        return self.was_alone
+
+    async def _know(self) -> bool:
+        """Wait until this process may send: False if it was stopped meanwhile. `ConfigError` if the
+        one before it did not wait as long, and serves on: two of them would take callers."""
+        if self.upkeep is None:
+            return True
+        taken = None if self.arrival is None else self.arrival.taken
+        given_up = asyncio.Event()
+        if taken is not None:
+            self.loop.add_reader(taken.channel.fileno(), given_up.set)  # nothing else is said there yet
+        while True:
+            events = [self.upkeep.opened, self.ended, *([] if taken is None else [given_up])]
+            waits = [self.loop.create_task(one.wait()) for one in events]
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            for one in waits:
+                one.cancel()
+            if taken is not None:
+                self.loop.remove_reader(taken.channel.fileno())
+            if taken is None or not given_up.is_set():
+                return not self.ended.is_set()
+            if self.arrival is not None and self.arrival.place.enter():
+                raise ConfigError(
+                    f"{self._file}upkeep.start_alone: what is out was not known in time, the version before "
+                    "serves on: start this one again once a majority of the seats is up"
+                )
+            taken = None  # it has ended: there is nobody to come after
+
+    @property
+    def _file(self) -> str:
+        """The operator's, where there is one, to begin a line with."""
+        path = self.environ.get("LB_OPERATOR")
+        return f"{path}: " if path else ""
+
+    def _begin_again(self) -> None:
+        """Nobody follows any more: take part again, if this process has given up its part."""
+        giver = self.giver
+        if self.node is not None and giver is not None and giver.is_alone and not self.leaving:
+            self._spawn(self.node.begin_again())
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
     # --- Listening ------------------------------------------------------------------
 
     async def _listen(self, shared: bool) -> None:
@@ -136,6 +261,8 @@
         # The second address answers before callers are taken: a start can be watched.
         if config.management is not None:
             await self._manage(*config.management)
+        if not await self._know():
+            return
         if arrival is None:
             await self.server.listen(*config.listen, shared=shared)
             return
@@ -154,9 +281,11 @@
         from woadyard.management.server import Management
         from woadyard.management.telemetry import figures
 
-        def asked(method: bytes, path: bytes) -> Reply:
+        more = None if self.upkeep is None else self.upkeep.reply
+
+        def asked(method: bytes, target: bytes) -> Reply:
             now = self.loop.time()
-            return reply_to(method, path, self.lifecycle, now, lambda: figures(self.parts.engine))
+            return reply_to(method, target, self.lifecycle, now, lambda: figures(self.parts.engine), more)
 
         self.management = Management(self.loop, asked)
         await self.management.listen(host, port)
@@ -173,7 +302,9 @@
             arrival.taken.say_ready()
         listener: Any = self.server.listener
         try:
-            self.giver = Giver(self.loop, arrival.place, listener.sockets[0], self._collect, self._share, log)
+            self.giver = Giver(
+                self.loop, arrival.place, listener.sockets[0], self._collect, self._changed, log
+            )
         except OSError as error:
             log(f"no handover to a next version: {error}")
         else:
@@ -186,6 +317,11 @@
         self.has_predecessor = False
         self._share()
 
+    def _changed(self) -> None:
+        """A handover has come further, or to nothing."""
+        self._share()
+        self._begin_again()
+
     def _share(self) -> None:
         """Two processes have one sidecar's descriptors."""
         alone = not self.has_predecessor and (self.giver is None or self.giver.handover.share == 1.0)
@@ -200,9 +336,28 @@
         generation = source.generation if isinstance(source, Discovery) else 0
 
         def ended(error: Exception | None) -> None:
-            give({} if error is not None else state_of(self.config, source, known[0]))
-
-        self.slices.run(dump_in_steps(self.parts.engine.members, generation, known), ended)
+            state = {} if error is not None else state_of(self.config, source, known[0])
+            if self.node is None:
+                give(state)
+            else:
+                self._spawn(self._retire(self.node, state, give))
+
+        if self.upkeep is not None and self.upkeep.source is not None:
+            # What is held back is not in the engine's list, and is the next process's all the same.
+            steps = self.upkeep.source.dump_in_steps(generation, known)
+        else:
+            steps = dump_in_steps(self.parts.engine.members, generation, known)
+        self.slices.run(steps, ended)
+
+    async def _retire(
+        self, node: Node, state: dict[str, bytes], give: Callable[[dict[str, bytes]], None]
+    ) -> None:
+        """The next process is the same member of the tier: this one ceases to be one, then tells."""
+        from woadyard.handover.state import state_of_accord
+
+        kept = await node.retire()
+        give({**state, **state_of_accord(kept)})
+        self._begin_again()  # if it went away meanwhile
 
 
 def check_free(host: str, port: int) -> None:
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -26,8 +26,9 @@
 # A silence is acted on this much later at most, drawn by each sidecar for itself: a fault that
 # silences the watches of a fleet must not have them all ask at once.
 SPREAD_S = 0.3
-# An agent that is silent costs nothing to ask, and what it has counts from when it has it.
-RETRY_S, RETRY_MOST_S = 0.1, 0.5
+# An agent that is silent costs nothing to ask, and what it has counts from when it has it. One that
+# answers with what can't be read will not be better soon, and each time is a line in the log.
+RETRY_S, RETRY_MOST_S, RETRY_SPOILT_MOST_S = 0.1, 0.5, 2.0
 # A renewal waits for a part of that between half and all of it, drawn by each sidecar for itself:
 # when discovery comes back, a fleet must not ask at once.
 RETRY_PART = 0.5
@@ -42,12 +43,14 @@
 
     def __init__(self, owner: Discovery, target: str, watch: bool, again: bool = False) -> None:
         self.owner, self.target, self.watch = owner, target, watch
+        self.address = owner.address
         self.again = again  # it was asked because the one before fell silent
         self.parser = httptools.HttpResponseParser(self)
         self.objects = Objects(OBJECT_MAX)
         self.paused_at: int | None = None  # on the engine's clock; objects since then wait
         self.transport: asyncio.Transport | None = None
         self.done = False  # whole, or given up: its end says nothing
+        self.bad = False  # it held what can't be read
         self.answered = False  # its head has come
         self.complete = False  # its last byte has come
         self.reading: asyncio.Handle | None = None
@@ -58,7 +61,7 @@
         if self.done:
             self.transport.abort()
             return
-        self.transport.write(f"GET {self.target} HTTP/1.1\r\nHost: {self.owner.address}\r\n\r\n".encode())
+        self.transport.write(f"GET {self.target} HTTP/1.1\r\nHost: {self.address}\r\n\r\n".encode())
 
     def data_received(self, data: bytes) -> None:
         if self.done:
@@ -73,6 +76,7 @@
 
     def spoilt(self, error: Exception) -> None:
         self.owner.log(f"bad line from discovery: {error}")
+        self.bad = True
         self.fail()
 
     def on_headers_complete(self) -> None:
@@ -101,7 +105,8 @@
             return
         while not self.done:
             if self.owner.busy:
-                self.pause()
+                if self.objects.begun:
+                    self.pause()
                 return
             try:
                 found = self.objects.take()
@@ -137,9 +142,11 @@
                 self.stop()
 
     def pause(self) -> None:
-        """Read no more, so that what waits is bounded. It counts as told from now on."""
-        if self.paused_at is None and self.transport is not None and self.owner.sink is not None:
-            self.paused_at = self.owner.sink.now()
+        """Read no more, so that what waits is bounded. It counts as told from now on: so nothing is
+        paused before there is something, or the next list would count from then, however late it comes."""
+        if self.transport is not None and self.owner.sink is not None:
+            if self.paused_at is None:
+                self.paused_at = self.owner.sink.now()
             self.transport.pause_reading()
 
     def resume(self) -> None:
@@ -322,6 +329,8 @@
         told = yield from parse_in_steps(raw.decode())
         version, whole, entries = _list_of(told)
         self.listed = len(entries)
+        if stream.address != self.address:
+            return  # moved while it was read: the new address has the word
         if self._counts(stream, version, whole):
             yield from sink.list_in_steps(whole, entries, told_at)
             if not stream.done:  # another source may be watched since
@@ -350,7 +359,8 @@
         else:
             part = RETRY_PART + (1.0 - RETRY_PART) * self.draw.random()
             self.loop.call_later(part * self.retry_s, self._renew, stream)
-            self.retry_s = min(RETRY_MOST_S, 2.0 * self.retry_s)
+            most = RETRY_SPOILT_MOST_S if stream.bad else RETRY_MOST_S
+            self.retry_s = min(most, 2.0 * self.retry_s)
 
     def _renew(self, stream: Stream, again: bool = False) -> None:
         if not stream.watch:
