Ask a keeper at one named step; settings and store of writes kept at an edge

Need: a write that can't be sent now and can't have run is to be kept, not refused. Change: the engine asks a Keeper at one step, before a refusal or failure leaves and as a request is taken while cut off, never about one that may have run. Requests of kept classes tell X-Follows, X-Causal-Token and X-Session; settings of [outbox], its part of operator.toml, and a store of heads, parts and states. Tests: none in this diff.

--- a/woadyard/engine/call.py
+++ b/woadyard/engine/call.py
@@ -79,9 +79,9 @@
     """One request, taken and not yet forgotten. Times in µs."""
 
     __slots__ = (
-        "attempts", "body", "cls", "endpoint", "expires", "front", "head", "held", "id", "key",
+        "attempts", "body", "causes", "cls", "endpoint", "expires", "front", "head", "held", "id", "key",
         "name", "open", "order", "recorded", "repeated", "span", "start", "streams", "tenant", "timer",
-        "tried", "upload", "work_us",
+        "tried", "upload", "with_keeper", "work_us",
     )  # fmt: skip
 
     def __init__(
@@ -119,6 +119,8 @@
         self.endpoint = ""  # the instance id of the last of them
         self.recorded = False  # a recorder sees its answer before its front does
         self.held = False  # its final answer waits for the recorder
+        self.with_keeper = False  # a keeper has it in hand: the module has no part in it
+        self.causes: tuple[bytes, ...] = ()  # what it says that it follows, where its class may be kept
         self.streams = False  # its front can pass on an answer that is still coming
         self.upload: Flow | None = None  # in place of the body, where that is still coming
         self.span = 0  # upload: the time it has from its last byte on
@@ -127,7 +129,7 @@
 class Attempt:
     """One sending of a call to one endpoint."""
 
-    __slots__ = ("call", "copy", "endpoint", "out", "owner", "sent", "timer", "until")
+    __slots__ = ("call", "copy", "endpoint", "may_have_run", "out", "owner", "sent", "timer", "until")
 
     def __init__(
         self, owner: AttemptOwner, call: Call, copy: int, endpoint: int, now: int, until: int
@@ -139,6 +141,7 @@
         self.sent = now
         self.until = until  # when the wait for it ends
         self.out = True  # no outcome yet
+        self.may_have_run = False  # written whole, and not proven since that it never ran
         self.timer: Handle | None = None
 
     def may_start(self, now: int) -> bool:
--- a/woadyard/engine/engine.py
+++ b/woadyard/engine/engine.py
@@ -6,8 +6,8 @@
 
 The steps of a request, each by its name here: `take` (a recorder may come in between),
 `admit` (the module is told), `_send` (an attempt is about to be sent), `ended` (its one
-outcome), `_answer` (the final answer leaves), `gone` (its client left). Lists come by
-`listed`.
+outcome), `_keep` (a keeper may have what can't have run), `_answer` (the final answer leaves),
+`gone` (its client left). Lists come by `listed`.
 """
 
 from __future__ import annotations
@@ -23,16 +23,18 @@
 from woadyard.engine.listing import apply_in_steps
 from woadyard.engine.members import Members
 from woadyard.engine.names import Names
-from woadyard.engine.ports import Clock, Decisions, Log, MemberSource, Recorder, Upstream
+from woadyard.engine.ports import Clock, Decisions, Keeper, Log, MemberSource, Recorder, Upstream
 from woadyard.engine.tally import Tally
 from woadyard.interface import (
     CANCELLED,
+    FULL,
     LIST_CACHED,
     LIST_DELTA,
     LIST_FAILED,
     LIST_FULL,
     LIST_PART,
     MOOT,
+    NEVER_RAN,
     OK,
     TIMEOUT,
     Action,
@@ -85,6 +87,7 @@
         self.source = source
         self.log = log
         self.recorder = recorder
+        self.keeper: Keeper | None = None  # set before the first request, where there is one
         # The module's view of resting connections is to be that of the sockets.
         self.balancer = Balancer(seed, replace(settings, idle_us=upstream.idle_us))
         self.decisions: Decisions = self.balancer
@@ -166,6 +169,8 @@
         self.tally.taken[call.cls] += 1
         self.open_names.add(call.name)
         call.timer = self.clock.at(call.expires, self._expire, call)
+        if self.keeper is not None and self.keeper.is_cut_off and self._keep(call, None):
+            return
         if self.recorder is not None:
             call.recorded = True
             call.streams = False  # the record holds whole answers
@@ -178,6 +183,7 @@
         """The module is told of a call that is open."""
         if not call.open:
             return
+        call.with_keeper = False
         coming = call.upload is not None and not call.upload.over
         event = Arrival(
             call.id, call.cls, call.expires, call.tenant, call.key, call.work_us, call.repeated, coming
@@ -207,6 +213,9 @@
         elif call.open:
             self.tally.abandoned[call.cls] += 1
             self._over(call)
+            if call.with_keeper:
+                self._leave_keeper(call)
+                return
             if call.recorded and self.recorder is not None:
                 self.recorder.gone(call, self)
             self._tell(self.decisions.gone, call.id)
@@ -216,10 +225,37 @@
         for attempt in call.attempts:
             if attempt.out:
                 self._time_out(attempt)
-        if call.open:  # guards the caller should the module have held it to the end
+        if call.with_keeper:
+            self._answer(call, Answer(Ending.FAILED, 504))
+            self._leave_keeper(call)
+        elif call.open:  # guards the caller should the module have held it to the end
             self._answer(call, Answer(Ending.FAILED, 504))
             self._tell(self.decisions.gone, call.id)
 
+    def _keep(self, call: Call, answer: Answer | None) -> bool:
+        """Whether a keeper has a call from here on. One that may have run, or may yet, is never
+        asked about, nor one whose time is over: its client has left."""
+        if self.keeper is None or call.recorded or call.upload is not None or self.now() >= call.expires:
+            return False
+        for attempt in call.attempts:
+            if attempt.out or attempt.may_have_run:
+                return False
+        call.with_keeper = True  # before it is asked: it may settle at once
+        if not self.keeper.keep(call, answer, self):
+            call.with_keeper = False
+            return False
+        return True
+
+    def _leave_keeper(self, call: Call) -> None:
+        call.with_keeper = False
+        if self.keeper is not None:
+            self.keeper.left(call)
+
+    def _give_up(self, call: Call, answer: Answer) -> None:
+        """The module refuses it, or fails it."""
+        if not self._keep(call, answer):
+            self._answer(call, answer)
+
     def _answer(self, call: Call, answer: Answer) -> None:
         call.held = call.recorded and self.recorder is not None
         self._over(call)
@@ -232,6 +268,7 @@
     def settle(self, call: Call, answer: Answer) -> None:
         """A final answer that the module has no part in."""
         if call.open:
+            call.with_keeper = False
             self._over(call)
             self._final(call, answer)
 
@@ -325,6 +362,7 @@
     def written(self, attempt: Attempt) -> None:
         """The last byte of an attempt was written: from now on it may run."""
         self.tally.sends += 1
+        attempt.may_have_run = True
         if attempt.call.upload is not None:
             attempt.sent = self.now()  # what the endpoint takes counts from here
 
@@ -341,6 +379,10 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
             attempt.timer = None
+        if outcome in NEVER_RAN and not (outcome == FULL and self.settings.full_unproven):
+            attempt.may_have_run = False
+        if self.keeper is not None:
+            self.keeper.heard(attempt.endpoint, outcome)
         call = attempt.call
         if outcome == OK and answer is not None and call.open:
             answer.endpoint = attempt.endpoint
@@ -367,11 +409,11 @@
                 self.clock.at(self.now() + delay_us, self._fired, token)
             case Refuse(request, after_us):
                 if (call := self._open_call(request)) is not None:
-                    self._answer(call, Answer(Ending.REFUSED, 503, retry_after_us=after_us))
+                    self._give_up(call, Answer(Ending.REFUSED, 503, retry_after_us=after_us))
             case Fail(request):
                 if (call := self._open_call(request)) is not None:
                     status = 504 if self.now() >= call.expires else 502
-                    self._answer(call, Answer(Ending.FAILED, status))
+                    self._give_up(call, Answer(Ending.FAILED, status))
             case Cancel(request, copy):
                 self._cancel(request, copy)
             case Close(endpoint):
--- a/woadyard/engine/names.py
+++ b/woadyard/engine/names.py
@@ -21,11 +21,13 @@
 
 class Names:
     """Made from the settings object of the platform's configuration. `order_headers` are the
-    headers, by class, with which requests name their order."""
+    headers, by class, with which requests name their order; `keepable` the classes that an outbox may
+    keep."""
 
     def __init__(
         self, raw: dict[str, Any], settings: Settings, order_headers: Mapping[str, bytes] | None = None
     ) -> None:
+        self.keepable: frozenset[int] = frozenset()
         self.classes = {str(entry["name"]): n for n, entry in enumerate(raw["classes"])}
         self.order_headers = {self.classes[name]: one for name, one in (order_headers or {}).items()}
         self.tenants = {str(entry["name"]): n for n, entry in enumerate(raw.get("accounts", ()))}
--- a/woadyard/engine/ports.py
+++ b/woadyard/engine/ports.py
@@ -14,6 +14,7 @@
     "Front",
     "Handle",
     "HoldingSource",
+    "Keeper",
     "Log",
     "MemberSink",
     "MemberSource",
@@ -143,3 +144,21 @@
 
     def gone(self, call: Call, engine: Recorded) -> None:
         """The client of a recorded call left."""
+
+
+class Keeper(Protocol):
+    """May keep a write that can't be sent now, and bring it upstream later. Asked at one step: before
+    a refusal or a failure leaves whose request can't have run, and as a request is taken while
+    `is_cut_off`."""
+
+    is_cut_off: bool
+
+    def keep(self, call: Call, answer: Answer | None, engine: Recorded) -> bool:
+        """`answer`: what it would get now; None where the module was not told of it yet. True if it is
+        in hand: one of `settle` and `admit` is then called for it, now or later."""
+
+    def left(self, call: Call) -> None:
+        """A call that is in hand is not open any more: its client left, or its time is over."""
+
+    def heard(self, endpoint: int, outcome: int) -> None:
+        """How an attempt at any endpoint ended."""
--- a/woadyard/net/request.py
+++ b/woadyard/net/request.py
@@ -24,6 +24,10 @@
     (b"host", b"content-length", b"transfer-encoding", b"x-request-id", b"x-class", b"x-tenant",
      b"x-deadline-ms", b"idempotency-key", b"x-retry", b"x-cost-hint")
 )  # fmt: skip
+# What a write follows, where its class may be kept: receipts, the token of the client's last answer, and
+# its session. Of each so many bytes.
+CAUSE_HEADERS: Final = (b"x-follows", b"x-causal-token", b"x-session")
+CAUSES_MOST: Final = 1024
 TOKEN: Final = re.compile(rb"[0-9A-Za-z._~+/=:-]{1,128}")
 # Origin form and nothing else: no second word, no control characters, no fragment.
 TARGET: Final = re.compile(rb"/[!\"$-~]*")
@@ -113,7 +117,7 @@
     check_form(method, fields, rules)
     wait_ms = number(fields, b"x-deadline-ms")
     tenant = fields.get(b"x-tenant", b"").decode("latin-1")
-    return Call(
+    call = Call(
         cls=cls,
         expires=rules.deadline_us if wait_ms is None else min(wait_ms * 1000, rules.deadline_us),
         start=b"%b %b" % (method, target),
@@ -127,3 +131,19 @@
         repeated=fields.get(b"x-retry") == b"1",
         order=fields.get(names.order_headers[cls], b"") if cls in names.order_headers else b"",
     )
+    if cls in names.keepable:
+        call.causes = causes_of(headers)
+    return call
+
+
+def causes_of(headers: Headers) -> tuple[bytes, ...]:
+    """What a write says that it follows: the values of `CAUSE_HEADERS`, in their order. One that comes
+    twice leaves it open which counts."""
+    found = [b""] * len(CAUSE_HEADERS)
+    for name, value in headers:
+        if name in CAUSE_HEADERS:
+            at = CAUSE_HEADERS.index(name)
+            if found[at] or len(value) > CAUSES_MOST:
+                raise BadRequestError(400, f"{name.decode()} comes twice or is too long")
+            found[at] = value
+    return tuple(found)
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -27,6 +27,7 @@
     OWS,
     READ_S,
     Sweep,
+    body_length,
     declared_length,
     lines,
 )
@@ -35,6 +36,9 @@
 from woadyard.stream.pace import Room, keeps_pace, room_for
 
 READY_PATH: Final = b"/health/ready"
+# Where a receipt of a kept write is asked for, as no class is named so: by a client, so at its address.
+RECEIPTS_PATH: Final = b"/outbox/receipts/"
+ASKING: Final = -1  # in place of a class: it is no request of the engine's
 REASONS: Final = {status.value: status.phrase.encode() for status in HTTPStatus}
 START_LINES: Final = {status: b"HTTP/1.1 %d %b\r\n" % (status, reason) for status, reason in REASONS.items()}
 # A connection rests so long between requests at most: some callers never come back.
@@ -233,10 +237,22 @@
         if method == b"GET" and self.target == READY_PATH:
             checked(self.headers)
             return Answer(Ending.SERVED, 200) if self.server.lifecycle.ready else Answer(Ending.FAILED, 503)
+        if self.server.receipts is not None and self.target.startswith(RECEIPTS_PATH):
+            return self._asking(method)
         engine = self.server.engine
         most = self.server.body_most
         return call_from(method, self.target, self.headers, engine.names, engine.settings, self, most)
 
+    def _asking(self, method: bytes) -> Call:
+        """For a receipt: a call that is not open, as the engine never has it."""
+        if body_length(checked(self.headers)):
+            raise BadRequestError(400, "asking for a receipt has no body")
+        if method != b"GET":
+            raise BadRequestError(405, "ask for a receipt with GET")
+        asking = Call(ASKING, 0, self.target[len(RECEIPTS_PATH) :], b"", b"", self)
+        asking.open = False
+        return asking
+
     # --- A request that is passed on while it comes -----------------------------------
 
     def _begin_upload(self) -> None:
@@ -298,6 +314,11 @@
         if isinstance(asked, Answer):
             self._forget_body()
             self._write(asked)
+        elif asked is not None and asked.cls == ASKING:
+            self._forget_body()
+            self.call = asked
+            assert self.server.receipts is not None
+            self.server.receipts(asked)
         elif asked is not None and asked.name in engine.open_names:
             self.refuse(BadRequestError(409, "X-Request-Id is that of an open request"))
         elif asked is not None:
@@ -488,6 +509,7 @@
         self.succeeded: Callable[[], bool] = lambda: False  # whether another process takes callers
         self.listener: asyncio.Server | None = None
         self.on_end: Callable[[], None] = lambda: None
+        self.receipts: Callable[[Call], None] | None = None  # asked for one; its front is answered later
 
     async def listen(
         self, host: str, port: int, shared: bool = False, handed: socket.socket | None = None
--- /dev/null
+++ b/woadyard/outbox/store.py
@@ -0,0 +1,220 @@
+"""Kept writes in the embedded store.
+
+The rules:
+
+1. A write is one record: its head, and the first part of its body behind it. Further parts of at most
+   `CHUNK` bytes have records of their own, written before it; one that is told as kept has all of them.
+2. A state since is a second record; the newest counts. With a final one the write's own records go, and it
+   goes by itself once the receipt's time is over.
+3. What is written is durable when the call returns. A write that failed may be found by a later life all the
+   same, unless `FailedToKeep.certain`.
+4. What a crash left of a write that was never told as kept is deleted as the store is opened.
+5. Each life of the store draws an incarnation and has no number of an earlier one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+from woadyard.outbox.dots import Dot
+from woadyard.outbox.errors import KeptRecordError
+from woadyard.outbox.journal import FINAL, KeptWrite, Moved, decode_kept, decode_moved, encode
+from woadyard.outbox.options import CHUNK
+from woadyard.store import Disk, FolderDisk, Options, Store, StoreError
+
+KEPT, MOVED, PART = b"k", b"m", b"p"
+SECRET: Final = b"secret"
+SECRET_BYTES: Final = 32
+# The store may have this beside twice what is kept: states and deletions must find room when no more
+# writes are let in, and what is of no more use waits there for compaction.
+SPARE_BYTES: Final = 64 << 20
+SEGMENT_LEAST, SEGMENT_MOST = 4 << 20, 64 << 20
+
+
+class FailedToKeepError(StoreError):
+    """A write could not be kept. `certain`: no later life will find it."""
+
+    cause = "a write could not be kept: the outbox's store is full, or its disk fails"
+    remedy = "free the disk or raise outbox.max_mb; until then writes get the answer they would have had"
+
+    def __init__(self, text: str, certain: bool) -> None:
+        super().__init__(text)
+        self.certain = certain
+
+
+@dataclass
+class Loaded:
+    """What an earlier life left: the writes with their newest states, and final states alone."""
+
+    writes: list[tuple[KeptWrite, Moved | None]] = field(default_factory=list)
+    finals: list[Moved] = field(default_factory=list)
+
+
+def key_of(kind: bytes, dot: Dot) -> bytes:
+    return kind + dot.incarnation.to_bytes(8, "big") + dot.number.to_bytes(8, "big")
+
+
+def part_key(dot: Dot, at: int) -> bytes:
+    return key_of(PART, dot) + at.to_bytes(4, "big")
+
+
+def part_keys(dot: Dot, size: int) -> list[bytes]:
+    """Of the parts behind the first."""
+    return [part_key(dot, at) for at in range(1, -(-size // CHUNK))]
+
+
+class KeptStore:
+    """On a folder, or on any `Disk`. Made by `open`; belongs to the loop that opened it."""
+
+    def __init__(self, store: Store) -> None:
+        self.store = store
+        self.incarnation = secrets.randbits(64)
+
+    @classmethod
+    async def open(
+        cls,
+        place: str | Disk,
+        max_bytes: int,
+        log: Callable[[str], None] = lambda line: None,
+        wall_ms: Callable[[], int] | None = None,
+    ) -> KeptStore:
+        """`max_bytes`: what its user keeps at most, which is for the user to see to. `StoreError` if it is in use, damaged or can't be read."""
+        disk: Disk = FolderDisk(place) if isinstance(place, str) else place
+        segment = min(SEGMENT_MOST, max(SEGMENT_LEAST, max_bytes // 8))
+        options = Options(max_bytes=2 * max_bytes + SPARE_BYTES, segment_bytes=segment)
+        if wall_ms is None:
+            return cls(await Store.open(disk, options, log))
+        return cls(await Store.open(disk, options, log, wall=wall_ms))
+
+    async def secret(self) -> bytes:
+        """Of this edge alone, the same in every life."""
+        found = await self.store.get(SECRET)
+        if found is None:
+            found = secrets.token_bytes(SECRET_BYTES)
+            await self.store.put(SECRET, found)
+        return found
+
+    # --- A life's beginning -----------------------------------------------------------
+
+    async def load(self) -> Loaded:
+        """What is kept; `KeptRecordError` if a record can't be read. Called once, before anything else."""
+        found = Loaded()
+        kept: dict[bytes, KeptWrite] = {}
+        moved: dict[bytes, Moved] = {}
+        for key in sorted(
+            key for key in self.store.index.where if key[:1] in (KEPT, MOVED) and len(key) == 17
+        ):
+            value = await self.store.get(key)
+            if value is None:
+                continue
+            if key[:1] == KEPT:
+                kept[key[1:]] = _split(value)[0]
+            else:
+                moved[key[1:]] = decode_moved(value)
+        stale = self._orphans(kept, moved)
+        for at, write in kept.items():
+            if KEPT + at not in stale:
+                found.writes.append((write, moved.get(at)))
+        found.finals = [one for one in moved.values() if one.state in FINAL]
+        if stale:
+            await asyncio.gather(*(self.store.delete(key) for key in stale))
+        return found
+
+    def _orphans(self, kept: dict[bytes, KeptWrite], moved: dict[bytes, Moved]) -> set[bytes]:
+        """Records of writes that are over, or were never told as kept."""
+        stale, parts = set[bytes](), set[bytes]()
+        for at, write in kept.items():
+            mine = part_keys(write.dot, write.size)
+            over = at in moved and moved[at].state in FINAL
+            if over or any(key not in self.store for key in mine):
+                stale.add(KEPT + at)
+            else:
+                parts.update(mine)
+        for at, one in moved.items():
+            if one.state not in FINAL and (at not in kept or KEPT + at in stale):
+                stale.add(MOVED + at)
+        stale.update(key for key in self.store.index.where if key[:1] == PART and key not in parts)
+        return stale
+
+    # --- Writing ----------------------------------------------------------------------
+
+    async def keep(self, write: KeptWrite, body: bytes) -> None:
+        """`FailedToKeepError`, with nothing of it left where that is certain."""
+        record = encode(write)
+        first = len(record).to_bytes(4, "big") + record + body[:CHUNK]
+        keys = part_keys(write.dot, len(body))
+        # All are put before the store's own task runs: as one batch where it is not too large.
+        puts = [
+            self.store.put(key, body[at * CHUNK : (at + 1) * CHUNK]) for at, key in enumerate(keys, start=1)
+        ]
+        puts.append(self.store.put(key_of(KEPT, write.dot), first))
+        results = await asyncio.gather(*puts, return_exceptions=True)
+        error = next((one for one in results if isinstance(one, BaseException)), None)
+        if error is None:
+            return
+        # Told by a store that refuses before it writes: it is full, or was failing already.
+        certain = await self._take_back(write.dot, len(body)) and self.store.failed is None
+        raise FailedToKeepError(str(error), certain) from None
+
+    async def _take_back(self, dot: Dot, size: int) -> bool:
+        """Delete what there is of a write; False if that failed."""
+        keys = [key for key in (key_of(KEPT, dot), *part_keys(dot, size)) if key in self.store]
+        results = await asyncio.gather(*(self.store.delete(key) for key in keys), return_exceptions=True)
+        return not any(isinstance(one, BaseException) for one in results)
+
+    async def forget(self, dot: Dot, size: int) -> bool:
+        """As if it had never been kept: nobody was told. False if that can't be written."""
+        return await self._take_back(dot, size)
+
+    async def move(self, moved: Moved, size: int, expires_ms: int = 0) -> None:
+        """Its state from now on. `size`: of the body. `expires_ms`: unix time in ms when a final one goes.
+        `StoreError` if it is not written."""
+        puts = [self.store.put(key_of(MOVED, moved.dot), encode(moved), expires_ms)]
+        if moved.state in FINAL:
+            keys = [key_of(KEPT, moved.dot), *part_keys(moved.dot, size)]
+            puts += [self.store.delete(key) for key in keys if key in self.store]
+        results = await asyncio.gather(*puts, return_exceptions=True)
+        if isinstance(results[0], BaseException):
+            raise results[0]
+        # A deletion that failed is made up for as the store is opened.
+
+    # --- Reading ----------------------------------------------------------------------
+
+    async def read(self, dot: Dot) -> tuple[KeptWrite, bytes] | None:
+        """A write with its body; None if there is none. `StoreError` if it can't be read."""
+        value = await self.store.get(key_of(KEPT, dot))
+        if value is None:
+            return None
+        write, first = _split(value)
+        parts = [first]
+        for key in part_keys(dot, write.size):
+            part = await self.store.get(key)
+            if part is None:
+                raise StoreError(f"a part of the body of {dot} is missing")
+            parts.append(part)
+        return write, b"".join(parts)
+
+    async def moved(self, dot: Dot) -> Moved | None:
+        value = await self.store.get(key_of(MOVED, dot))
+        return None if value is None else decode_moved(value)
+
+    @property
+    def size(self) -> int:
+        """Bytes on the disk."""
+        return self.store.size
+
+    async def close(self) -> None:
+        """What waits is written first."""
+        await self.store.close()
+
+
+def _split(value: bytes) -> tuple[KeptWrite, bytes]:
+    """The head, and the first part of the body; `KeptRecordError`."""
+    size = int.from_bytes(value[:4], "big")
+    if len(value) < 4 + size:
+        raise KeptRecordError("kept write: cut short")
+    return decode_kept(value[4 : 4 + size]), value[4 + size :]
--- a/woadyard/settings/config.py
+++ b/woadyard/settings/config.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:  # imported where they are on
     from woadyard.accord.options import AccordSettings
+    from woadyard.outbox.options import OutboxSettings
     from woadyard.upkeep.options import UpkeepSettings
 
 
@@ -44,6 +45,7 @@
     management: tuple[str, int] | None = None  # the second address, for the operators' calls
     accord: AccordSettings | None = None
     upkeep: UpkeepSettings | None = None
+    outbox: OutboxSettings | None = None
 
     @property
     def side_sockets(self) -> int:
--- a/woadyard/settings/operator.py
+++ b/woadyard/settings/operator.py
@@ -16,6 +16,7 @@
 
 from woadyard.accord.options import AccordSettings, LinkKind, problem_of, seats_for
 from woadyard.orders.book import OrderClass, Orders
+from woadyard.outbox.options import How, KeptClass, Lost, OutboxSettings, class_problem, store_problem
 from woadyard.settings.config import Config, ConfigError, Join, address, config_from
 from woadyard.upkeep.options import StartAlone, UpkeepSettings
 
@@ -33,6 +34,8 @@
     "link": get_args(LinkKind),
     "seats": tuple(map(str, get_args(Seats))),
     "start_alone": get_args(StartAlone),
+    "keep": get_args(How),
+    "lost": get_args(Lost),
 }
 
 Count = Annotated[int, msgspec.Meta(ge=1)]
@@ -308,6 +311,66 @@
         return UpkeepSettings(self.overdue_s * 1_000_000, self.start_alone, self.learn_ms * 1000)
 
 
+class KeepableClass(_Table, frozen=True, kw_only=True):
+    name: Name
+    keep: How
+    window_s: Whole | None = None
+
+
+class OutboxTable(_Table, frozen=True, kw_only=True):
+    """Writes that are kept while this edge is cut off, and replayed upstream."""
+
+    store_path: Annotated[str, msgspec.Meta(min_length=1)]
+    edge: Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,31}$")]
+    classes: Annotated[tuple[KeepableClass, ...], msgspec.Meta(min_length=1)]
+    secret_file: str = ""
+    max_mb: Count = 1024
+    most: Annotated[int, msgspec.Meta(ge=1, le=10_000_000)] = 100_000
+    body_mb: Annotated[int, msgspec.Meta(ge=1, le=32)] = 8
+    age_s: Count = 604_800
+    share: Part = 0.5
+    receipt_s: Count = 604_800
+    cut_ms: Annotated[int, msgspec.Meta(ge=100)] = 3_000
+    back_ms: Annotated[int, msgspec.Meta(ge=10)] = 1_000
+    replay_most: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 8
+    lost: Lost = "park"
+
+    def problem(self) -> str | None:
+        names = [one.name for one in self.classes]
+        if len(set(names)) < len(names):
+            return "outbox.classes: expected each name once"
+        for one in self.classes:
+            if one.window_s == 0:
+                return f"outbox.classes: {one.name}: window_s: expected above 0, or none for the class's own"
+            if one.window_s is not None and one.keep != "keyed":
+                return f"outbox.classes: {one.name}: window_s: expected none, as it is sent once"
+        if self.body_mb > self.max_mb:
+            return "outbox.body_mb: expected at most max_mb"
+        return None
+
+    def settings(self) -> OutboxSettings:
+        classes = {
+            one.name: KeptClass(one.keep, 0 if one.window_s is None else one.window_s * 1_000_000)
+            for one in self.classes
+        }
+        return OutboxSettings(
+            store_path=self.store_path,
+            edge=self.edge,
+            classes=classes,
+            secret_file=self.secret_file,
+            max_bytes=self.max_mb << 20,
+            most=self.most,
+            body_bytes=self.body_mb << 20,
+            age_us=self.age_s * 1_000_000,
+            share=self.share,
+            receipt_us=self.receipt_s * 1_000_000,
+            cut_us=self.cut_ms * 1000,
+            back_us=self.back_ms * 1000,
+            replay_most=self.replay_most,
+            lost=self.lost,
+        )
+
+
 class Operator(_Table, frozen=True, kw_only=True):
     """The whole file. An absent table is a subsystem that is off."""
 
@@ -316,11 +379,22 @@
     workers: WorkersTable | None = None
     accord: AccordTable | None = None
     upkeep: UpkeepTable | None = None
+    outbox: OutboxTable | None = None
 
     def problem(self) -> str | None:
         if self.upkeep is not None and self.accord is None:
             return "upkeep: expected the table [accord]"
-        return self._workers_problem() or (self.accord.problem() if self.accord is not None else None)
+        problem = self._workers_problem() or self._outbox_problem()
+        return problem or (self.accord.problem() if self.accord is not None else None)
+
+    def _outbox_problem(self) -> str | None:
+        if self.outbox is None:
+            return None
+        others = {
+            "orders.store_path": "" if self.orders is None else self.orders.store_path,
+            "accord.store_path": "" if self.accord is None else self.accord.store_path,
+        }
+        return self.outbox.problem() or store_problem(self.outbox.store_path, others)
 
     def _workers_problem(self) -> str | None:
         if self.workers is None:
@@ -329,6 +403,8 @@
             return "workers: expected the table [deployment] with listen"
         if self.orders is not None:
             return "workers: expected no [orders]: each process would know its own orders only"
+        if self.outbox is not None:
+            return "workers: expected no [outbox]: its store has one owner"
         if self.accord is not None:
             return "workers: expected no [accord]: each process would need a number of its own"
         return None
@@ -340,7 +416,7 @@
         """The configuration of `[deployment]`; `ConfigError` where the file has none."""
         if self.deployment is None:
             raise ConfigError(f"{path}: deployment: expected the table [deployment]")
-        config = config_from(self.deployment.raw(), path, self.orders_settings())
+        config = self._with_outbox(config_from(self.deployment.raw(), path, self.orders_settings()), path)
         if self.accord is None:
             return config
         if not self.accord.peers:
@@ -348,13 +424,37 @@
         return self._with_accord(config, path, self.accord.peers, self.accord.peer_listen)
 
     def joining(self, path: str) -> Join | None:
-        """What adds `[accord]` and `[upkeep]` to a configuration of the platform's; None where
-        they are off. It raises `ConfigError`."""
-        if self.accord is None:
+        """What adds `[accord]`, `[upkeep]` and `[outbox]` to a configuration of the platform's; None
+        where they are off. It raises `ConfigError`."""
+        if self.accord is None and self.outbox is None:
             return None
-        return functools.partial(self._join, path, self.accord)
+        return functools.partial(self._join, path)
+
+    def _join(self, path: str, config: Config, raw: Any, source: str) -> Config:
+        config = self._with_outbox(config, path)
+        return config if self.accord is None else self._join_accord(path, self.accord, config, raw, source)
+
+    def _with_outbox(self, config: Config, path: str) -> Config:
+        """With the writes that are kept; they must be of classes with effects."""
+        if self.outbox is None:
+            return config
+        settings = self.outbox.settings()
+        words = get_args(Effect)
+        rules = {name: config.settings.classes[cls] for name, cls in config.names.classes.items()}
+        effects = {name: (words[one.effect], one.window_us) for name, one in rules.items()}
+        recorded = () if self.orders is None else [one.name for one in self.orders.classes]
+        if (problem := class_problem(settings, effects, recorded)) is not None:
+            raise ConfigError(f"{path}: {problem}")
+        classes = {
+            name: replace(
+                one, window_us=one.window_us or (rules[name].window_us if one.how == "keyed" else 0)
+            )
+            for name, one in settings.classes.items()
+        }
+        config.names.keepable = frozenset(config.names.classes[name] for name in classes)
+        return replace(config, outbox=replace(settings, classes=classes))
 
-    def _join(self, path: str, accord: AccordTable, config: Config, raw: Any, source: str) -> Config:
+    def _join_accord(self, path: str, accord: AccordTable, config: Config, raw: Any, source: str) -> Config:
         if accord.link == "unix":
             if not accord.peers:
                 raise ConfigError(f"{path}: accord.peers: expected the paths of all copies, one each")
