Add the interface of the outbox: names, causes, tokens, states, errors

Writes kept at an edge that is cut off need names, causes and states that are told before the parts that use them.

--- /dev/null
+++ b/woadyard/outbox/causes.py
@@ -0,0 +1,182 @@
+"""What a write follows, and the token that tells it. Pure.
+
+1. A write follows a set of dots. A dot stands for its write and for all that this one follows in turn; so the
+   receipt of a client's last write is all that it needs to bring along.
+2. Up to `DOTS_PER_LINE` dots of one line stand as they are. More are told as one: "all up to the newest of
+   them". That is more than was named, never less.
+3. A token is signed with the edges' common secret: it can't be made up, and no bit of it changed. It is at
+   most `TOKEN_MOST` characters; any `LINES_FIT` lines fit. A set that does not fit gets a name of its own
+   instead: a join, a kept write without an effect that follows all of the set (`Outbox.join`).
+4. A request may bring several tokens, `CAUSES_MOST` dots in all.
+5. The token is no secret of its client: it names writes, and asking for their receipts is another right.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import hmac
+from collections.abc import Iterable
+from enum import IntEnum
+from hashlib import blake2b
+from typing import Final, NamedTuple, Protocol
+
+import msgspec
+
+from woadyard.outbox.dots import Dot, Line, check_edge
+from woadyard.outbox.errors import LooseError, TokenError
+
+__all__ = ["CAUSES_MOST", "TOKEN_MOST", "Cause", "Causes", "Fate", "Frontier", "Tokens", "merge"]
+
+TOKEN_MOST: Final = 512
+LINES_FIT: Final = 6
+DOTS_PER_LINE: Final = 4
+CAUSES_MOST: Final = 512
+# Guards the header's memory before anything of it is read: as many tokens as have sense.
+_TOKENS_MOST: Final = 128
+_SIGN_SIZE: Final = 12
+_VERSION: Final = 1
+_NUMBER_END: Final = 1 << 63
+
+
+class Cause(NamedTuple):
+    """One dot; with `before`, all dots of its line up to it."""
+
+    edge: str
+    incarnation: int
+    number: int
+    before: bool = False
+
+    @property
+    def line(self) -> Line:
+        return Line(self.edge, self.incarnation)
+
+    @property
+    def dot(self) -> Dot:
+        return Dot(self.edge, self.incarnation, self.number)
+
+
+Causes = tuple[Cause, ...]
+
+
+def merge(*sets: Iterable[Cause]) -> Causes:
+    """One set that says what all of them say, by rule 2, sorted."""
+    exact: dict[Line, set[int]] = {}
+    before: dict[Line, int] = {}
+    for cause in (cause for one in sets for cause in one):
+        if cause.before:
+            before[cause.line] = max(before.get(cause.line, 0), cause.number)
+        else:
+            exact.setdefault(cause.line, set()).add(cause.number)
+    found: list[Cause] = []
+    for line in sorted(exact.keys() | before.keys()):
+        bound = before.get(line, 0)
+        numbers = sorted(number for number in exact.get(line, ()) if number > bound)
+        if len(numbers) > DOTS_PER_LINE:
+            bound, numbers = numbers[-1], []
+        if bound:
+            found.append(Cause(*line, bound, True))
+        found += [Cause(*line, number) for number in numbers]
+    return tuple(found)
+
+
+class Fate(IntEnum):
+    """What is known of a write that is not of this edge's own lines."""
+
+    UNKNOWN = 0
+    IN = 1  # its effect is upstream
+    PARKED = 2  # it waits for an operator at its edge
+    GONE = 3  # given up, or lost with its edge
+
+
+class Frontier(Protocol):
+    """What is known of other lines, and which lines this process may replay.
+
+    The local one knows what was told to it at this edge. One that copies share stands behind the same two
+    questions; it tells `Outbox.heard` when it has learned something."""
+
+    def fate(self, cause: Cause) -> Fate: ...
+
+    def holds(self, line: Line) -> bool:
+        """This process, and no other with a copy of its disk, may send writes of this line."""
+
+
+_Told = tuple[int, list[tuple[str, int, list[int], int]]]
+_decoder: Final[msgspec.msgpack.Decoder[_Told]] = msgspec.msgpack.Decoder(_Told)
+
+
+class Tokens:
+    """Makes and reads tokens with the secret that all edges and upstream copies share (16 bytes or more)."""
+
+    def __init__(self, secret: bytes) -> None:
+        if len(secret) < 16:
+            raise ValueError("the secret is shorter than 16 bytes")
+        self._secret = blake2b(secret, digest_size=32, person=b"outbox token").digest()
+
+    def tell(self, causes: Causes) -> str:
+        """The token of a set; `LooseError` if it is longer than a token may be (rule 3)."""
+        lines: dict[Line, tuple[list[int], int]] = {}
+        for cause in merge(causes):
+            exact, _ = lines.setdefault(cause.line, ([], 0))
+            if cause.before:
+                lines[cause.line] = (exact, cause.number)
+            else:
+                exact.append(cause.number)
+        told = [(line.edge, line.incarnation, exact, bound) for line, (exact, bound) in lines.items()]
+        data = msgspec.msgpack.encode((_VERSION, told))
+        text = base64.urlsafe_b64encode(self._sign(data) + data).rstrip(b"=").decode()
+        if len(text) > TOKEN_MOST:
+            raise LooseError(f"{len(lines)} lines are more than one token tells")
+        return text
+
+    def receipt(self, dot: Dot) -> str:
+        """The token of one write."""
+        return self.tell((Cause(*dot),))
+
+    def read(self, value: str) -> Causes:
+        """What a header's tokens say, parted by commas; `TokenError`, or `LooseError` by rule 4."""
+        if len(value) > _TOKENS_MOST * (TOKEN_MOST + 2):
+            raise LooseError("the tokens of one request are too long")
+        texts = [text for part in value.split(",") if (text := part.strip())]
+        if len(texts) > _TOKENS_MOST:
+            raise LooseError(f"more than {_TOKENS_MOST} tokens in one request")
+        causes = merge(*(self._read(text) for text in texts))
+        if len(causes) > CAUSES_MOST:
+            raise LooseError(f"{len(causes)} writes before one, {CAUSES_MOST} are the most")
+        return causes
+
+    def _read(self, text: str) -> list[Cause]:
+        if len(text) > TOKEN_MOST:
+            raise TokenError(f"a token is longer than {TOKEN_MOST} characters")
+        try:
+            raw = base64.b64decode(text.encode("ascii") + b"=" * (-len(text) % 4), b"-_", validate=True)
+        except (UnicodeEncodeError, binascii.Error, ValueError):
+            raise TokenError("a token is not in the form of one") from None
+        sign, data = raw[:_SIGN_SIZE], raw[_SIGN_SIZE:]
+        if not hmac.compare_digest(sign, self._sign(data)):
+            raise TokenError("a token was not given by an edge with this secret")
+        return _causes_of(data)
+
+    def _sign(self, data: bytes) -> bytes:
+        return blake2b(data, digest_size=_SIGN_SIZE, key=self._secret).digest()
+
+
+def _causes_of(data: bytes) -> list[Cause]:
+    """Signed, but maybe by another version: read as strictly as if it were not."""
+    found: list[Cause] = []
+    try:
+        version, lines = _decoder.decode(data)
+        if version != _VERSION:
+            raise ValueError(f"a token of version {version}")
+        for edge, incarnation, numbers, bound in lines:
+            check_edge(edge)
+            if not all(0 < number < _NUMBER_END for number in (*numbers, bound or 1)):
+                raise ValueError("a number that can't be")
+            if not 0 <= incarnation < 1 << 64:
+                raise ValueError("an incarnation that can't be")
+            found += [Cause(edge, incarnation, number) for number in numbers]
+            if bound:
+                found.append(Cause(edge, incarnation, bound, True))
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise TokenError(f"a token can't be read: {error}") from None
+    return found
--- /dev/null
+++ b/woadyard/outbox/journal.py
@@ -0,0 +1,180 @@
+"""The states of a kept write, and their records. Pure.
+
+1. A state changes only as `TABLE` says.
+2. A change is durable before anybody is told, and before the step that it announces is taken: OUT before
+   the write is sent, DONE before its receipt says so. KEPT to READY is the exception: it says only that all
+   causes are in, which a restart finds out again.
+3. What is found OUT after a restart may have run. Keyed within its window it goes out again under its key;
+   otherwise it is parked.
+4. A write kept as new has never been sent: KEPT and READY say that it has not run, whatever befell the edge.
+5. A parking has a number, from 1. A verdict names it, so that one given twice never counts for a later one.
+6. DONE and GIVEN_UP are final.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import Final
+
+import msgspec
+
+from woadyard.outbox.dots import Dot
+from woadyard.outbox.errors import KeptRecordError, StepError
+
+__all__ = [
+    "FINAL",
+    "TABLE",
+    "Event",
+    "KeptWrite",
+    "Moved",
+    "Reason",
+    "State",
+    "Verdict",
+    "decode_kept",
+    "decode_moved",
+    "encode",
+    "follow",
+]
+
+
+class State(IntEnum):
+    """Where a kept write stands."""
+
+    KEPT = 1  # durable; waits for what it follows
+    READY = 2  # all that it follows is in; waits for its turn
+    OUT = 3  # sent, or about to be: it may have run
+    DONE = 4  # its final answer is known, or an operator said that it ran
+    PARKED = 5  # waits for an operator
+    GIVEN_UP = 6  # will not run
+
+
+class Reason(IntEnum):
+    """Why a write is parked."""
+
+    NONE = 0
+    WINDOW = 1  # keyed, and the time for which its key is remembered has passed
+    MAY_HAVE_RUN = 2  # unsafe, or past its window, and its answer was lost
+    DENIED = 3  # upstream said a final no
+    AGE = 4  # older than what may be kept
+    ORPHANED = 5  # what it follows was given up, or lost with its edge
+    FOLLOWS = 6  # never in a record: what it follows is parked
+
+
+class Verdict(IntEnum):
+    """What an operator says of a parked write."""
+
+    RAN = 1
+    NEVER_RAN = 2
+    GIVE_UP = 3
+
+
+class Event(IntEnum):
+    """What moves a kept write."""
+
+    CAUSES_IN = 1
+    SEND = 2
+    ANSWERED = 3
+    NOT_RUN = 4  # no attempt can have run
+    AGAIN = 5  # may have run, and is sent again under its key
+    UNSURE = 6  # may have run, and can't be sent again
+    DENIED = 7
+    EXPIRED = 8
+    ORPHANED = 9
+    RAN = 10
+    NEVER_RAN = 11
+    GIVE_UP = 12
+    LOST = 13  # the record of it could not be kept
+    JOINED = 14  # it has no effect of its own: all that it follows is in
+
+
+FINAL: Final = frozenset({State.DONE, State.GIVEN_UP})
+
+TABLE: Final[dict[tuple[State, Event], State]] = {
+    (State.KEPT, Event.CAUSES_IN): State.READY,
+    (State.KEPT, Event.EXPIRED): State.PARKED,
+    (State.KEPT, Event.ORPHANED): State.PARKED,
+    (State.KEPT, Event.GIVE_UP): State.GIVEN_UP,
+    (State.KEPT, Event.LOST): State.GIVEN_UP,
+    (State.READY, Event.SEND): State.OUT,
+    (State.READY, Event.JOINED): State.DONE,
+    (State.READY, Event.EXPIRED): State.PARKED,
+    (State.OUT, Event.ANSWERED): State.DONE,
+    (State.OUT, Event.NOT_RUN): State.READY,
+    (State.OUT, Event.AGAIN): State.READY,
+    (State.OUT, Event.UNSURE): State.PARKED,
+    (State.OUT, Event.DENIED): State.PARKED,
+    (State.PARKED, Event.RAN): State.DONE,
+    (State.PARKED, Event.NEVER_RAN): State.KEPT,
+    (State.PARKED, Event.GIVE_UP): State.GIVEN_UP,
+}
+
+
+def follow(state: State, event: Event) -> State:
+    """The state after; `StepError` if there is none."""
+    after = TABLE.get((state, event))
+    if after is None:
+        raise StepError(f"{event.name} does not follow in {state.name}")
+    return after
+
+
+class KeptWrite(msgspec.Struct, array_like=True, frozen=True):
+    """The record of a write as it was kept. Its body stands apart, in the store's segments.
+
+    `keyed`: the class's writes are told apart by their key, for `window_us` after keeping. Times that are
+    kept are unix times in µs by the edge's clock."""
+
+    dot: Dot
+    cls: str
+    start: bytes  # method and target
+    headers: tuple[tuple[bytes, bytes], ...]
+    size: int  # of the body, bytes
+    digest: bytes  # of method, target and body
+    keyed: bool
+    key: bytes
+    session: bytes
+    obj: bytes
+    tenant: str
+    causes: tuple[tuple[str, int, int, bool], ...]  # see causes.Causes
+    wall: int
+    window_us: int
+
+
+class Moved(msgspec.Struct, array_like=True, frozen=True):
+    """The record of the state since. Only the newest of a write counts."""
+
+    dot: Dot
+    state: State
+    reason: Reason = Reason.NONE
+    parking: int = 0
+    verdict: int = 0  # the last one given, on `judged`
+    judged: int = 0
+    sent: bool = False  # was ever OUT without a known end
+    status: int = 0
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    body: bytes = b""
+    wall: int = 0
+
+
+_encoder: Final = msgspec.msgpack.Encoder()
+_kept: Final[msgspec.msgpack.Decoder[KeptWrite]] = msgspec.msgpack.Decoder(KeptWrite)
+_moved: Final[msgspec.msgpack.Decoder[Moved]] = msgspec.msgpack.Decoder(Moved)
+
+
+def encode(record: KeptWrite | Moved) -> bytes:
+    return _encoder.encode(record)
+
+
+def decode_kept(data: bytes) -> KeptWrite:
+    """`KeptRecordError`."""
+    try:
+        return _kept.decode(data)
+    except msgspec.MsgspecError as error:
+        raise KeptRecordError(f"kept write: {error}") from None
+
+
+def decode_moved(data: bytes) -> Moved:
+    """`KeptRecordError`."""
+    try:
+        return _moved.decode(data)
+    except msgspec.MsgspecError as error:
+        raise KeptRecordError(f"state of a kept write: {error}") from None
