--- a/woadyard/outbox/outbox.py
+++ b/woadyard/outbox/outbox.py
@@ -138,7 +138,7 @@
     # Replay
 
     def due(self, now: int) -> list[Change]:
-        """What is to be done next, `SEND` among it: apply, then send. Call after each event and each second."""
+        """What is to be done next, `SEND` among it: apply, then send. Asked after events and each second."""
         raise NotImplementedError
 
     def live_refused(self, now: int) -> None:
