--- a/woadyard/daemon.py
+++ b/woadyard/daemon.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 from collections.abc import Callable, Coroutine, Mapping
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from woadyard.engine.listing import dump_in_steps
@@ -26,6 +27,7 @@
     from woadyard.handover.place import Place
     from woadyard.handover.taker import Taken
     from woadyard.management.server import Management
+    from woadyard.outbox.driver import OutboxDriver
     from woadyard.upkeep.assembly import Upkeep
     from woadyard.workers.child import Seat
 
@@ -49,8 +51,9 @@
 
 def arrive(config: Config, environ: Mapping[str, str]) -> Arrival | None:
     """None where no process can take over: without a second address, which tells one version
-    from the next, or with a record of orders, whose store has one owner."""
-    if config.management is None or config.listen is None or config.orders is not None:
+    from the next, or with a record of orders or an outbox, whose stores have one owner."""
+    has_store = config.orders is not None or config.outbox is not None
+    if config.management is None or config.listen is None or has_store:
         return None
     from woadyard.handover.messages import HandoverError
     from woadyard.handover.place import Place
@@ -84,6 +87,7 @@
         self.was_alone = arrival is None or not arrival.others
         self.node: Node | None = None
         self.upkeep: Upkeep | None = None
+        self.outbox: OutboxDriver | None = None
         self.leaving = False
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -93,6 +97,7 @@
         recorder = None
         if config.orders is not None:
             recorder = await open_recorder(config.orders, config.names.classes, log)
+        self.outbox = await self._outbox()
         self.upkeep = self._upkeep()
         self.node = self._shared()
         holding = None if self.upkeep is None else self.upkeep.hold
@@ -106,6 +111,9 @@
             self.lifecycle,
             config.memory_mb,
         )
+        if self.outbox is not None:
+            self.outbox.begin(self.parts.engine)
+            self.server.receipts = self.outbox.ask
         await self._take_part()
         if self.upkeep is not None:
             self._heed_signals(read_config)  # a start may have to wait
@@ -120,6 +128,8 @@
             await join(self.loop, seat, self.parts.engine, self.stop)
         await self.ended.wait()
         self.leaving = True
+        if self.outbox is not None:
+            await self.outbox.close()  # what is out may still be answered
         self._close()
         if self.node is not None:
             await self.node.close()
@@ -191,6 +201,19 @@
         if self.upkeep is not None:
             self.upkeep.begin(self.node, self.parts.engine, self._is_alone)
 
+    async def _outbox(self) -> OutboxDriver | None:
+        """The writes kept by earlier lives; None where it is off. `ConfigError` if they can't be read."""
+        settings, names = self.config.outbox, self.config.names
+        if settings is None:
+            return None
+        # Imported where it is on.
+        try:
+            from woadyard.outbox.driver import open_driver
+        except ImportError as error:
+            missing = f"{error.name} is missing: pip install 'laurelstep[store]'"
+            raise ConfigError(f"{self._file}outbox: {missing}") from None
+        return await open_driver(settings, names.classes, names.tenants, log, self._file)
+
     def _upkeep(self) -> Upkeep | None:
         """Machines out for work, not yet begun; None where it is off, or has nothing to rest on."""
         settings, accord = self.config.upkeep, self.config.accord
@@ -277,11 +300,21 @@
 
     async def _manage(self, host: str, port: int) -> None:
         # Imported where it is on, as all that a plain daemon does without.
-        from woadyard.management.calls import Reply, reply_to
+        from woadyard.management.calls import MoreCalls, Reply, reply_to
         from woadyard.management.server import Management
         from woadyard.management.telemetry import figures
 
-        more = None if self.upkeep is None else self.upkeep.reply
+        subsystems: list[MoreCalls] = []
+        if self.upkeep is not None:
+            subsystems.append(self.upkeep.reply)
+        if self.outbox is not None:
+            from woadyard.outbox.calls import reply_about
+
+            subsystems.append(partial(reply_about, desk=self.outbox))
+
+        def more(method: bytes, target: bytes) -> Reply | None:
+            found = (one(method, target) for one in subsystems)
+            return next((reply for reply in found if reply is not None), None)
 
         def asked(method: bytes, target: bytes) -> Reply:
             now = self.loop.time()
--- a/woadyard/engine/engine.py
+++ b/woadyard/engine/engine.py
@@ -169,7 +169,7 @@
         self.tally.taken[call.cls] += 1
         self.open_names.add(call.name)
         call.timer = self.clock.at(call.expires, self._expire, call)
-        if self.keeper is not None and self.keeper.is_cut_off and self._keep(call, None):
+        if self.keeper is not None and self.keeper.comes_first(call) and self._keep(call, None):
             return
         if self.recorder is not None:
             call.recorded = True
@@ -229,13 +229,13 @@
             self._answer(call, Answer(Ending.FAILED, 504))
             self._leave_keeper(call)
         elif call.open:  # guards the caller should the module have held it to the end
-            self._answer(call, Answer(Ending.FAILED, 504))
+            self._give_up(call, Answer(Ending.FAILED, 504))
             self._tell(self.decisions.gone, call.id)
 
     def _keep(self, call: Call, answer: Answer | None) -> bool:
-        """Whether a keeper has a call from here on. One that may have run, or may yet, is never
-        asked about, nor one whose time is over: its client has left."""
-        if self.keeper is None or call.recorded or call.upload is not None or self.now() >= call.expires:
+        """Whether a keeper has a call from here on. It is never asked about one that may have run, or
+        may yet."""
+        if self.keeper is None or call.recorded or call.upload is not None:
             return False
         for attempt in call.attempts:
             if attempt.out or attempt.may_have_run:
--- /dev/null
+++ b/woadyard/outbox/driver.py
@@ -0,0 +1,571 @@
+"""Joins the pure outbox with its store and the engine: keeps, answers, replays, tells.
+
+The rules:
+
+1. A write is durable before its 202 leaves. One that could not be kept gets the answer it would have had; a
+   refusal only where no later life can find the write, and a failure that says it may have run otherwise.
+2. A client that left before its 202 was ready has nothing kept for it.
+3. Each change of a write is durable before the step that it announces: OUT before it is sent, DONE before
+   its receipt says so. An end that can't be written is written again until it is; until then the write is
+   out, and a life that follows finds that it may have run.
+4. A replay is a request of its own to the engine, with its class's rules and its own deadline.
+5. A live write that follows what is kept is kept too, or refused: it never overtakes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine, Mapping
+from dataclasses import dataclass, field, replace
+from typing import Any, Final
+
+import msgspec
+
+from woadyard.engine.call import Answer, Call, Ending
+from woadyard.engine.engine import Engine
+from woadyard.engine.ports import Log, Recorded
+from woadyard.interface import ERROR, FULL, NO_CONNECT, OK, RESET, TIMEOUT
+from woadyard.net.message import lines as lines_of
+from woadyard.net.request import hint, key_of
+from woadyard.orders.book import another_body, digest_of, may_have_run
+from woadyard.outbox.causes import Cause, Causes, Fate, Tokens
+from woadyard.outbox.cutoff import CutOff, CutOffRule
+from woadyard.outbox.dots import Dot, Line, read_dot
+from woadyard.outbox.errors import (
+    CauseError,
+    FullError,
+    KeepError,
+    OutboxError,
+    TokenError,
+    UnknownWriteError,
+)
+from woadyard.outbox.journal import FINAL, Event, KeptWrite, State, Verdict
+from woadyard.outbox.options import OutboxSettings
+from woadyard.outbox.outbox import Bounds, Change, End, KeptClass, Offer, Outbox, Ticket
+from woadyard.outbox.receipts import Receipt, show
+from woadyard.outbox.store import FailedToKeepError, KeptStore
+from woadyard.settings.config import ConfigError
+from woadyard.store import StoreError
+
+JSON: Final = (b"content-type", b"application/json")
+RECEIPTS: Final = b"/outbox/receipts/"
+# How an attempt ended where there is a way to its endpoint, and where none is known.
+ANSWERED: Final = frozenset((OK, ERROR, FULL))
+UNANSWERED: Final = frozenset((TIMEOUT, NO_CONNECT, RESET))
+# Of an answer that is told with its receipt, bytes.
+ANSWER_MOST: Final = 64 * 1024
+TURN_US: Final = 1_000_000
+# An end that could not be written is tried again after this.
+AGAIN_S: Final = 1.0
+# What is out as the process ends is waited for so long.
+LAST_S: Final = 5.0
+# Parked writes that an operator sees at once.
+SHOWN_MOST: Final = 100
+
+
+class Alone:
+    """The frontier of an edge that hears of no other: it replays its own lines."""
+
+    def __init__(self, edge: str) -> None:
+        self.edge = edge
+
+    def fate(self, cause: Cause) -> Fate:
+        return Fate.UNKNOWN
+
+    def holds(self, line: Line) -> bool:
+        return line.edge == self.edge
+
+
+@dataclass(eq=False)
+class Replay:
+    """A kept write on its way upstream: the front of its call."""
+
+    driver: OutboxDriver
+    dot: Dot
+    never_ran: bool = False
+    over: asyncio.Future[Answer] = field(default_factory=lambda: asyncio.get_running_loop().create_future())
+
+    def answered(self, call: Call, answer: Answer) -> None:
+        if not self.over.done():
+            self.over.set_result(answer)
+
+
+class OutboxDriver:
+    """The engine's `Keeper`. Made by `open`, then `begin` with the engine; `close` at the end."""
+
+    def __init__(
+        self,
+        store: KeptStore,
+        outbox: Outbox,
+        tokens: Tokens,
+        settings: OutboxSettings,
+        classes: Mapping[str, int],
+        tenants: Mapping[str, int],
+        log: Log,
+    ) -> None:
+        self.store = store
+        self.outbox = outbox
+        self.tokens = tokens
+        self.settings = settings
+        self.classes = {classes[name]: name for name in settings.classes}
+        self.numbers = {name: classes[name] for name in settings.classes}
+        self.tenants = dict(tenants)
+        self.tenant_names = {number: name for name, number in tenants.items()}
+        self.log = log
+        rule = CutOffRule(cut_us=settings.cut_us, back_us=settings.back_us)
+        self.cutoff = CutOff(rule, 0, self._now())
+        self.engine: Engine | None = None
+        self.storing: dict[Dot, list[Call]] = {}  # requests that wait for a write to be durable
+        self.out: dict[Dot, Replay] = {}
+        self.again: set[Dot] = set()  # sent before, without a known end
+        self.parked: dict[Dot, int] = {}  # the number of the parking
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.turning: asyncio.Handle | None = None
+        self.closing = False
+        self.was_off = False
+        self.loop = asyncio.get_running_loop()
+
+    @classmethod
+    async def open(
+        cls, settings: OutboxSettings, classes: Mapping[str, int], tenants: Mapping[str, int], log: Log
+    ) -> OutboxDriver:
+        """With all that earlier lives kept. `StoreError` or `OutboxError` if that can't be read, OSError
+        or ValueError if the secret can't be."""
+        store = await KeptStore.open(settings.store_path, settings.max_bytes, log)
+        try:
+            secret = await store.secret() if not settings.secret_file else _read_secret(settings.secret_file)
+            tokens = Tokens(secret)
+            bounds = Bounds(
+                bytes_most=settings.max_bytes,
+                count_most=settings.most,
+                tenant_share=settings.share,
+                age_us=settings.age_us,
+                receipt_us=settings.receipt_us,
+                replay_most=settings.replay_most,
+                orphans=settings.lost,
+            )
+            kept = {
+                name: KeptClass(name, one.how == "keyed", one.window_us)
+                for name, one in settings.classes.items()
+            }
+            line = Line(settings.edge, store.incarnation)
+            outbox = Outbox(line, kept, bounds, tokens, Alone(settings.edge))
+            self = cls(store, outbox, tokens, settings, classes, tenants, log)
+            await self._restore()
+        except BaseException:
+            await store.close()
+            raise
+        return self
+
+    async def _restore(self) -> None:
+        loaded = await self.store.load()
+        changes = self.outbox.restore(loaded.writes, loaded.lines, self._now(), _wall())
+        await self.store.put_lines(self.outbox.lines())
+        for write, moved in loaded.writes:
+            if moved is not None and moved.state is State.PARKED:
+                self.parked[write.dot] = moved.parking
+        for change in changes:
+            await self.store.move(change.moved)
+            self._apply(change)
+        if loaded.writes:
+            self.log(f"outbox: {len(loaded.writes)} writes of earlier lives, {len(self.parked)} parked")
+
+    def begin(self, engine: Engine) -> None:
+        self.engine = engine
+        engine.keeper = self
+        self._look()
+        self._wake()
+
+    def _now(self) -> int:
+        return time.monotonic_ns() // 1000 if self.engine is None else self.engine.now()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def close(self) -> None:
+        """What is being written is finished first; what is out gets a moment for its answer."""
+        self.closing = True
+        if self.turning is not None:
+            self.turning.cancel()
+        if self.engine is not None:
+            self.engine.keeper = None
+        if self.tasks:
+            await asyncio.wait(set(self.tasks), timeout=LAST_S)
+        for task in set(self.tasks):
+            task.cancel()
+        if self.tasks:
+            await asyncio.wait(set(self.tasks))
+        try:
+            await self.store.put_lines(self.outbox.lines())
+        except StoreError as error:
+            self.log(f"outbox: not written at the end: {error}")
+        await self.store.close()
+
+    # --- The engine's step ------------------------------------------------------------
+
+    def heard(self, endpoint: int, outcome: int) -> None:
+        if outcome in ANSWERED:
+            self.cutoff.answered(self._now())
+        elif outcome in UNANSWERED:
+            self.cutoff.failed(endpoint, self._now())
+        if self.cutoff.off != self.was_off:
+            self._turned()
+
+    def _turned(self) -> None:
+        self.was_off = self.cutoff.off
+        self.log("outbox: cut off: writes are kept" if self.was_off else "outbox: back: writes go upstream")
+        self._wake()
+
+    def _look(self) -> None:
+        """What the list says, and the time."""
+        assert self.engine is not None
+        self.cutoff.listed(len(self.engine.members.places), self._now())
+        if self.cutoff.off != self.was_off:
+            self._turned()
+
+    def comes_first(self, call: Call) -> bool:
+        if call.cls not in self.classes or isinstance(call.front, Replay) or self.closing:
+            return False
+        return self.cutoff.off or self._follows(call)
+
+    def _follows(self, call: Call) -> bool:
+        """Whether it follows what is not known to be in. One whose token can't be read is kept, or
+        rather told so, by `keep`."""
+        named = _named(call)
+        try:
+            return self.outbox.must_keep(named, _session(call), _object(call))
+        except CauseError:
+            return True
+
+    def keep(self, call: Call, answer: Answer | None, engine: Recorded) -> bool:
+        front = call.front
+        if isinstance(front, Replay):
+            front.never_ran = True  # asked only where it can't have run
+            return False
+        now = self._now()
+        if answer is not None and answer.ending is Ending.REFUSED:
+            self.outbox.live_refused(now)
+        if call.cls not in self.classes or self.closing or now >= call.expires:
+            return False
+        if len(call.body) > self.settings.body_bytes:
+            return self._overtakes(call, answer, engine)
+        try:
+            ticket = self.outbox.offer(self._offer(call), now, _wall())
+        except CauseError as error:
+            engine.settle(call, Answer(Ending.FAILED, 400, (), f"{error}\n".encode()))
+            return True
+        except FullError as error:
+            if answer is not None and answer.ending is Ending.REFUSED:
+                answer.retry_after_us = max(answer.retry_after_us, error.retry_us)
+            return self._overtakes(call, answer, engine, error.retry_us)
+        except KeepError:
+            return self._overtakes(call, answer, engine)
+        self._take(call, ticket, answer, engine)
+        return True
+
+    def _overtakes(
+        self, call: Call, answer: Answer | None, engine: Recorded, retry_us: int = TURN_US
+    ) -> bool:
+        """It can't be kept: what would go past its causes is refused, and so in hand."""
+        if answer is None and self._follows(call):
+            engine.settle(call, Answer(Ending.REFUSED, 503, retry_after_us=retry_us))
+            return True
+        return False
+
+    def _offer(self, call: Call) -> Offer:
+        headers = _headers(call.head)
+        return Offer(
+            cls=self.classes[call.cls],
+            start=call.start,
+            headers=headers,
+            size=len(call.body),
+            digest=digest_of(call),
+            key=dict(headers).get(b"idempotency-key", b""),
+            session=_session(call),
+            obj=_object(call),
+            tenant=self.tenant_names.get(call.tenant, "") if call.tenant else "",
+            named=_named(call),
+        )
+
+    def _take(self, call: Call, ticket: Ticket, answer: Answer | None, engine: Recorded) -> None:
+        dot = ticket.dot
+        if not ticket.known:
+            self.storing[dot] = [call]
+            self._spawn(self._store(call, ticket, answer, engine))
+        elif ticket.write is not None and ticket.write.digest != digest_of(call):
+            engine.settle(call, another_body())
+        elif dot in self.storing:
+            self.storing[dot].append(call)
+        else:
+            engine.settle(call, self._kept(dot))
+
+    def left(self, call: Call) -> None:
+        """Found by its being closed, once the store is through."""
+
+    async def _store(self, call: Call, ticket: Ticket, answer: Answer | None, engine: Recorded) -> None:
+        assert ticket.write is not None
+        dot, size = ticket.dot, len(call.body)
+        try:
+            await self.store.keep(ticket.write, call.body)
+        except StoreError as error:
+            self.log(f"outbox: not kept: {error}")
+            waiting = self.storing.pop(dot)
+            self.outbox.unstored(dot, self._now())
+            certain = isinstance(error, FailedToKeepError) and error.certain
+            for one in waiting:
+                self._not_kept(one, answer, certain, engine)
+            return
+        if not any(one.open for one in self.storing[dot]) and await self.store.forget(dot, size):
+            waiting = self.storing.pop(dot)
+            self.outbox.unstored(dot, self._now())
+            for one in waiting:
+                self._not_kept(one, answer, True, engine)  # came while it was being deleted
+            return
+        self.outbox.stored(dot, self._now())
+        for one in self.storing.pop(dot):
+            engine.settle(one, self._kept(dot))
+        self._wake()
+
+    def _not_kept(self, call: Call, answer: Answer | None, certain: bool, engine: Recorded) -> None:
+        if not call.open:
+            return
+        if not certain and (answer is None or answer.ending is Ending.REFUSED):
+            engine.settle(call, may_have_run())
+        elif answer is not None:
+            engine.settle(call, answer)
+        elif not self._overtakes(call, None, engine):
+            engine.admit(call)
+
+    def _kept(self, dot: Dot) -> Answer:
+        token = self.tokens.receipt(dot).encode()
+        told = {"state": "kept", "write": str(dot), "receipt": token.decode()}
+        headers = (JSON, (b"location", RECEIPTS + token), (b"x-causal-token", token))
+        return Answer(Ending.SERVED, 202, headers, msgspec.json.encode(told) + b"\n")
+
+    # --- Replay -----------------------------------------------------------------------
+
+    def _wake(self) -> None:
+        if self.closing or self.engine is None:
+            return
+        if self.turning is not None:
+            self.turning.cancel()
+        self.turning = self.loop.call_soon(self._turn)
+
+    def _turn(self) -> None:
+        self.turning = self.loop.call_later(TURN_US / 1e6, self._turn)
+        if self.closing:
+            return
+        self._look()
+        for change in self.outbox.due(self._now()):
+            self._spawn(self._step(change))
+        if forgettable := self.outbox.forgettable(self._now()):
+            self._spawn(self._forget(forgettable))
+
+    async def _forget(self, dots: list[Dot]) -> None:
+        """Numbers first: what is forgotten must not look as if it were still to come."""
+        try:
+            await self.store.put_lines(self.outbox.lines())
+        except StoreError:
+            return
+        for dot in dots:
+            if await self.store.forget(dot, 0):
+                self.outbox.forget(dot)
+
+    async def _step(self, change: Change) -> None:
+        try:
+            await self.store.move(change.moved)
+        except StoreError as error:
+            self.log(f"outbox: {change.dot}: not written: {error}")
+            self.outbox.undo(change, self._now())
+            return
+        self._apply(change)
+        if change.event is Event.SEND:
+            await self._send(change.dot)
+        self._wake()
+
+    def _apply(self, change: Change) -> None:
+        self.outbox.apply(change, self._now())
+        state = change.moved.state
+        if state is State.PARKED:
+            self.parked[change.dot] = change.moved.parking
+            self.log(f"outbox: {change.dot}: parked: {change.moved.reason.name.lower()}")
+        else:
+            self.parked.pop(change.dot, None)
+        if state in FINAL:
+            self.again.discard(change.dot)
+
+    async def _send(self, dot: Dot) -> None:
+        """Upstream with it, and its end written down."""
+        try:
+            found = await self.store.read(dot)
+        except (StoreError, OutboxError) as error:
+            self.log(f"outbox: {dot}: can't be read: {error}")
+            found = None
+        if found is None:
+            await self._end(dot, End.NOT_RUN, Answer(Ending.FAILED, 502))
+            return
+        replay = Replay(self, dot)
+        self.out[dot] = replay
+        try:
+            call = self._call(*found, replay)
+            del found
+            assert self.engine is not None
+            self.engine.take(call)
+            answer = await replay.over
+        finally:
+            del self.out[dot]
+        if answer.ending is Ending.SERVED:
+            end = End.ANSWERED
+        elif answer.ending is Ending.REFUSED or replay.never_ran:
+            end = End.NOT_RUN
+        else:
+            end = End.MAY_HAVE_RUN
+        await self._end(dot, end, answer)
+
+    def _call(self, write: KeptWrite, body: bytes, replay: Replay) -> Call:
+        assert self.engine is not None
+        cls = self.numbers[write.cls]
+        fields = dict(write.headers)
+        call = Call(
+            cls=cls,
+            expires=self.engine.now() + self.engine.settings.classes[cls].deadline_us,
+            start=write.start,
+            head=lines_of(write.headers),
+            body=body,
+            front=replay,
+            name=fields.get(b"x-request-id", b""),
+            tenant=self.tenants.get(write.tenant, 0),
+            key=key_of(write.start.partition(b"?")[2]),
+            work_us=hint(fields.get(b"x-cost-hint", b"")),
+            repeated=write.dot in self.again,
+        )
+        return call
+
+    async def _end(self, dot: Dot, end: End, answer: Answer) -> None:
+        if end is End.MAY_HAVE_RUN:
+            self.again.add(dot)
+        status, headers, body = answer.status, tuple(answer.headers), answer.body
+        if end is not End.ANSWERED:
+            status, headers, body = 0, (), b""
+        change = self.outbox.ended(
+            dot, end, self._now(), _wall(), status, headers, body if len(body) <= ANSWER_MOST else b""
+        )
+        while True:
+            try:
+                await self.store.move(change.moved)
+                break
+            except StoreError as error:
+                self.log(f"outbox: {dot}: its end is not written: {error}")
+                if self.closing:
+                    return
+                await asyncio.sleep(AGAIN_S)
+        self._apply(change)
+
+    # --- Asking -----------------------------------------------------------------------
+
+    def ask(self, call: Call) -> None:
+        """A client asks for a receipt: `call.start` is its token."""
+        self._spawn(self._tell(call))
+
+    async def _tell(self, call: Call) -> None:
+        try:
+            receipt = await self.receipt(_one(self.tokens.read(call.start.decode("ascii"))))
+            answer = Answer(Ending.SERVED, 200, (JSON,), show(receipt))
+        except UnknownWriteError as error:
+            answer = Answer(Ending.FAILED, 404, (), f"{error}\n".encode())
+        except (CauseError, UnicodeDecodeError) as error:
+            answer = Answer(Ending.FAILED, 400, (), f"{error}\n".encode())
+        except (StoreError, OutboxError) as error:
+            answer = Answer(Ending.FAILED, 503, (), f"{error}\n".encode())
+        call.front.answered(call, answer)
+
+    async def receipt(self, dot: Dot) -> Receipt:
+        """With the final answer, where there is one. `UnknownWriteError`, `StoreError`."""
+        receipt = self.outbox.receipt(dot)
+        if receipt.state in FINAL and (moved := await self.store.moved(dot)) is not None:
+            receipt = replace(receipt, status=moved.status, headers=moved.headers, body=moved.body)
+        return receipt
+
+    def judge(self, text: str, parking: int, verdict: Verdict) -> bool:
+        """An operator's word on a parked write; False if it was given already. `OutboxError`."""
+        change = self.outbox.judge(read_dot(text), parking, verdict, _wall())
+        if change is None:
+            return False
+        self._spawn(self._step(change))
+        return True
+
+    def status(self) -> dict[str, Any]:
+        """For an operator."""
+        shown = list(self.parked)[:SHOWN_MOST]
+        return {
+            "edge": self.settings.edge,
+            "cut_off": self.cutoff.off,
+            "kept": len(self.outbox),
+            "out": len(self.out),
+            "parked": len(self.parked),
+            "disk_bytes": self.store.size,
+            "writes": [msgspec.json.decode(show(self.outbox.receipt(dot))) for dot in shown],
+        }
+
+
+def _wall() -> int:
+    """Unix time in µs."""
+    return time.time_ns() // 1000
+
+
+def _read_secret(path: str) -> bytes:
+    with open(path, "rb") as file:
+        return file.read(4096).strip()
+
+
+def _headers(head: bytes) -> tuple[tuple[bytes, bytes], ...]:
+    """Of the lines that are passed on."""
+    found = []
+    for line in head.split(b"\r\n"):
+        name, colon, value = line.partition(b":")
+        if colon:
+            found.append((name.lower(), value.strip()))
+    return tuple(found)
+
+
+def _named(call: Call) -> str:
+    """Receipts and tokens alike: each is a token."""
+    return ",".join(part.decode("latin-1") for part in call.causes[:2] if part)
+
+
+def _session(call: Call) -> bytes:
+    return call.causes[2] if call.causes else b""
+
+
+def _object(call: Call) -> bytes:
+    query = call.start.partition(b"?")[2]
+    return next((part[4:] for part in query.split(b"&") if part.startswith(b"obj=")), b"")
+
+
+def _one(causes: Causes) -> Dot:
+    if len(causes) != 1 or causes[0].before:
+        raise TokenError("not the receipt of one write")
+    return causes[0].dot
+
+
+async def open_driver(
+    settings: OutboxSettings, classes: Mapping[str, int], tenants: Mapping[str, int], log: Log, file: str = ""
+) -> OutboxDriver:
+    """As `OutboxDriver.open`; `ConfigError` with the key, `file` before it, if that can't be."""
+    if settings.secret_file:
+        try:
+            _read_secret(settings.secret_file)
+        except OSError as error:
+            problem = f"{error.strerror}: expected a file that this user may read"
+            raise ConfigError(f"{file}outbox.secret_file: {settings.secret_file}: {problem}") from None
+    try:
+        return await OutboxDriver.open(settings, classes, tenants, log)
+    except ValueError as error:
+        if isinstance(error, OutboxError):
+            raise ConfigError(f"{file}outbox.store_path: {settings.store_path}: {error}") from None
+        raise ConfigError(f"{file}outbox.secret_file: {settings.secret_file}: {error}") from None
+    except (StoreError, OutboxError, OSError) as error:
+        raise ConfigError(f"{file}outbox.store_path: {settings.store_path}: {error}") from None
--- a/woadyard/outbox/store.py
+++ b/woadyard/outbox/store.py
@@ -4,8 +4,8 @@
 
 1. A write is one record: its head, and the first part of its body behind it. Further parts of at most
    `CHUNK` bytes have records of their own, written before it; one that is told as kept has all of them.
-2. A state since is a second record; the newest counts. With a final one the write's own records go, and it
-   goes by itself once the receipt's time is over.
+2. A state since is a second record; the newest counts. With a final one the body goes, and the head stays
+   until it is forgotten.
 3. What is written is durable when the call returns. A write that failed may be found by a later life all the
    same, unless `FailedToKeep.certain`.
 4. What a crash left of a write that was never told as kept is deleted as the store is opened.
@@ -15,18 +15,19 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
-from woadyard.outbox.dots import Dot
+from woadyard.outbox.dots import Dot, Line
 from woadyard.outbox.errors import KeptRecordError
 from woadyard.outbox.journal import FINAL, KeptWrite, Moved, decode_kept, decode_moved, encode
 from woadyard.outbox.options import CHUNK
 from woadyard.store import Disk, FolderDisk, Options, Store, StoreError
 
-KEPT, MOVED, PART = b"k", b"m", b"p"
+KEPT, MOVED, PART, LINE = b"k", b"m", b"p", b"l"
 SECRET: Final = b"secret"
 SECRET_BYTES: Final = 32
 # The store may have this beside twice what is kept: states and deletions must find room when no more
@@ -48,16 +49,24 @@
 
 @dataclass
 class Loaded:
-    """What an earlier life left: the writes with their newest states, and final states alone."""
+    """What earlier lives left: the writes with their newest states, and the highest number of each line."""
 
     writes: list[tuple[KeptWrite, Moved | None]] = field(default_factory=list)
-    finals: list[Moved] = field(default_factory=list)
+    lines: dict[Line, int] = field(default_factory=dict)
 
 
 def key_of(kind: bytes, dot: Dot) -> bytes:
     return kind + dot.incarnation.to_bytes(8, "big") + dot.number.to_bytes(8, "big")
 
 
+def _line_key(line: Line) -> bytes:
+    return LINE + line.incarnation.to_bytes(8, "big") + line.edge.encode()
+
+
+def _line_of(key: bytes) -> Line:
+    return Line(key[9:].decode(), int.from_bytes(key[1:9], "big"))
+
+
 def part_key(dot: Dot, at: int) -> bytes:
     return key_of(PART, dot) + at.to_bytes(4, "big")
 
@@ -105,38 +114,36 @@
         found = Loaded()
         kept: dict[bytes, KeptWrite] = {}
         moved: dict[bytes, Moved] = {}
-        for key in sorted(
-            key for key in self.store.index.where if key[:1] in (KEPT, MOVED) and len(key) == 17
-        ):
-            value = await self.store.get(key)
+        for key in sorted(self.store.index.where):
+            value = await self.store.get(key) if key[:1] in (KEPT, MOVED, LINE) else None
             if value is None:
                 continue
             if key[:1] == KEPT:
                 kept[key[1:]] = _split(value)[0]
-            else:
+            elif key[:1] == MOVED:
                 moved[key[1:]] = decode_moved(value)
+            else:
+                found.lines[_line_of(key)] = int.from_bytes(value, "big")
         stale = self._orphans(kept, moved)
-        for at, write in kept.items():
-            if KEPT + at not in stale:
-                found.writes.append((write, moved.get(at)))
-        found.finals = [one for one in moved.values() if one.state in FINAL]
+        found.writes = [(one, moved.get(at)) for at, one in kept.items() if KEPT + at not in stale]
+        for write, _ in found.writes:
+            found.lines[write.dot.line] = max(found.lines.get(write.dot.line, 0), write.dot.number)
         if stale:
             await asyncio.gather(*(self.store.delete(key) for key in stale))
         return found
 
     def _orphans(self, kept: dict[bytes, KeptWrite], moved: dict[bytes, Moved]) -> set[bytes]:
-        """Records of writes that are over, or were never told as kept."""
+        """Records of writes that were never told as kept, or are forgotten, and the bodies of what is over."""
         stale, parts = set[bytes](), set[bytes]()
         for at, write in kept.items():
+            if at in moved and moved[at].state in FINAL:
+                continue
             mine = part_keys(write.dot, write.size)
-            over = at in moved and moved[at].state in FINAL
-            if over or any(key not in self.store for key in mine):
-                stale.add(KEPT + at)
-            else:
+            if all(key in self.store for key in mine):
                 parts.update(mine)
-        for at, one in moved.items():
-            if one.state not in FINAL and (at not in kept or KEPT + at in stale):
-                stale.add(MOVED + at)
+            else:
+                stale.add(KEPT + at)
+        stale.update(MOVED + at for at in moved if at not in kept or KEPT + at in stale)
         stale.update(key for key in self.store.index.where if key[:1] == PART and key not in parts)
         return stale
 
@@ -167,20 +174,32 @@
         return not any(isinstance(one, BaseException) for one in results)
 
     async def forget(self, dot: Dot, size: int) -> bool:
-        """As if it had never been kept: nobody was told. False if that can't be written."""
+        """All of a write. False if that can't be written."""
+        moved = key_of(MOVED, dot)
+        if moved in self.store:
+            self.store.delete(moved).add_done_callback(lambda one: one.exception())
         return await self._take_back(dot, size)
 
-    async def move(self, moved: Moved, size: int, expires_ms: int = 0) -> None:
-        """Its state from now on. `size`: of the body. `expires_ms`: unix time in ms when a final one goes.
-        `StoreError` if it is not written."""
-        puts = [self.store.put(key_of(MOVED, moved.dot), encode(moved), expires_ms)]
-        if moved.state in FINAL:
-            keys = [key_of(KEPT, moved.dot), *part_keys(moved.dot, size)]
-            puts += [self.store.delete(key) for key in keys if key in self.store]
-        results = await asyncio.gather(*puts, return_exceptions=True)
-        if isinstance(results[0], BaseException):
-            raise results[0]
-        # A deletion that failed is made up for as the store is opened.
+    async def move(self, moved: Moved) -> None:
+        """Its state from now on. `StoreError` if it is not written."""
+        await self.store.put(key_of(MOVED, moved.dot), encode(moved))
+        if moved.state not in FINAL:
+            return
+        # Nothing more is sent of it. What this fails to delete goes as the store is opened.
+        with contextlib.suppress(StoreError, KeptRecordError):
+            value = await self.store.get(key_of(KEPT, moved.dot))
+            if value is not None:
+                write, first = _split(value)
+                if first:
+                    await self.store.put(key_of(KEPT, moved.dot), value[: len(value) - len(first)])
+                keys = part_keys(moved.dot, write.size)
+                await asyncio.gather(*(self.store.delete(key) for key in keys if key in self.store))
+
+    async def put_lines(self, lines: Mapping[Line, int]) -> None:
+        """The highest number that each own line gave out. `StoreError` if it is not written."""
+        await asyncio.gather(
+            *(self.store.put(_line_key(line), number.to_bytes(8, "big")) for line, number in lines.items())
+        )
 
     # --- Reading ----------------------------------------------------------------------
 
