Add the contract of the store of kept writes

Need: what was told as kept must survive, and nothing else come about; a store must be held to that. Change: WriteStoreContract with five rules; the port Keeper asks comes_first of a call in place of is_cut_off. Tests: five in the contract: bodies of none to several parts; a crash after 0 to 30 turns leaves all of a write or nothing; the last state holds; what is forgotten is gone; a disk that fails keeps nothing.

--- a/woadyard/engine/ports.py
+++ b/woadyard/engine/ports.py
@@ -148,10 +148,12 @@
 
 class Keeper(Protocol):
     """May keep a write that can't be sent now, and bring it upstream later. Asked at one step: before
-    a refusal or a failure leaves whose request can't have run, and as a request is taken while
-    `is_cut_off`."""
+    a refusal or a failure leaves whose request can't have run, and as a request is taken that
+    `comes_first` to it."""
 
-    is_cut_off: bool
+    def comes_first(self, call: Call) -> bool:
+        """Whether `keep` is asked before the module is told: the edge is cut off, or the call follows
+        what is kept."""
 
     def keep(self, call: Call, answer: Answer | None, engine: Recorded) -> bool:
         """`answer`: what it would get now; None where the module was not told of it yet. True if it is
--- a/woadyard/outbox/driver.py
+++ b/woadyard/outbox/driver.py
@@ -16,7 +16,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Coroutine, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Any, Final
 
--- a/woadyard/outbox/store.py
+++ b/woadyard/outbox/store.py
@@ -91,7 +91,8 @@
         log: Callable[[str], None] = lambda line: None,
         wall_ms: Callable[[], int] | None = None,
     ) -> KeptStore:
-        """`max_bytes`: what its user keeps at most, which is for the user to see to. `StoreError` if it is in use, damaged or can't be read."""
+        """`max_bytes`: what its user keeps at most, which is for the user to see to. `StoreError` if it is
+        in use, damaged or can't be read."""
         disk: Disk = FolderDisk(place) if isinstance(place, str) else place
         segment = min(SEGMENT_MOST, max(SEGMENT_LEAST, max_bytes // 8))
         options = Options(max_bytes=2 * max_bytes + SPARE_BYTES, segment_bytes=segment)
@@ -133,7 +134,7 @@
         return found
 
     def _orphans(self, kept: dict[bytes, KeptWrite], moved: dict[bytes, Moved]) -> set[bytes]:
-        """Records of writes that were never told as kept, or are forgotten, and the bodies of what is over."""
+        """Records of writes never told as kept, or forgotten, and the bodies of what is over."""
         stale, parts = set[bytes](), set[bytes]()
         for at, write in kept.items():
             if at in moved and moved[at].state in FINAL:
--- /dev/null
+++ b/woadyard/testing/contracts/outbox.py
@@ -0,0 +1,173 @@
+"""The store of kept writes: what was told as kept must survive, and nothing else come about."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Mapping
+from contextlib import AbstractAsyncContextManager
+from typing import Final, Protocol
+
+from woadyard.outbox.dots import Dot, Line
+from woadyard.outbox.journal import KeptWrite, Moved, State
+from woadyard.outbox.store import Loaded
+from woadyard.store.disk import StoreError
+from woadyard.testing.contracts.base import Contract, raises, turns
+
+LINE: Final = Line("studio-1", 7)
+# Of bodies: none, one part, its bound, and several parts.
+SIZES: Final = (0, 1, 65_536, 65_537, 400_000)
+# Turns of the loop after which the crash comes.
+CRASHES: Final = (0, 1, 2, 3, 5, 8, 13, 30)
+
+
+class WriteStore(Protocol):
+    """What the outbox's driver asks of it."""
+
+    async def load(self) -> Loaded: ...
+    async def keep(self, write: KeptWrite, body: bytes) -> None: ...
+    async def move(self, moved: Moved) -> None: ...
+    async def read(self, dot: Dot) -> tuple[KeptWrite, bytes] | None: ...
+    async def moved(self, dot: Dot) -> Moved | None: ...
+    async def forget(self, dot: Dot, size: int) -> bool: ...
+    async def put_lines(self, lines: Mapping[Line, int]) -> None: ...
+
+
+class Lives(Protocol):
+    """One process after another on what is kept."""
+
+    store: WriteStore
+
+    async def restart(self) -> None: ...
+
+    async def crash(self) -> None:
+        """Without power: what is not durable may be lost."""
+
+    def break_(self) -> None:
+        """From now on, until the next process, nothing can be written."""
+
+
+def dot_of(number: int) -> Dot:
+    return Dot(*LINE, number)
+
+
+def write_of(number: int, size: int) -> KeptWrite:
+    return KeptWrite(
+        dot=dot_of(number), cls="upload", start=b"POST /upload", headers=((b"x-request-id", b"r%d" % number),),
+        size=size, digest=b"d" * 16, keyed=True, key=b"k%d" % number, session=b"", obj=b"", tenant="",
+        causes=(), wall=1, window_us=2,
+    )  # fmt: skip
+
+
+def body_of(number: int, size: int) -> bytes:
+    return bytes((number + at) % 251 for at in range(251)) * (size // 251 + 1) if size else b""
+
+
+def made(number: int, size: int) -> tuple[KeptWrite, bytes]:
+    return write_of(number, size), body_of(number, size)[:size]
+
+
+class WriteStoreContract(Contract, ABC):
+    """The rules:
+
+    1. A write that was kept is found by each next life, with its body, whatever befell the one before.
+    2. Of one that was not told as kept, a later life finds all or nothing.
+    3. The last state that was written holds. A final one ends the body; the head and the state stay.
+    4. What was forgotten is gone.
+    5. Nothing is kept on a disk that fails, and what was kept before can still be read.
+    """
+
+    @abstractmethod
+    def lives(self) -> AbstractAsyncContextManager[Lives]:
+        """A first process, with nothing kept."""
+
+    def test_a_kept_write_is_found_with_its_body(self) -> None:
+        async def main() -> None:
+            async with self.lives() as lives:
+                assert (await lives.store.load()).writes == []
+                for number, size in enumerate(SIZES, start=1):
+                    await lives.store.keep(*made(number, size))
+                for restart in (lives.restart, lives.crash):
+                    await restart()
+                    found = await lives.store.load()
+                    assert [one for one, _ in found.writes] == [
+                        write_of(number, size) for number, size in enumerate(SIZES, start=1)
+                    ]
+                    assert found.lines == {LINE: len(SIZES)}
+                    for number, size in enumerate(SIZES, start=1):
+                        assert await lives.store.read(dot_of(number)) == made(number, size)
+
+        self.run(main())
+
+    def test_a_crash_leaves_all_of_a_write_or_nothing(self) -> None:
+        async def main() -> None:
+            for crash in CRASHES:
+                async with self.lives() as lives:
+                    await lives.store.load()
+                    await lives.store.keep(*made(1, 10))
+                    keeping = asyncio.create_task(lives.store.keep(*made(2, 200_000)))
+                    await turns(crash)
+                    told = keeping.done() and keeping.exception() is None
+                    await lives.crash()
+                    keeping.cancel()
+                    await asyncio.gather(keeping, return_exceptions=True)
+                    found = [one.dot.number for one, _ in (await lives.store.load()).writes]
+                    assert found in ([1], [1, 2]) and (not told or 2 in found), f"{found} after {crash}"
+                    for number, size in zip(found, (10, 200_000), strict=False):
+                        assert await lives.store.read(dot_of(number)) == made(number, size)
+
+        self.run(main())
+
+    def test_the_last_state_holds_and_a_final_one_ends_the_body(self) -> None:
+        async def main() -> None:
+            async with self.lives() as lives:
+                await lives.store.load()
+                for number in (1, 2):
+                    await lives.store.keep(*made(number, 100_000))
+                out = Moved(dot_of(1), State.OUT)
+                done = Moved(dot_of(1), State.DONE, status=200, body=b"ok")
+                await lives.store.move(out)
+                await lives.store.move(Moved(dot_of(2), State.OUT))
+                await lives.store.move(done)
+                for restart in (lives.restart, lives.crash):
+                    await restart()
+                    found = {one.dot.number: moved for one, moved in (await lives.store.load()).writes}
+                    assert found == {1: done, 2: Moved(dot_of(2), State.OUT)}
+                    assert await lives.store.moved(dot_of(1)) == done
+                    assert await lives.store.read(dot_of(2)) == made(2, 100_000)
+
+        self.run(main())
+
+    def test_what_was_forgotten_is_gone_and_its_number_is_known(self) -> None:
+        async def main() -> None:
+            async with self.lives() as lives:
+                await lives.store.load()
+                await lives.store.keep(*made(1, 200_000))
+                await lives.store.move(Moved(dot_of(1), State.PARKED))
+                await lives.store.put_lines({LINE: 9})
+                assert await lives.store.forget(dot_of(1), 200_000)
+                assert await lives.store.read(dot_of(1)) is None
+                await lives.restart()
+                found = await lives.store.load()
+                assert found.writes == [] and found.lines == {LINE: 9}
+                assert await lives.store.moved(dot_of(1)) is None
+
+        self.run(main())
+
+    def test_nothing_is_kept_on_a_disk_that_fails(self) -> None:
+        async def main() -> None:
+            async with self.lives() as lives:
+                await lives.store.load()
+                await lives.store.keep(*made(1, 100_000))
+                lives.break_()
+                with raises(StoreError, "a write on a disk that fails"):
+                    await lives.store.keep(*made(2, 200_000))
+                with raises(StoreError, "a state on a disk that fails"):
+                    await lives.store.move(Moved(dot_of(1), State.OUT))
+                assert await lives.store.read(dot_of(1)) == made(1, 100_000)
+                assert await lives.store.read(dot_of(2)) is None
+                await lives.restart()
+                found = [one.dot.number for one, _ in (await lives.store.load()).writes]
+                assert found in ([1], [1, 2])
+
+        self.run(main())
