Keep, replay and judge writes by causes: the outbox's core

Need: what an edge keeps must go upstream once, causes before effects, or be parked with a reason. Tests: none in this diff.

--- a/woadyard/outbox/graph.py
+++ b/woadyard/outbox/graph.py
@@ -1,12 +1,12 @@
 """What waits for what. Pure.
 
-1. A node is a kept write, or a write of another line that one of ours follows, or a barrier: all that was kept
-   before it.
+1. A node is a kept write, or a write of another line that one of ours follows, or a barrier: all writes of
+   one line up to a number.
 2. An arrow goes from a cause to its follower, and is made when the follower is. So no circle can come about.
 3. A node is free when no arrow comes in. When a node is over, its arrows go.
 4. A node sticks while it is halted, or while one that it follows sticks. Each node knows how many of its causes
    stick; so halting and resuming touch each arrow behind the node once, however many followers there are.
-5. Nodes and arrows are rows of arrays, used again when they are free: 17 bytes a node, 20 an arrow.
+5. Nodes and arrows are rows of arrays, used again when they are free: 17 bytes a node, 24 an arrow.
 """
 
 from __future__ import annotations
--- a/woadyard/outbox/journal.py
+++ b/woadyard/outbox/journal.py
@@ -148,11 +148,12 @@
     parking: int = 0
     verdict: int = 0  # the last one given, on `judged`
     judged: int = 0
+    judged_at: int = 0  # unix time, µs
     sent: bool = False  # was ever OUT without a known end
     status: int = 0
     headers: tuple[tuple[bytes, bytes], ...] = ()
     body: bytes = b""
-    wall: int = 0
+    wall: int = 0  # of a final answer, parking by one, or verdict
 
 
 _encoder: Final = msgspec.msgpack.Encoder()
--- a/woadyard/outbox/outbox.py
+++ b/woadyard/outbox/outbox.py
@@ -13,19 +13,55 @@
 
 1. Between a change and its `apply` or `undo` its write takes no other.
 2. All times are µs: `now` monotonic, `wall` unix time as this machine has it.
+3. A write follows what its tokens name, and the last write kept before it of its session and of its object.
+4. A write that is final while its causes are not (judged, or given up) stays in the graph until they are: what
+   follows it still waits for them.
+5. With `orphans` = "park", those that follow a write given up or lost are parked, each with a change of its
+   own, and halted until then. A write that could not be stored was never kept: nothing is parked for it.
+6. A keyed write goes out only while `send_us` is left of its window, counted from when it was kept. An
+   operator's "it never ran" begins age and window anew.
+7. After a restart the time that passed is that of the wall clock, and never less than none. Where that clock
+   stands before what was written by it, a keyed write that may have run is parked: its window can't be known.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import IntEnum
-from typing import Literal
+from typing import Final, Literal
 
-from woadyard.outbox.causes import Causes, Frontier, Tokens
+import msgspec
+
+from woadyard.outbox.causes import CAUSES_MOST, Cause, Causes, Fate, Frontier, Tokens, merge
 from woadyard.outbox.dots import Dot, Line
-from woadyard.outbox.journal import Event, KeptWrite, Moved, Verdict
+from woadyard.outbox.errors import (
+    CycleError,
+    FullError,
+    FutureError,
+    KeepError,
+    LooseError,
+    UnknownWriteError,
+    VerdictError,
+)
+from woadyard.outbox.graph import Graph
+from woadyard.outbox.journal import FINAL, Event, KeptWrite, Moved, Reason, State, Verdict, follow
 from woadyard.outbox.receipts import Receipt
+from woadyard.outbox.replay import Pace, Turns
+from woadyard.outbox.rows import (
+    BARRIER,
+    BUSY,
+    CLOSED,
+    DURABLE,
+    FOREIGN,
+    JOIN,
+    ORPHAN,
+    SENT,
+    Places,
+    Rows,
+    short,
+)
 
 __all__ = ["Bounds", "Change", "End", "KeptClass", "Offer", "Outbox", "Ticket"]
 
@@ -105,45 +141,441 @@
     moved: Moved
 
 
+# Rows that one call of `due` looks at, and changes of one kind that it gives: guards the loop's time.
+SWEEP: Final = 256
+# When a client should come again to an outbox that is full.
+RETRY_US: Final = 30_000_000
+# Writes of other lines that ours follow, and causes looked through for a circle: guard memory and time.
+FOREIGN_MOST: Final = 10_000
+CIRCLE_MOST: Final = 4_096
+_NUMBERS: Final = 48  # bits of a number, beside its line's place
+_NUMBER_MASK: Final = (1 << _NUMBERS) - 1
+
+
 class Outbox:
     """See the head. `line`: this life's name; `classes`: those that may be kept, by name."""
 
     def __init__(
         self, line: Line, classes: Mapping[str, KeptClass], bounds: Bounds, tokens: Tokens, frontier: Frontier
-    ) -> None: ...
+    ) -> None:
+        self.bounds = bounds
+        self.tokens = tokens
+        self.frontier = frontier
+        self.classes = dict(classes)
+        self.pace = Pace(bounds.replay_most, bounds.hold_us)
+        self._names = ["", *classes]  # the first is a join's
+        self._places = {name: place for place, name in enumerate(self._names)}
+        # Own lines, and the highest number known of each.
+        self._lines = [line]
+        self._line_places = {line: 0}
+        self._high = [0]
+        self._graph = Graph()
+        self._rows = Rows()
+        self._turns = Turns()
+        self._open = Places()  # row of an own dot
+        self._keys = Places()  # own dot of a key
+        self._sessions = Places()  # row of the last write
+        self._objects = Places()
+        self._foreign: dict[Cause, int] = {}
+        self._foreign_of: dict[int, Cause] = {}
+        self._barriers: dict[int, tuple[int, int]] = {}  # by line's place: up to which number, and its row
+        self._joins: deque[int] = deque()
+        self._orphans: deque[int] = deque()
+        # Final ones whose receipts are kept: own dot, when that is over, key.
+        self._closed: deque[tuple[int, int, int]] = deque()
+        self._given_up: set[int] = set()
+        self._judged: dict[int, tuple[int, Verdict, int]] = {}  # parking, verdict, unix time
+        self._excused: set[int] = set()  # rows that a restart must not take for orphans
+        self._tenants: dict[str, int] = {}
+        self._tenant_names: dict[int, str] = {}
+        self._usage: dict[int, list[int]] = {}  # by tenant's place: count, bytes
+        self._tenant_next = 0
+        self._swept = 0
+        self.count = 0
+        self.size = 0
+
+    # Names
+
+    def _pack(self, dot: Cause | Dot) -> int:
+        """An own dot as one integer; -1 if it is of no line known here."""
+        place = self._line_places.get(dot.line, -1)
+        return place if place < 0 else place << _NUMBERS | dot.number
+
+    def _dot(self, row: int) -> Dot:
+        if self._rows.has(row, FOREIGN):
+            return self._foreign_of[row].dot
+        return Dot(*self._lines[self._rows.line[row]], self._rows.number[row])
+
+    def _row(self, dot: Dot) -> int:
+        """Of a write that is in the graph, or -1."""
+        packed = self._pack(dot)
+        return -1 if packed < 0 else self._open.get(packed)
+
+    def _must_row(self, dot: Dot) -> int:
+        row = self._row(dot)
+        if row < 0 or self._rows.has(row, CLOSED):
+            raise UnknownWriteError(f"{dot} is not open here")
+        return row
 
     # Keeping
 
     def offer(self, offer: Offer, now: int, wall: int) -> Ticket:
         """A number for it, its causes found and its bytes counted; see the errors in the head."""
-        raise NotImplementedError
+        cls = self.classes.get(offer.cls)
+        if cls is None:
+            raise KeepError(f"class {offer.cls!r} is not kept")
+        if cls.keyed and not offer.key:
+            raise KeepError(f"a write of class {offer.cls!r} came without its key")
+        named = self.tokens.read(offer.named) if offer.named else ()
+        key = short(cls.name.encode(), offer.tenant.encode(), offer.key) if cls.keyed else 0
+        known = self._keys.get(key) if key else -1
+        if known >= 0:
+            self._check_circle(known, named)
+            return Ticket(Dot(*self._lines[known >> _NUMBERS], known & _NUMBER_MASK), None, True)
+        return self._keep(offer, cls, named, key, now, wall)
 
     def join(self, causes: Causes, now: int, wall: int) -> Ticket:
         """A name for a set that no token tells (causes.py, rule 3): kept as any write, without a body."""
-        raise NotImplementedError
+        return self._keep(Offer("", b"", (), 0, b""), KeptClass("", False), causes, 0, now, wall)
+
+    def _keep(self, offer: Offer, cls: KeptClass, named: Causes, key: int, now: int, wall: int) -> Ticket:
+        session, obj = short(b"s", offer.session), short(b"o", offer.tenant.encode(), offer.obj)
+        by_rule = [
+            Cause(*self._dot(row))
+            for row in (self._sessions.get(session), self._objects.get(obj))
+            if row >= 0
+        ]
+        causes = merge(named, by_rule)
+        self._check(causes)
+        self._check_bounds(offer)
+        self._high[0] += 1
+        dot = Dot(*self._lines[0], self._high[0])
+        write = KeptWrite(
+            dot,
+            cls.name,
+            offer.start,
+            offer.headers,
+            offer.size,
+            offer.digest,
+            cls.keyed,
+            offer.key,
+            offer.session,
+            offer.obj,
+            offer.tenant,
+            causes,
+            wall,
+            cls.window_us,
+        )
+        row = self._enter(write, 0, key, session, obj, now)
+        self._link(row, causes)
+        return Ticket(dot, write)
+
+    def _check(self, causes: Causes) -> None:
+        if len(causes) > CAUSES_MOST:
+            raise LooseError(f"{len(causes)} writes before one, {CAUSES_MOST} are the most")
+        line, high = self._lines[0], self._high[0]
+        for cause in causes:
+            if cause.line == line and cause.number > high:
+                raise FutureError(f"{cause.dot} was not given out")
+        if len(self._foreign) + len(causes) > FOREIGN_MOST:
+            raise FullError("too many writes of other edges are waited for", RETRY_US)
+
+    def _check_bounds(self, offer: Offer) -> None:
+        bounds = self.bounds
+        count, size = self._usage.get(self._tenants.get(offer.tenant, -1), (0, 0))
+        for name, used, most, share in (
+            ("count", self.count + 1, bounds.count_most, count + 1),
+            ("bytes", self.size + offer.size, bounds.bytes_most, size + offer.size),
+        ):
+            if used > most:
+                raise FullError(f"outbox.{name}_most {most} is reached", RETRY_US)
+            if offer.cls and share > most * bounds.tenant_share:
+                raise FullError(f"tenant {offer.tenant!r} has its share of outbox.{name}_most", RETRY_US)
+
+    def _check_circle(self, known: int, named: Causes) -> None:
+        """A repeat names its first try, or what follows that."""
+        work = [packed for cause in named if (packed := self._pack(cause)) >= 0]
+        if known in work:
+            raise CycleError("a write is said to follow itself")
+        target, seen = self._open.get(known), set[int]()
+        rows = [row for packed in work if (row := self._open.get(packed)) >= 0]
+        while target >= 0 and rows and len(seen) < CIRCLE_MOST:
+            row = rows.pop()
+            if row == target:
+                raise CycleError(f"{self._dot(target)} is said to follow a write that follows it")
+            if row not in seen:
+                seen.add(row)
+                rows += self._graph.causes(row)
+
+    def _enter(self, write: KeptWrite, line: int, key: int, session: int, obj: int, since: int) -> int:
+        """A row for it, counted, without causes yet."""
+        row = self._graph.add()
+        rows = self._rows
+        rows.clear(row, 0 if write.cls else JOIN)
+        rows.cls[row] = self._places.get(write.cls, 0) if write.cls else 0
+        rows.line[row], rows.number[row], rows.since[row] = line, write.dot.number, since
+        rows.key[row], rows.session[row], rows.obj[row] = key, session, obj
+        rows.size[row] = write.size
+        packed = line << _NUMBERS | write.dot.number
+        self._open.put(packed, row)
+        for places, name, value in (
+            (self._keys, key, packed),
+            (self._sessions, session, row),
+            (self._objects, obj, row),
+        ):
+            if name:
+                places.put(name, value)
+        self._count(row, write.tenant)
+        return row
+
+    def _count(self, row: int, tenant: str) -> None:
+        place = self._tenants.get(tenant)
+        if place is None:
+            place = self._tenants[tenant] = self._tenant_next
+            self._tenant_next += 1
+            self._usage[place] = [0, 0]
+            self._tenant_names[place] = tenant
+        usage = self._usage[place]
+        usage[0] += 1
+        usage[1] += self._rows.size[row]
+        self._rows.tenant[row] = place
+        self.count += 1
+        self.size += self._rows.size[row]
+
+    def _uncount(self, row: int) -> None:
+        place, size = self._rows.tenant[row], self._rows.size[row]
+        usage = self._usage[place]
+        usage[0] -= 1
+        usage[1] -= size
+        self.count -= 1
+        self.size -= size
+        if not usage[0]:
+            del self._usage[place]
+            del self._tenants[self._tenant_names.pop(place)]
+
+    # What waits for what
+
+    def _link(self, row: int, causes: Causes, barriers: Mapping[tuple[int, int], int] | None = None) -> None:
+        """Its arrows, each once. `barriers`: those of a restart, by line's place and number."""
+        found: set[int] = set()
+        for cause in causes:
+            place = self._line_places.get(cause.line, -1)
+            if place < 0 or cause.number > self._high[place]:
+                found.add(self._follow_foreign(row, cause))
+            elif cause.before and barriers is not None:
+                found.add(barriers[place, cause.number])
+            elif cause.before:
+                found.add(self._barrier(place, self._high[place] - (place == 0)))
+            else:
+                packed = place << _NUMBERS | cause.number
+                found.add(self._open.get(packed))
+                if packed in self._given_up:
+                    self._orphan(row)
+        for node in found - {-1, row}:
+            self._graph.link(node, row)
+
+    def _follow_foreign(self, row: int, cause: Cause) -> int:
+        """The row of a write of another line, or -1 if it need not be waited for."""
+        node = self._foreign.get(cause, -1)
+        if node >= 0:
+            return node
+        fate = self.frontier.fate(cause)
+        if fate is Fate.GONE:
+            self._orphan(row)
+        if fate in (Fate.IN, Fate.GONE):
+            return -1
+        node = self._graph.add()
+        self._rows.clear(node, FOREIGN)
+        self._foreign[cause], self._foreign_of[node] = node, cause
+        if fate is Fate.PARKED:
+            self._graph.halt(node)
+        return node
+
+    def _barrier(self, place: int, upto: int) -> int:
+        """A row that is over when all of a line up to a number are, or a later one; each made on the one before
+        it, so that all of them together have one arrow for each write. -1 if all are over."""
+        last, before = self._barriers.get(place, (0, -1))
+        if last >= upto:
+            return before
+        open_rows = {self._open.get(place << _NUMBERS | number) for number in range(last + 1, upto + 1)}
+        nodes = (open_rows | {before}) - {-1}
+        if not nodes:
+            self._barriers[place] = (upto, -1)
+            return -1
+        barrier = self._graph.add()
+        self._rows.clear(barrier, BARRIER)
+        self._rows.line[barrier] = place
+        for node in nodes:
+            self._graph.link(node, barrier)
+        self._barriers[place] = (upto, barrier)
+        return barrier
+
+    def _orphan(self, row: int) -> None:
+        """It follows what is given up or lost."""
+        if self.bounds.orphans == "release" or self._rows.has(row, ORPHAN) or row in self._excused:
+            return
+        if self._rows.has(row, BARRIER):
+            for follower in self._graph.followers(row):
+                self._orphan(follower)
+        elif self._rows.state[row] == State.KEPT and not self._rows.has(row, CLOSED):
+            self._rows.set(row, ORPHAN)
+            self._graph.halt(row)
+            self._orphans.append(row)
+
+    def _wake(self, row: int) -> None:
+        """It may be its turn."""
+        rows = self._rows
+        if (
+            rows.state[row] == State.KEPT
+            and rows.flags[row] & (DURABLE | ORPHAN | BUSY | CLOSED) == DURABLE
+            and self._graph.free(row)
+        ):
+            rows.state[row] = follow(State.KEPT, Event.CAUSES_IN)
+            if rows.has(row, JOIN):
+                self._joins.append(row)
+            else:
+                self._turns.add(row)
+
+    def _over(self, row: int) -> None:
+        """A free row is done with, and so are those without a state of their own that it frees."""
+        work = [row]
+        while work:
+            row = work.pop()
+            freed = self._graph.over(row)
+            self._leave(row)
+            for follower in freed:
+                if self._rows.flags[follower] & (BARRIER | CLOSED):
+                    work.append(follower)
+                else:
+                    self._wake(follower)
+
+    def _leave(self, row: int) -> None:
+        rows = self._rows
+        if rows.has(row, FOREIGN):
+            del self._foreign[self._foreign_of.pop(row)]
+        elif rows.has(row, BARRIER):
+            place = rows.line[row]
+            upto, last = self._barriers[place]
+            if last == row:
+                self._barriers[place] = (upto, -1)
+        else:
+            self._open.drop(rows.line[row] << _NUMBERS | rows.number[row])
+            for places, name in ((self._sessions, rows.session[row]), (self._objects, rows.obj[row])):
+                if name and places.get(name) == row:
+                    places.drop(name)
+        rows.clear(row, CLOSED)
 
     def must_keep(self, named: str) -> bool:
         """A write that names these tokens follows one that may not be in yet: it is kept although the link
         is well. `CauseError`."""
-        raise NotImplementedError
+        causes = self.tokens.read(named)
+        self._check(causes)
+        return any(self._is_open(cause) for cause in causes)
+
+    def _is_open(self, cause: Cause) -> bool:
+        place = self._line_places.get(cause.line, -1)
+        if place >= 0 and cause.number <= self._high[place]:
+            if cause.before:
+                return self._barrier(place, self._high[place]) >= 0
+            packed = place << _NUMBERS | cause.number
+            return self._open.get(packed) >= 0 or (packed in self._given_up and self.bounds.orphans == "park")
+        fate = self.frontier.fate(cause)
+        return fate is not Fate.IN and not (fate is Fate.GONE and self.bounds.orphans == "release")
 
     def stored(self, dot: Dot, now: int) -> None:
         """Its record is durable: it counts, and may be told."""
-        raise NotImplementedError
+        row = self._must_row(dot)
+        self._rows.set(row, DURABLE)
+        self._wake(row)
 
     def unstored(self, dot: Dot, now: int) -> None:
         """Its record could not be made durable: as if it had not been offered."""
-        raise NotImplementedError
+        row = self._must_row(dot)
+        follow(self._rows.state_of(row), Event.LOST)
+        key = self._rows.key[row]
+        if key and self._keys.get(key) == self._pack(dot):
+            self._keys.drop(key)
+        self._retire(row)
 
     # Replay
 
     def due(self, now: int) -> list[Change]:
         """What is to be done next, `SEND` among it: apply, then send. Asked after events and each second."""
-        raise NotImplementedError
+        return [*self._due_orphans(), *self._due_joins(), *self._due_sweep(now), *self._due_sends(now)]
+
+    def _change(self, row: int, event: Event, reason: Reason = Reason.NONE) -> Change:
+        """A step of this row, as a record without an answer. The row is busy from here."""
+        rows = self._rows
+        before = rows.state_of(row)
+        after = follow(before, event)
+        parked = after is State.PARKED
+        dot, parking = self._dot(row), rows.parking[row] + parked
+        judged, verdict, judged_at = self._judged.get(self._pack(dot), (0, 0, 0))
+        rows.set(row, BUSY)
+        moved = Moved(dot, after, reason, parking, verdict, judged, judged_at, rows.has(row, SENT))
+        return Change(dot, event, moved)
+
+    def _due_orphans(self) -> list[Change]:
+        found: list[Change] = []
+        while self._orphans and len(found) < SWEEP:
+            row = self._orphans.popleft()
+            if self._rows.state[row] != State.KEPT or self._rows.flags[row] & (ORPHAN | CLOSED) != ORPHAN:
+                continue
+            if self._rows.has(row, DURABLE) and not self._rows.has(row, BUSY):
+                found.append(self._change(row, Event.ORPHANED, Reason.ORPHANED))
+            else:
+                self._orphans.append(row)
+                break
+        return found
+
+    def _due_joins(self) -> list[Change]:
+        count = min(SWEEP, len(self._joins))
+        rows = [self._joins.popleft() for _ in range(count)]
+        return [self._change(row, Event.JOINED) for row in rows if self._can_go(row)]
+
+    def _due_sweep(self, now: int) -> list[Change]:
+        """Part of all rows, in turn: which are too old, or past their window."""
+        found: list[Change] = []
+        rows, total = self._rows, len(self._rows)
+        for _ in range(min(SWEEP, total)):
+            self._swept = (self._swept + 1) % total
+            row = self._swept
+            flags = rows.flags[row]
+            if flags & (FOREIGN | BARRIER | JOIN | CLOSED | BUSY | ORPHAN) or not flags & DURABLE:
+                continue
+            if rows.state[row] in (State.KEPT, State.READY) and (reason := self._expired(row, now)):
+                found.append(self._change(row, Event.EXPIRED, reason))
+        return found
+
+    def _expired(self, row: int, now: int) -> Reason:
+        age = now - self._rows.since[row]
+        cls = self.classes.get(self._names[self._rows.cls[row]])
+        if cls is not None and cls.keyed and age + self.bounds.send_us > cls.window_us:
+            return Reason.MAY_HAVE_RUN if self._rows.has(row, SENT) else Reason.WINDOW
+        return Reason.AGE if age > self.bounds.age_us else Reason.NONE
+
+    def _can_go(self, row: int) -> bool:
+        """Ready still: a place in the queue may be older than the row's use."""
+        return self._rows.state[row] == State.READY and not self._rows.flags[row] & (BUSY | CLOSED)
+
+    def _due_sends(self, now: int) -> list[Change]:
+        found: list[Change] = []
+        while len(self._turns) and self.pace.may_send(now):
+            row = self._turns.next()
+            if not self._can_go(row):
+                continue
+            if reason := self._expired(row, now):
+                found.append(self._change(row, Event.EXPIRED, reason))
+            elif not self.frontier.holds(self._lines[self._rows.line[row]]):
+                self._turns.set_aside(row)
+            else:
+                self.pace.sent()
+                found.append(self._change(row, Event.SEND))
+        return found
 
     def live_refused(self, now: int) -> None:
         """The module refused a live request: kept ones stand back."""
-        raise NotImplementedError
+        self.pace.refused(now)
 
     def ended(
         self,
@@ -156,43 +588,190 @@
         body: bytes = b"",
     ) -> Change:
         """What its end means, by its class."""
-        raise NotImplementedError
+        row = self._must_row(dot)
+        event, reason = self._meaning(row, end, now)
+        follow(self._rows.state_of(row), event)
+        if end in (End.ANSWERED, End.DENIED):
+            self.pace.answered()
+        else:
+            self.pace.failed(now)
+        if end is End.MAY_HAVE_RUN:
+            self._rows.set(row, SENT)
+        moved = self._change(row, event, reason).moved
+        told = msgspec.structs.replace(moved, status=status, headers=headers, body=body, wall=wall)
+        return Change(dot, event, told)
+
+    def _meaning(self, row: int, end: End, now: int) -> tuple[Event, Reason]:
+        if end is End.ANSWERED:
+            return Event.ANSWERED, Reason.NONE
+        if end is End.DENIED:
+            return Event.DENIED, Reason.DENIED
+        if end is End.NOT_RUN:
+            return Event.NOT_RUN, Reason.NONE
+        cls = self.classes.get(self._names[self._rows.cls[row]])
+        if cls is not None and cls.keyed and not self._expired(row, now):
+            return Event.AGAIN, Reason.NONE
+        return Event.UNSURE, Reason.MAY_HAVE_RUN
 
     def apply(self, change: Change, now: int) -> None:
         """The change is durable."""
-        raise NotImplementedError
+        row = self._must_row(change.dot)
+        rows, event = self._rows, change.event
+        rows.state[row] = follow(rows.state_of(row), event)
+        rows.reason[row], rows.parking[row] = change.moved.reason, change.moved.parking
+        rows.set(row, BUSY | ORPHAN, False)
+        state = rows.state_of(row)
+        moved = change.moved
+        if moved.judged:
+            self._judged[self._pack(change.dot)] = (moved.judged, Verdict(moved.verdict), moved.judged_at)
+        if state is State.PARKED:
+            self._graph.halt(row)
+        elif state in FINAL:
+            self._close(row, now)
+        elif event in (Event.NOT_RUN, Event.AGAIN):
+            self._turns.again(row)
+        elif event is Event.NEVER_RAN:
+            rows.since[row] = now
+            rows.set(row, SENT, False)
+            self._graph.resume(row)
+            self._wake(row)
 
     def undo(self, change: Change, now: int) -> None:
         """The change could not be made durable: it is found again by `due`, but for a verdict or an end,
         which the driver tries again."""
-        raise NotImplementedError
+        row = self._must_row(change.dot)
+        rows = self._rows
+        rows.set(row, BUSY, False)
+        if change.event is Event.SEND:
+            self.pace.unsent()
+        if change.event is Event.ORPHANED:
+            self._orphans.append(row)
+        elif rows.state[row] == State.READY:
+            (self._joins.append if rows.has(row, JOIN) else self._turns.again)(row)
+        else:
+            self._wake(row)
+
+    def _close(self, row: int, now: int) -> None:
+        """It is final: its followers need not wait for it, or are orphans."""
+        packed = self._pack(self._dot(row))
+        if self._rows.state[row] == State.GIVEN_UP:
+            self._given_up.add(packed)
+            for follower in self._graph.followers(row):
+                self._orphan(follower)
+        self._closed.append((packed, now + self.bounds.receipt_us, self._rows.key[row]))
+        self._retire(row)
+
+    def _retire(self, row: int) -> None:
+        self._uncount(row)
+        self._rows.set(row, CLOSED)
+        self._graph.resume(row)
+        if self._graph.free(row):
+            self._over(row)
 
     # Others and operators
 
     def heard(self, now: int) -> None:
         """The frontier has learned something."""
-        raise NotImplementedError
+        self._turns.bring_back()
+        for cause, row in list(self._foreign.items()):
+            fate = self.frontier.fate(cause)
+            if fate is Fate.GONE:
+                for follower in self._graph.followers(row):
+                    self._orphan(follower)
+            if fate in (Fate.IN, Fate.GONE):
+                self._over(row)
+            elif fate is Fate.PARKED:
+                self._graph.halt(row)
+            else:
+                self._graph.resume(row)
 
     def judge(self, dot: Dot, parking: int, verdict: Verdict, wall: int) -> Change | None:
         """An operator's verdict on a parking; None if this one was given already. `VerdictError`,
         `UnknownWriteError`."""
-        raise NotImplementedError
+        before = self._judged.get(self._pack(dot))
+        if before is not None and before[:2] == (parking, verdict):
+            return None
+        if before is not None and parking <= before[0]:
+            raise VerdictError(f"{dot}: parking {before[0]} was judged {before[1].name.lower()}")
+        row = self._must_row(dot)
+        self._check_verdict(row, parking, verdict)
+        event = {
+            Verdict.RAN: Event.RAN,
+            Verdict.NEVER_RAN: Event.NEVER_RAN,
+            Verdict.GIVE_UP: Event.GIVE_UP,
+        }[verdict]
+        moved = self._change(row, event, self._rows.reason_of(row)).moved
+        sent = moved.sent and verdict is not Verdict.NEVER_RAN
+        told = msgspec.structs.replace(
+            moved, parking=parking, verdict=verdict, judged=parking, judged_at=wall, sent=sent, wall=wall
+        )
+        return Change(dot, event, told)
+
+    def _check_verdict(self, row: int, parking: int, verdict: Verdict) -> None:
+        rows, dot = self._rows, self._dot(row)
+        if rows.has(row, BUSY):
+            raise VerdictError(f"{dot}: another change of it is on its way to the disk")
+        behind = rows.state[row] == State.KEPT and self._graph.behind(row)
+        number = rows.parking[row] + behind
+        if not (rows.state[row] == State.PARKED or (behind and verdict is Verdict.GIVE_UP)):
+            raise VerdictError(f"{dot} is not parked" + (" itself: judge what it follows" if behind else ""))
+        if parking != number:
+            raise VerdictError(f"{dot}: the parking is number {number}")
 
     # Telling
 
     def receipt(self, dot: Dot) -> Receipt:
-        """Its state; `status` and body are in its record. `UnknownWriteError`."""
-        raise NotImplementedError
+        """Its state; `status` and body are in its record. Of one that is over, only that it is: where it has
+        no record, it is unknown. `UnknownWriteError`."""
+        packed, row = self._pack(dot), self._row(dot)
+        if row < 0 or self._rows.has(row, CLOSED):
+            if packed in self._given_up:
+                return Receipt(dot, State.GIVEN_UP)
+            if packed < 0 or dot.number > self._high[packed >> _NUMBERS]:
+                raise UnknownWriteError(f"{dot} is not known here")
+            return Receipt(dot, State.DONE)
+        rows = self._rows
+        state, reason, parking = rows.state_of(row), rows.reason_of(row), rows.parking[row]
+        if state is not State.KEPT:
+            return Receipt(dot, state, reason, parking)
+        holder = self._named_holder(row)
+        behind = None if holder < 0 else self._dot(holder)
+        if self._graph.behind(row):
+            return Receipt(dot, State.PARKED, Reason.FOLLOWS, parking + 1, behind)
+        return Receipt(dot, state, Reason.NONE, parking, behind)
+
+    def _named_holder(self, row: int) -> int:
+        """A write that holds this one up, through barriers."""
+        holder = self._graph.holder(row)
+        while holder >= 0 and self._rows.has(holder, BARRIER):
+            holder = self._graph.holder(holder)
+        return holder
 
     def durable(self, dot: Dot) -> bool:
         """`stored` was called for it. `UnknownWriteError`."""
-        raise NotImplementedError
+        row = self._row(dot)
+        return self._rows.has(row, DURABLE) if row >= 0 else self.receipt(dot).state in FINAL
 
     def forgettable(self, now: int) -> list[Dot]:
-        """Those whose receipt's time is over: delete their records, then `forget` them."""
-        raise NotImplementedError
-
-    def forget(self, dot: Dot) -> None: ...
+        """Those whose receipt's time is over: make `lines` durable, delete their records, `forget` them."""
+        found: list[Dot] = []
+        while self._closed and len(found) < SWEEP:
+            packed, until, key = self._closed[0]
+            if until > now and len(self._closed) <= self.bounds.receipts_most:
+                break
+            self._closed.popleft()
+            if self._open.get(packed) >= 0:  # its followers still wait for its causes
+                self._closed.append((packed, now + self.bounds.receipt_us, key))
+                continue
+            if key and self._keys.get(key) == packed:
+                self._keys.drop(key)
+            found.append(Dot(*self._lines[packed >> _NUMBERS], packed & _NUMBER_MASK))
+        return found
+
+    def forget(self, dot: Dot) -> None:
+        packed = self._pack(dot)
+        self._given_up.discard(packed)
+        self._judged.pop(packed, None)
 
     # After a restart
 
@@ -201,8 +780,91 @@
     ) -> list[Change]:
         """All records of the store, once, before anything else. `lines`: the highest number found of each
         former life. What comes back is to be made durable and applied."""
-        raise NotImplementedError
+        records = sorted(kept, key=lambda pair: pair[0].dot)
+        for line in sorted({*lines, *(write.dot.line for write, _ in records)} - {self._lines[0]}):
+            self._line_places[line] = len(self._lines)
+            self._lines.append(line)
+            self._high.append(lines.get(line, 0))
+        known = {*(write.wall for write, _ in records), *(moved.wall for _, moved in records if moved)}
+        clock_back = wall < max(known, default=wall)
+        entered = [self._restore_one(write, moved, now, wall) for write, moved in records]
+        self._excused = {
+            row
+            for row, (_, moved) in zip(entered, records, strict=True)
+            if moved is not None and _went_on(moved)
+        }
+        barriers = self._restore_barriers([write for write, _ in records])
+        for row, (write, _) in zip(entered, records, strict=True):
+            self._link(row, tuple(Cause(*cause) for cause in write.causes), barriers)
+        changes = self._restore_states(entered, [moved for _, moved in records], now, wall, clock_back)
+        self._excused.clear()
+        return changes
+
+    def _restore_one(self, write: KeptWrite, moved: Moved | None, now: int, wall: int) -> int:
+        place = self._line_places[write.dot.line]
+        self._high[place] = max(self._high[place], write.dot.number)
+        anew = moved is not None and moved.verdict == Verdict.NEVER_RAN
+        began = moved.judged_at if anew and moved is not None else write.wall
+        key = short(write.cls.encode(), write.tenant.encode(), write.key) if write.keyed else 0
+        session, obj = short(b"s", write.session), short(b"o", write.tenant.encode(), write.obj)
+        row = self._enter(write, place, key, session, obj, now - max(0, wall - began))
+        self._rows.set(row, DURABLE)
+        if moved is not None:
+            self._rows.reason[row], self._rows.parking[row] = moved.reason, moved.parking
+            self._rows.set(row, SENT, moved.sent)
+            if moved.judged:
+                self._judged[self._pack(write.dot)] = (moved.judged, Verdict(moved.verdict), moved.judged_at)
+            if moved.state is State.GIVEN_UP:
+                self._given_up.add(self._pack(write.dot))
+        return row
+
+    def _restore_barriers(self, writes: list[KeptWrite]) -> dict[tuple[int, int], int]:
+        """All that the writes name, each exactly as far as it was named: later ones of its line may follow it."""
+        named = {
+            (place, number)
+            for write in writes
+            for edge, incarnation, number, before in write.causes
+            if before and (place := self._line_places.get(Line(edge, incarnation), -1)) >= 0
+        }
+        return {one: self._barrier(*one) for one in sorted(named) if one[1] <= self._high[one[0]]}
+
+    def _restore_states(
+        self, entered: list[int], moves: list[Moved | None], now: int, wall: int, clock_back: bool
+    ) -> list[Change]:
+        changes: list[Change] = []
+        for row, moved in zip(entered, moves, strict=True):
+            state = State.KEPT if moved is None or moved.state is State.READY else moved.state
+            self._rows.state[row] = state
+            if state is State.PARKED:
+                self._graph.halt(row)
+            elif state is State.OUT:
+                changes.append(self._restore_out(row, now, clock_back))
+        for row, moved in zip(entered, moves, strict=True):
+            if moved is not None and moved.state in FINAL:
+                until = now + self.bounds.receipt_us - max(0, wall - moved.wall)
+                self._closed.append((self._pack(self._dot(row)), until, self._rows.key[row]))
+                if moved.state is State.GIVEN_UP:
+                    for follower in self._graph.followers(row):
+                        self._orphan(follower)
+                self._retire(row)
+        for row in entered:
+            if not self._rows.has(row, CLOSED):
+                self._wake(row)
+        return changes
+
+    def _restore_out(self, row: int, now: int, clock_back: bool) -> Change:
+        """It may have run before the restart."""
+        self._rows.set(row, SENT)
+        event, reason = self._meaning(row, End.MAY_HAVE_RUN, now)
+        if clock_back:
+            event, reason = Event.UNSURE, Reason.MAY_HAVE_RUN
+        return self._change(row, event, reason)
 
     def lines(self) -> dict[Line, int]:
         """The highest number known of each own line: durable before a life begins."""
-        raise NotImplementedError
+        return dict(zip(self._lines, self._high, strict=True))
+
+
+def _went_on(moved: Moved) -> bool:
+    """It is no more to be parked for a cause that was given up: it has been, or has left that behind."""
+    return moved.state is not State.KEPT or moved.reason is Reason.ORPHANED
--- /dev/null
+++ b/woadyard/outbox/rows.py
@@ -0,0 +1,166 @@
+"""What is known of each open write, in columns: an object for each would be five times as large. Pure.
+
+1. A row has the number of its node in the graph.
+2. `Places` is a hash table with open addressing and linear probing (Knuth, TAOCP 3, 6.4, algorithms L and R):
+   16 bytes a place, at most two thirds of them used.
+"""
+
+from __future__ import annotations
+
+from array import array
+from hashlib import blake2b
+from typing import Final
+
+from woadyard.outbox.journal import Reason, State
+
+__all__ = [
+    "BARRIER",
+    "BUSY",
+    "CLOSED",
+    "DURABLE",
+    "FOREIGN",
+    "JOIN",
+    "ORPHAN",
+    "SENT",
+    "Places",
+    "Rows",
+    "short",
+]
+
+FOREIGN: Final = 1  # a write of another line
+BARRIER: Final = 2
+JOIN: Final = 4
+DURABLE: Final = 8
+BUSY: Final = 16  # a change of it is on its way to the store
+SENT: Final = 32  # may have run
+ORPHAN: Final = 64  # to be parked: what it follows is given up
+CLOSED: Final = 128  # final, but its followers still wait for its causes
+
+_EMPTY: Final = 0
+_SMALLEST: Final = 16
+_MIX: Final = 0x9E3779B97F4A7C15
+_WORD: Final = (1 << 64) - 1
+
+
+def short(*parts: bytes) -> int:
+    """63 bits that stand for a name, never 0; 0 if the last part is empty. Two names that share them are taken
+    for one: a write then follows one more than it must, and a key's owner is compared with the record."""
+    if not parts[-1]:
+        return 0
+    digest = blake2b(b"\0".join(parts), digest_size=8).digest()
+    return int.from_bytes(digest, "little") >> 1 or 1
+
+
+class Places:
+    """From positive integers to integers."""
+
+    def __init__(self) -> None:
+        self._used = 0
+        self._keys = array("q", [_EMPTY]) * _SMALLEST
+        self._values = array("q", [0]) * _SMALLEST
+
+    def __len__(self) -> int:
+        return self._used
+
+    def _place(self, key: int) -> int:
+        """Of the key, or where it would stand."""
+        keys, mask = self._keys, len(self._keys) - 1
+        at = ((key * _MIX & _WORD) >> 32) & mask
+        while keys[at] != _EMPTY and keys[at] != key:
+            at = (at + 1) & mask
+        return at
+
+    def get(self, key: int, default: int = -1) -> int:
+        at = self._place(key)
+        return self._values[at] if self._keys[at] == key else default
+
+    def put(self, key: int, value: int) -> None:
+        at = self._place(key)
+        if self._keys[at] == _EMPTY:
+            self._used += 1
+        self._keys[at], self._values[at] = key, value
+        if 3 * self._used > 2 * len(self._keys):
+            self._resize(2 * len(self._keys))
+
+    def drop(self, key: int) -> None:
+        at = self._place(key)
+        if self._keys[at] != key:
+            return
+        keys, mask = self._keys, len(self._keys) - 1
+        keys[at] = _EMPTY
+        self._used -= 1
+        # What stood behind it may have been put there because this place was taken.
+        following = (at + 1) & mask
+        while keys[following] != _EMPTY:
+            moved, value = keys[following], self._values[following]
+            keys[following] = _EMPTY
+            place = self._place(moved)
+            keys[place], self._values[place] = moved, value
+            following = (following + 1) & mask
+        if 6 * self._used < len(keys) > _SMALLEST:
+            self._resize(len(keys) // 2)
+
+    def _resize(self, size: int) -> None:
+        old = [(key, value) for key, value in zip(self._keys, self._values, strict=True) if key != _EMPTY]
+        self._keys = array("q", [_EMPTY]) * size
+        self._values = array("q", [0]) * size
+        for key, value in old:
+            at = self._place(key)
+            self._keys[at], self._values[at] = key, value
+
+
+class Rows:
+    """The columns. `since`: when its age and window began; `line`: its place in the outbox's list."""
+
+    def __init__(self) -> None:
+        self.state = array("b")
+        self.flags = array("B")
+        self.reason = array("b")
+        self.parking = array("H")
+        self.cls = array("h")
+        self.line = array("h")
+        self.tenant = array("i")
+        self.size = array("I")
+        self.number = array("q")
+        self.since = array("q")
+        self.key = array("q")
+        self.session = array("q")
+        self.obj = array("q")
+
+    def __len__(self) -> int:
+        return len(self.state)
+
+    def clear(self, row: int, flags: int) -> None:
+        """A row that is new, or used again."""
+        columns = (
+            self.reason,
+            self.parking,
+            self.cls,
+            self.line,
+            self.tenant,
+            self.size,
+            self.number,
+            self.since,
+            self.key,
+            self.session,
+            self.obj,
+        )
+        if row == len(self.state):
+            for column in (self.state, self.flags, *columns):
+                column.append(0)
+        else:
+            for column in columns:
+                column[row] = 0
+        self.state[row], self.flags[row] = State.KEPT, flags
+
+    def has(self, row: int, flag: int) -> bool:
+        return bool(self.flags[row] & flag)
+
+    def set(self, row: int, flag: int, on: bool = True) -> None:
+        self.flags[row] = self.flags[row] | flag if on else self.flags[row] & ~flag
+
+    def state_of(self, row: int) -> State:
+        return State(self.state[row])
+
+    def reason_of(self, row: int) -> Reason:
+        return Reason(self.reason[row])
