Compare a repeat with the first try; keep what follows an open write of its session

Need: one key with two bodies must be told apart; no write may overtake an open one of its session or object. Change: a known key is compared with the first try's digest, from the store or once both are told: 422 if it differs. has_open keeps what follows; send_us is the longest deadline of the kept classes, and a keyed window must be above its class's; key 0 is never found. Tests: the store's contract on a folder and simulated disks; the log cut at each byte; a full disk; incarnations.

--- /dev/null
+++ b/tests/test_outbox_store.py
@@ -0,0 +1,201 @@
+"""The store of kept writes under its contract: on a folder, and on a disk that loses power."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import random
+import shutil
+import tempfile
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from woadyard.outbox.journal import KeptWrite
+from woadyard.outbox.store import FailedToKeepError, KeptStore
+from woadyard.store import Disk, FolderDisk
+from woadyard.testing.contracts.outbox import Lives, WriteStoreContract, made
+from woadyard.testing.disk import SimulatedDisk
+
+MOST = 64 << 20
+NO_SPACE = OSError(errno.ENOSPC, "No space left on device")
+
+
+class OnFolder:
+    """A crash is a copy of the folder as it stands: the process is killed, the machine runs on."""
+
+    def __init__(self, root: Path) -> None:
+        self.root = root
+        self.lives = 0
+        self.disk = Broken(root / "0")
+        self.store: KeptStore
+        self.left: list[KeptStore] = []
+
+    async def open(self) -> None:
+        self.store = await KeptStore.open(self.disk, MOST)
+
+    async def restart(self) -> None:
+        await self.store.close()
+        self.disk = Broken(self.disk.folder)
+        await self.open()
+
+    async def crash(self) -> None:
+        self.lives += 1
+        folder = self.root / str(self.lives)
+        shutil.copytree(self.disk.folder, folder)
+        self.left.append(self.store)
+        self.disk = Broken(folder)
+        await self.open()
+
+    def break_(self) -> None:
+        self.disk.broken = True
+
+
+class Broken(FolderDisk):
+    broken = False
+
+    def write(self, name: str, offset: int, data: bytes) -> None:
+        if self.broken:
+            raise NO_SPACE
+        super().write(name, offset, data)
+
+    def create(self, name: str, data: bytes) -> None:
+        if self.broken:
+            raise NO_SPACE
+        super().create(name, data)
+
+
+class TestOnAFolder(WriteStoreContract):
+    @contextlib.asynccontextmanager
+    async def lives(self) -> AsyncIterator[Lives]:
+        with tempfile.TemporaryDirectory() as folder:
+            found = OnFolder(Path(folder))
+            await found.open()
+            try:
+                yield found
+            finally:
+                for store in (*found.left, found.store):
+                    await store.close()
+
+
+class OnSimulated:
+    def __init__(self, draw: random.Random | None) -> None:
+        self.draw = draw
+        self.disk = SimulatedDisk()
+        self.store: KeptStore
+        self.left: list[KeptStore] = []
+
+    async def open(self) -> None:
+        self.store = await KeptStore.open(self.disk, MOST)
+
+    async def restart(self) -> None:
+        await self.store.close()
+        self.disk.faults.clear()
+        await self.open()
+
+    async def crash(self) -> None:
+        self.left.append(self.store)
+        self.disk = self.disk.lose_power(self.draw)
+        await self.open()
+
+    def break_(self) -> None:
+        for operation in ("write", "create"):
+            self.disk.fail(operation, *[NO_SPACE] * 100)
+
+
+class TestOnASimulatedDisk(WriteStoreContract):
+    """Loses all that was not synced."""
+
+    draw: random.Random | None = None
+
+    @contextlib.asynccontextmanager
+    async def lives(self) -> AsyncIterator[Lives]:
+        found = OnSimulated(self.draw)
+        await found.open()
+        try:
+            yield found
+        finally:
+            for store in (*found.left, found.store):
+                await store.close()
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_on_a_disk_that_loses_parts(seed: int) -> None:
+    class Parts(TestOnASimulatedDisk):
+        draw = random.Random(seed)
+
+    assert Parts().failures() == {}
+
+
+# --- What the contract does not ask -------------------------------------------------------
+
+
+def test_every_byte_of_the_log_cut_leaves_all_of_a_write_or_nothing() -> None:
+    async def main() -> None:
+        disk = SimulatedDisk()
+        store = await KeptStore.open(disk, MOST)
+        await store.load()
+        written = [made(1, 40), made(2, 0)]
+        for one in written:
+            await store.keep(*one)
+        await store.close()
+        name = max(disk.files(), key=lambda one: disk.files()[one])
+        data = disk.read(name)
+        end = len(data.rstrip(b"\0"))
+        for size in range(end + 1):
+            found = await _cut(disk, name, data[:size])
+            if found is not None:  # else the store says that it is damaged
+                assert found in ([], written[:1], written), f"at byte {size}"
+        assert await _cut(disk, name, data) == written
+
+    asyncio.run(main())
+
+
+async def _cut(disk: SimulatedDisk, name: str, data: bytes) -> list[tuple[KeptWrite, bytes]] | None:
+    copy = SimulatedDisk()
+    for one in disk.files():
+        copy.create(one, data if one == name else disk.read(one))
+    copy.sync_folder()
+    try:
+        store = await KeptStore.open(copy, MOST)
+    except Exception as error:
+        assert type(error).__name__ == "StoreError"
+        return None
+    found = [await store.read(one.dot) for one, _ in (await store.load()).writes]
+    await store.close()
+    return [one for one in found if one is not None]
+
+
+def test_a_body_that_meets_a_full_disk_leaves_nothing_and_says_whether_that_is_certain() -> None:
+    async def main() -> None:
+        disk: Disk = SimulatedDisk()
+        store = await KeptStore.open(disk, MOST)
+        await store.load()
+        assert isinstance(disk, SimulatedDisk)
+        disk.fail("write", NO_SPACE)
+        with pytest.raises(FailedToKeepError) as caught:
+            await store.keep(*made(1, 3 << 20))
+        assert not caught.value.certain, "a later life might find what was begun"
+        assert await store.read(made(1, 0)[0].dot) is None
+        await store.close()
+        again = await KeptStore.open(disk, MOST)
+        assert (await again.load()).writes == []
+        assert [key for key in again.store.index.where if key[:1] == b"p"] == []
+        await again.close()
+
+    asyncio.run(main())
+
+
+def test_each_life_has_an_incarnation_and_the_secret_stays() -> None:
+    async def main() -> None:
+        disk = SimulatedDisk()
+        found = []
+        for _ in range(2):
+            store = await KeptStore.open(disk, MOST)
+            found.append((store.incarnation, await store.secret()))
+            await store.close()
+        assert found[0][0] != found[1][0] and found[0][1] == found[1][1] and len(found[0][1]) >= 16
+
+    asyncio.run(main())
--- a/woadyard/outbox/driver.py
+++ b/woadyard/outbox/driver.py
@@ -143,6 +143,7 @@
                 age_us=settings.age_us,
                 receipt_us=settings.receipt_us,
                 replay_most=settings.replay_most,
+                send_us=settings.send_us,
                 orphans=settings.lost,
             )
             kept = {
@@ -234,11 +235,14 @@
     def _follows(self, call: Call) -> bool:
         """Whether it follows what is not known to be in. One whose token can't be read is kept, or
         rather told so, by `keep`."""
-        named = _named(call)
+        named, tenant = _named(call), self.tenant_names.get(call.tenant, "") if call.tenant else ""
         try:
-            return self.outbox.must_keep(named, _session(call), _object(call))
-        except CauseError:
+            if named and self.outbox.must_keep(named):
+                return True
+        except OutboxError:
             return True
+        session, obj = _session(call), _object(call)
+        return bool(session or obj) and self.outbox.has_open(session, obj, tenant)
 
     def keep(self, call: Call, answer: Answer | None, engine: Recorded) -> bool:
         front = call.front
@@ -292,42 +296,55 @@
 
     def _take(self, call: Call, ticket: Ticket, answer: Answer | None, engine: Recorded) -> None:
         dot = ticket.dot
-        if not ticket.known:
+        if ticket.write is not None:
             self.storing[dot] = [call]
-            self._spawn(self._store(call, ticket, answer, engine))
-        elif ticket.write is not None and ticket.write.digest != digest_of(call):
-            engine.settle(call, another_body())
+            self._spawn(self._store(call, ticket.write, answer, engine))
         elif dot in self.storing:
+            # Compared with the first try, once both are told.
             self.storing[dot].append(call)
+        else:
+            self._spawn(self._known(call, dot, answer, engine))
+
+    async def _known(self, call: Call, dot: Dot, answer: Answer | None, engine: Recorded) -> None:
+        """A key that a write has already: the same request gets the same receipt."""
+        try:
+            found = await self.store.read(dot)
+        except (StoreError, OutboxError) as error:
+            self.log(f"outbox: {dot}: can't be read: {error}")
+            found = None
+        if found is None:
+            engine.settle(call, may_have_run())
+        elif found[0].digest != digest_of(call):
+            engine.settle(call, another_body())
         else:
             engine.settle(call, self._kept(dot))
 
     def left(self, call: Call) -> None:
         """Found by its being closed, once the store is through."""
 
-    async def _store(self, call: Call, ticket: Ticket, answer: Answer | None, engine: Recorded) -> None:
-        assert ticket.write is not None
-        dot, size = ticket.dot, len(call.body)
+    async def _store(self, call: Call, write: KeptWrite, answer: Answer | None, engine: Recorded) -> None:
+        dot = write.dot
+        certain = kept = True
         try:
-            await self.store.keep(ticket.write, call.body)
+            await self.store.keep(write, call.body)
+            if not any(one.open for one in self.storing[dot]):
+                kept = not await self.store.forget(dot, write.size)
         except StoreError as error:
             self.log(f"outbox: not kept: {error}")
-            waiting = self.storing.pop(dot)
+            kept, certain = False, isinstance(error, FailedToKeepError) and error.certain
+        waiting = self.storing.pop(dot)
+        if kept:
+            self.outbox.stored(dot, self._now())
+            self._wake()
+        else:
             self.outbox.unstored(dot, self._now())
-            certain = isinstance(error, FailedToKeepError) and error.certain
-            for one in waiting:
+        for one in waiting:
+            if not kept:
                 self._not_kept(one, answer, certain, engine)
-            return
-        if not any(one.open for one in self.storing[dot]) and await self.store.forget(dot, size):
-            waiting = self.storing.pop(dot)
-            self.outbox.unstored(dot, self._now())
-            for one in waiting:
-                self._not_kept(one, answer, True, engine)  # came while it was being deleted
-            return
-        self.outbox.stored(dot, self._now())
-        for one in self.storing.pop(dot):
-            engine.settle(one, self._kept(dot))
-        self._wake()
+            elif digest_of(one) != write.digest:
+                engine.settle(one, another_body())
+            else:
+                engine.settle(one, self._kept(dot))
 
     def _not_kept(self, call: Call, answer: Answer | None, certain: bool, engine: Recorded) -> None:
         if not call.open:
@@ -503,7 +520,8 @@
         return {
             "edge": self.settings.edge,
             "cut_off": self.cutoff.off,
-            "kept": len(self.outbox),
+            "kept": self.outbox.count,
+            "bytes": self.outbox.size,
             "out": len(self.out),
             "parked": len(self.parked),
             "disk_bytes": self.store.size,
--- a/woadyard/outbox/options.py
+++ b/woadyard/outbox/options.py
@@ -42,25 +42,30 @@
     cut_us: int = 3_000_000
     back_us: int = 1_000_000
     replay_most: int = 8
+    send_us: int = 30_000_000  # the longest deadline of the classes that are kept
     lost: Lost = "park"
 
 
 def class_problem(
-    settings: OutboxSettings, effects: Mapping[str, tuple[str, int]], recorded: Sequence[str] = ()
+    settings: OutboxSettings, effects: Mapping[str, tuple[str, int, int]], recorded: Sequence[str] = ()
 ) -> str | None:
-    """What can't be beside the classes of the deployment: `effects` has the effect and the window in µs of
-    each, `recorded` those of `[orders]`."""
-    keepable = sorted(name for name, (effect, _) in effects.items() if effect != "safe")
+    """What can't be beside the classes of the deployment: `effects` has the effect, the window and the
+    deadline in µs of each, `recorded` those of `[orders]`."""
+    keepable = sorted(name for name, (effect, _, _) in effects.items() if effect != "safe")
     for name, one in settings.classes.items():
         if name not in effects:
             return f"outbox.classes: {name}: expected one of {', '.join(keepable)}"
-        effect, _ = effects[name]
+        effect, class_window, deadline = effects[name]
         if effect == "safe":
             return f"outbox.classes: {name}: expected a class with effects, as {', '.join(keepable)}"
         if one.how != effect:
             return f"outbox.classes: {name}: keep: expected {effect!r}, as the class is, got {one.how!r}"
-        if effect == "keyed" and one.window_us == 0 and effects[name][1] == 0:
-            return f"outbox.classes: {name}: window_s: expected above 0, as the class tells no window"
+        window = one.window_us or class_window
+        if effect == "keyed" and window <= deadline:
+            return (
+                f"outbox.classes: {name}: window_s: expected above the class's deadline, "
+                f"{deadline / 1e6:g} s, got {window / 1e6:g}"
+            )
         if name in recorded:
             return f"outbox.classes: {name}: expected a class that [orders] does not record"
     return None
--- a/woadyard/outbox/outbox.py
+++ b/woadyard/outbox/outbox.py
@@ -472,6 +472,12 @@
         self._check(causes)
         return any(self._is_open(cause) for cause in causes)
 
+    def has_open(self, session: bytes, obj: bytes, tenant: str) -> bool:
+        """An earlier write of the session or the object is still open: by rule 3 the next one follows it,
+        and is kept although the link is well."""
+        own = self._sessions.get(short(b"s", session)), self._objects.get(short(b"o", tenant.encode(), obj))
+        return max(own) >= 0
+
     def _is_open(self, cause: Cause) -> bool:
         place = self._line_places.get(cause.line, -1)
         if place >= 0 and cause.number <= self._high[place]:
--- a/woadyard/outbox/rows.py
+++ b/woadyard/outbox/rows.py
@@ -72,7 +72,8 @@
 
     def get(self, key: int, default: int = -1) -> int:
         at = self._place(key)
-        return self._values[at] if self._keys[at] == key else default
+        # An empty place has the key 0, and the value that stood there last.
+        return self._values[at] if key != _EMPTY and self._keys[at] == key else default
 
     def put(self, key: int, value: int) -> None:
         at = self._place(key)
--- a/woadyard/settings/operator.py
+++ b/woadyard/settings/operator.py
@@ -441,7 +441,7 @@
         settings = self.outbox.settings()
         words = get_args(Effect)
         rules = {name: config.settings.classes[cls] for name, cls in config.names.classes.items()}
-        effects = {name: (words[one.effect], one.window_us) for name, one in rules.items()}
+        effects = {name: (words[one.effect], one.window_us, one.deadline_us) for name, one in rules.items()}
         recorded = () if self.orders is None else [one.name for one in self.orders.classes]
         if (problem := class_problem(settings, effects, recorded)) is not None:
             raise ConfigError(f"{path}: {problem}")
@@ -452,7 +452,8 @@
             for name, one in settings.classes.items()
         }
         config.names.keepable = frozenset(config.names.classes[name] for name in classes)
-        return replace(config, outbox=replace(settings, classes=classes))
+        send_us = max(rules[name].deadline_us for name in classes)
+        return replace(config, outbox=replace(settings, classes=classes, send_us=send_us))
 
     def _join_accord(self, path: str, accord: AccordTable, config: Config, raw: Any, source: str) -> Config:
         if accord.link == "unix":
