--- a/woadyard/outbox/driver.py
+++ b/woadyard/outbox/driver.py
@@ -23,6 +23,7 @@
 import msgspec
 
 from woadyard.engine.call import Answer, Call, Ending
+from woadyard.engine.clock import LoopClock
 from woadyard.engine.engine import Engine
 from woadyard.engine.ports import Log, Recorded
 from woadyard.interface import ERROR, FULL, NO_CONNECT, OK, RESET, TIMEOUT
@@ -104,6 +105,8 @@
         tenants: Mapping[str, int],
         log: Log,
     ) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.clock = LoopClock(self.loop)
         self.store = store
         self.outbox = outbox
         self.tokens = tokens
@@ -124,7 +127,6 @@
         self.turning: asyncio.Handle | None = None
         self.closing = False
         self.was_off = False
-        self.loop = asyncio.get_running_loop()
 
     @classmethod
     async def open(
@@ -179,7 +181,7 @@
         self._wake()
 
     def _now(self) -> int:
-        return time.monotonic_ns() // 1000 if self.engine is None else self.engine.now()
+        return self.clock.now()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = self.loop.create_task(work)
--- a/woadyard/testing/contracts/outbox.py
+++ b/woadyard/testing/contracts/outbox.py
@@ -36,7 +36,8 @@
 class Lives(Protocol):
     """One process after another on what is kept."""
 
-    store: WriteStore
+    @property
+    def store(self) -> WriteStore: ...
 
     async def restart(self) -> None: ...
 
@@ -53,7 +54,7 @@
 
 def write_of(number: int, size: int) -> KeptWrite:
     return KeptWrite(
-        dot=dot_of(number), cls="upload", start=b"POST /upload", headers=((b"x-request-id", b"r%d" % number),),
+        dot=dot_of(number), cls="upload", start=b"POST /upload", headers=((b"x-request-id", b"%d" % number),),
         size=size, digest=b"d" * 16, keyed=True, key=b"k%d" % number, session=b"", obj=b"", tenant="",
         causes=(), wall=1, window_us=2,
     )  # fmt: skip
