--- a/woadyard/outbox/journal.py
+++ b/woadyard/outbox/journal.py
@@ -137,6 +137,7 @@
     causes: tuple[tuple[str, int, int, bool], ...]  # see causes.Causes
     wall: int
     window_us: int
+    life: int  # how many lives of this store, of which there were records, came before
 
 
 class Moved(msgspec.Struct, array_like=True, frozen=True):
--- a/woadyard/outbox/outbox.py
+++ b/woadyard/outbox/outbox.py
@@ -179,11 +179,14 @@
         self._foreign: dict[Cause, int] = {}
         self._foreign_of: dict[int, Cause] = {}
         self._barriers: dict[int, tuple[int, int]] = {}  # by line's place: up to which number, and its row
+        self._unsure: dict[int, Causes] = {}  # of rows whose record is not on the disk
         self._joins: deque[int] = deque()
         self._orphans: deque[int] = deque()
         # Final ones whose receipts are kept: own dot, when that is over, key.
         self._closed: deque[tuple[int, int, int]] = deque()
         self._given_up: set[int] = set()
+        self._over_now: list[tuple[Dot, Fate]] = []
+        self._low: list[int] = [0]  # of each line: all up to it are over
         self._judged: dict[int, tuple[int, Verdict, int]] = {}  # parking, verdict, unix time
         self._excused: set[int] = set()  # rows that a restart must not take for orphans
         self._tenants: dict[str, int] = {}
@@ -191,6 +194,7 @@
         self._usage: dict[int, list[int]] = {}  # by tenant's place: count, bytes
         self._tenant_next = 0
         self._swept = 0
+        self._life = 0
         self.count = 0
         self.size = 0
 
@@ -239,13 +243,13 @@
         return self._keep(Offer("", b"", (), 0, b""), KeptClass("", False), causes, 0, now, wall)
 
     def _keep(self, offer: Offer, cls: KeptClass, named: Causes, key: int, now: int, wall: int) -> Ticket:
-        session, obj = short(b"s", offer.session), short(b"o", offer.tenant.encode(), offer.obj)
+        session, obj = short(b"s", offer.session), short(b"o", offer.obj)
         by_rule = [
             Cause(*self._dot(row))
             for row in (self._sessions.get(session), self._objects.get(obj))
             if row >= 0
         ]
-        causes = merge(named, by_rule)
+        causes = self._through(merge(named, by_rule))
         self._check(causes)
         self._check_bounds(offer)
         self._high[0] += 1
@@ -265,11 +269,19 @@
             causes,
             wall,
             cls.window_us,
+            self._life,
         )
         row = self._enter(write, 0, key, session, obj, now)
+        self._unsure[row] = causes
         self._link(row, causes)
         return Ticket(dot, write)
 
+    def _through(self, causes: Causes) -> Causes:
+        """With the causes of those that are not durable yet, and may never be: a restart must find them."""
+        rows = [self._row(cause.dot) for cause in causes]
+        more = [self._unsure[row] for row in rows if row in self._unsure]
+        return merge(causes, *more) if more else causes
+
     def _check(self, causes: Causes) -> None:
         if len(causes) > CAUSES_MOST:
             raise LooseError(f"{len(causes)} writes before one, {CAUSES_MOST} are the most")
@@ -459,7 +471,10 @@
             if last == row:
                 self._barriers[place] = (upto, -1)
         else:
-            self._open.drop(rows.line[row] << _NUMBERS | rows.number[row])
+            packed = rows.line[row] << _NUMBERS | rows.number[row]
+            self._unsure.pop(row, None)
+            self._over_now.append((self._dot(row), Fate.GONE if packed in self._given_up else Fate.IN))
+            self._open.drop(packed)
             for places, name in ((self._sessions, rows.session[row]), (self._objects, rows.obj[row])):
                 if name and places.get(name) == row:
                     places.drop(name)
@@ -486,6 +501,7 @@
         """Its record is durable: it counts, and may be told."""
         row = self._must_row(dot)
         self._rows.set(row, DURABLE)
+        self._unsure.pop(row, None)
         self._wake(row)
 
     def unstored(self, dot: Dot, now: int) -> None:
@@ -685,6 +701,28 @@
             else:
                 self._graph.resume(row)
 
+    def over(self) -> list[tuple[Dot, Fate]]:
+        """Own writes, since the last call, that are over with all that they follow: what the frontier may tell
+        others as in or gone. After a restart those that still have a record are named again."""
+        told, self._over_now = self._over_now, []
+        return told
+
+    def fate(self, dot: Dot) -> Fate:
+        """What the frontier may tell others of an own write. `UnknownWriteError`."""
+        row = self._row(dot)
+        if row >= 0:
+            return Fate.PARKED if self._graph.sticks(row) else Fate.UNKNOWN
+        return Fate.GONE if self.receipt(dot).state is State.GIVEN_UP else Fate.IN
+
+    def low(self, line: Line) -> int:
+        """Up to which number all of an own line are over, those that were never kept among them."""
+        place = self._line_places[line]
+        while self._low[place] < self._high[place] and (
+            self._open.get(place << _NUMBERS | self._low[place] + 1) < 0
+        ):
+            self._low[place] += 1
+        return self._low[place]
+
     def judge(self, dot: Dot, parking: int, verdict: Verdict, wall: int) -> Change | None:
         """An operator's verdict on a parking; None if this one was given already. `VerdictError`,
         `UnknownWriteError`."""
@@ -780,11 +818,13 @@
     ) -> list[Change]:
         """All records of the store, once, before anything else. `lines`: the highest number found of each
         former life. What comes back is to be made durable and applied."""
-        records = sorted(kept, key=lambda pair: pair[0].dot)
+        records = sorted(kept, key=lambda pair: (pair[0].life, pair[0].dot))
+        self._life = max((write.life for write, _ in records), default=-1) + 1
         for line in sorted({*lines, *(write.dot.line for write, _ in records)} - {self._lines[0]}):
             self._line_places[line] = len(self._lines)
             self._lines.append(line)
             self._high.append(lines.get(line, 0))
+            self._low.append(0)
         known = {*(write.wall for write, _ in records), *(moved.wall for _, moved in records if moved)}
         clock_back = wall < max(known, default=wall)
         entered = [self._restore_one(write, moved, now, wall) for write, moved in records]
@@ -806,7 +846,7 @@
         anew = moved is not None and moved.verdict == Verdict.NEVER_RAN
         began = moved.judged_at if anew and moved is not None else write.wall
         key = short(write.cls.encode(), write.tenant.encode(), write.key) if write.keyed else 0
-        session, obj = short(b"s", write.session), short(b"o", write.tenant.encode(), write.obj)
+        session, obj = short(b"s", write.session), short(b"o", write.obj)
         row = self._enter(write, place, key, session, obj, now - max(0, wall - began))
         self._rows.set(row, DURABLE)
         if moved is not None:
@@ -848,7 +888,9 @@
                         self._orphan(follower)
                 self._retire(row)
         for row in entered:
-            if not self._rows.has(row, CLOSED):
+            if clock_back and self._rows.has(row, SENT) and self._rows.state[row] == State.KEPT:
+                changes.append(self._change(row, Event.EXPIRED, Reason.MAY_HAVE_RUN))
+            elif not self._rows.has(row, CLOSED):
                 self._wake(row)
         return changes
 
