--- a/woadyard/outbox/driver.py
+++ b/woadyard/outbox/driver.py
@@ -455,7 +455,7 @@
             head=lines_of(write.headers),
             body=body,
             front=replay,
-            name=fields.get(b"x-request-id", b""),
+            name=b"outbox " + str(write.dot).encode(),  # its client may come again under the name that it has
             tenant=self.tenants.get(write.tenant, 0),
             key=key_of(write.start.partition(b"?")[2]),
             work_us=hint(fields.get(b"x-cost-hint", b"")),
--- a/woadyard/testing/contracts/outbox.py
+++ b/woadyard/testing/contracts/outbox.py
@@ -56,7 +56,7 @@
     return KeptWrite(
         dot=dot_of(number), cls="upload", start=b"POST /upload", headers=((b"x-request-id", b"%d" % number),),
         size=size, digest=b"d" * 16, keyed=True, key=b"k%d" % number, session=b"", obj=b"", tenant="",
-        causes=(), wall=1, window_us=2,
+        causes=(), wall=1, window_us=2, life=0,
     )  # fmt: skip
 
 
