--- a/woadyard/outbox/graph.py
+++ b/woadyard/outbox/graph.py
@@ -35,6 +35,7 @@
         self._next_in = array("i")
         self._prev_in = array("i")
         self._free_arrows = array("i")
+        self.touched = 0  # arrows that halting and resuming have gone along, in all
 
     def __len__(self) -> int:
         return len(self._waits) - len(self._free_nodes)
@@ -130,6 +131,7 @@
         work = [node]
         while work:
             for follower in self.followers(work.pop()):
+                self.touched += 1
                 before = self.sticks(follower)
                 self._stuck[follower] += step
                 if self.sticks(follower) != before:
--- a/woadyard/outbox/outbox.py
+++ b/woadyard/outbox/outbox.py
@@ -9,7 +9,7 @@
     change = outbox.ended(dot, end, ...)        # of a write that was sent
     change = outbox.judge(dot, parking, verdict)
     # each change: journal.encode(change.moved) made durable in place of the last one; then
-    outbox.apply(change, now)                   # only now the step that it announces; or outbox.undo(change)
+    outbox.apply(change, now)                   # only now the step that it announces, if True; or outbox.undo
 
 1. Between a change and its `apply` or `undo` its write takes no other.
 2. All times are µs: `now` monotonic, `wall` unix time as this machine has it.
@@ -188,7 +188,8 @@
         self._over_now: list[tuple[Dot, Fate]] = []
         self._low: list[int] = [0]  # of each line: all up to it are over
         self._judged: dict[int, tuple[int, Verdict, int]] = {}  # parking, verdict, unix time
-        self._excused: set[int] = set()  # rows that a restart must not take for orphans
+        # Rows that are not to be parked for a cause that is gone: an operator said to go on without it.
+        self._excused: set[int] = set()
         self._tenants: dict[str, int] = {}
         self._tenant_names: dict[int, str] = {}
         self._usage: dict[int, list[int]] = {}  # by tenant's place: count, bytes
@@ -473,6 +474,7 @@
         else:
             packed = rows.line[row] << _NUMBERS | rows.number[row]
             self._unsure.pop(row, None)
+            self._excused.discard(row)
             self._over_now.append((self._dot(row), Fate.GONE if packed in self._given_up else Fate.IN))
             self._open.drop(packed)
             for places, name in ((self._sessions, rows.session[row]), (self._objects, rows.obj[row])):
@@ -629,8 +631,9 @@
             return Event.AGAIN, Reason.NONE
         return Event.UNSURE, Reason.MAY_HAVE_RUN
 
-    def apply(self, change: Change, now: int) -> None:
-        """The change is durable."""
+    def apply(self, change: Change, now: int) -> bool:
+        """The change is durable. False for a `SEND` that took so long that its window is over: it is not
+        sent, but `ended` as `NOT_RUN`."""
         row = self._must_row(change.dot)
         rows, event = self._rows, change.event
         rows.state[row] = follow(rows.state_of(row), event)
@@ -649,8 +652,11 @@
         elif event is Event.NEVER_RAN:
             rows.since[row] = now
             rows.set(row, SENT, False)
+            if moved.reason is Reason.ORPHANED:
+                self._excused.add(row)
             self._graph.resume(row)
             self._wake(row)
+        return event is not Event.SEND or not self._expired(row, now)
 
     def undo(self, change: Change, now: int) -> None:
         """The change could not be made durable: it is found again by `due`, but for a verdict or an end,
@@ -837,7 +843,7 @@
         for row, (write, _) in zip(entered, records, strict=True):
             self._link(row, tuple(Cause(*cause) for cause in write.causes), barriers)
         changes = self._restore_states(entered, [moved for _, moved in records], now, wall, clock_back)
-        self._excused.clear()
+        self._excused = {row for row in self._excused if self._rows.state[row] in (State.KEPT, State.READY)}
         return changes
 
     def _restore_one(self, write: KeptWrite, moved: Moved | None, now: int, wall: int) -> int:
