--- a/tests/test_outbox_daemon.py
+++ b/tests/test_outbox_daemon.py
@@ -8,6 +8,8 @@
 import json
 import os
 import signal
+import subprocess
+import sys
 from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
@@ -427,3 +429,32 @@
             assert told.decode().count("\n") == 1 and f"{path}: {line}" in told.decode()
 
     run(main())
+
+
+def test_nothing_of_it_is_imported_where_it_is_off() -> None:
+    words = "import sys, woadyard.__main__; print(*[name for name in sys.modules if 'outbox' in name])"
+    told = subprocess.run([sys.executable, "-c", words], check=True, capture_output=True, text=True).stdout
+    assert told.split() == []
+
+
+def test_each_flap_of_the_link_keeps_or_serves_and_nothing_runs_twice(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with edge(tmp_path, up=True) as one:
+            kept, served = [], []
+            for n in range(12):
+                if n % 3 == 0:
+                    one.endpoint.stop()
+                elif n % 3 == 2:
+                    await one.endpoint.restart(0)
+                found = await one.write("pay", f"order-{n}", b"x", "X-Session: anna\r\n")
+                if found.status == 202:
+                    kept.append(found)
+                elif found.status == 200:
+                    served.append(n)
+            for each in kept:
+                await one.until(each, "done")
+            assert kept and len(one.ran) >= len(kept) + len(served) and not one.endpoint.effects.twice()
+            order = [int(name.removeprefix("order-")) for name in one.ran]
+            assert order == sorted(order)
+
+    run(main())
