--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -291,10 +291,10 @@
     dot = desk.keep("album", key=b"k", session=b"s")
     desk.park(dot)
     for data, decode in ((encode(desk.kept[dot]), decode_kept), (encode(desk.moved[dot]), decode_moved)):
-        assert encode(decode(data)) == data  # type: ignore[operator]
+        assert encode(decode(data)) == data
         for cut in range(len(data)):
             with pytest.raises(KeptRecordError):
-                decode(data[:cut])  # type: ignore[operator]
+                decode(data[:cut])
 
 
 def test_what_is_not_as_its_class_demands_is_not_kept() -> None:
--- a/woadyard/outbox/cutoff.py
+++ b/woadyard/outbox/cutoff.py
@@ -1,8 +1,8 @@
 """Whether this edge is cut off. Pure: from what the attempts of live requests and probes tell.
 
-1. The edge is cut off when an attempt fails and since the last answer `fewest` different endpoints did (all,
-   if fewer are listed), the first of them `cut_us` or more ago. So neither one time-out, nor one endpoint that
-   is down, nor a moment's failures with a quiet hour behind them are enough.
+1. The edge is cut off when an attempt fails and since the last answer `fewest` different endpoints did
+   (all, if fewer are listed), the first of them `cut_us` or more ago. So neither one time-out, nor one
+   endpoint that is down, nor a moment's failures with a quiet hour behind them are enough.
 2. It is back after `answers` answers, the first of them `back_us` or more ago. Since the first, `fewest`
    different endpoints must not have failed without an answer between; else the count begins anew. So a link
    that flaps each second stays cut off, and what is kept meanwhile is replayed when it holds.
--- a/woadyard/outbox/graph.py
+++ b/woadyard/outbox/graph.py
@@ -4,8 +4,8 @@
    one line up to a number.
 2. An arrow goes from a cause to its follower, which was kept later. So no circle can come about.
 3. A node is free when no arrow comes in. When a node is over, its arrows go.
-4. A node sticks while it is halted, or while one that it follows sticks. Each node knows how many of its causes
-   stick; so halting and resuming touch each arrow behind the node once, however many followers there are.
+4. A node sticks while it is halted, or while one that it follows sticks. Each node knows how many of its
+   causes stick; so halting and resuming go along each arrow behind the node once, whatever their number.
 5. Nodes and arrows are rows of arrays, used again when they are free: 17 bytes a node, 24 an arrow.
 """
 
--- a/woadyard/outbox/outbox.py
+++ b/woadyard/outbox/outbox.py
@@ -14,8 +14,8 @@
 1. Between a change and its `apply` or `undo` its write takes no other.
 2. All times are µs: `now` monotonic, `wall` unix time as this machine has it.
 3. A write follows what its tokens name, and the last write kept before it of its session and of its object.
-4. A write that is final while its causes are not (judged, or given up) stays in the graph until they are: what
-   follows it still waits for them.
+4. A write that is final while its causes are not (judged, or given up) stays in the graph until they are:
+   what follows it still waits for them.
 5. With `orphans` = "park", those that follow a write given up or lost are parked, each with a change of its
    own, and halted until then. A write that could not be stored was never kept: nothing is parked for it.
 6. A keyed write goes out only while `send_us` is left of its window, counted from when it was kept. An
@@ -173,7 +173,7 @@
         self._rows = Rows()
         self._turns = Turns()
         self._open = Places()  # row of an own dot
-        self._keys = Places()  # own dot of a key
+        self._keys = Places(True)  # own dot of a key
         self._sessions = Places()  # row of the last write
         self._objects = Places()
         self._foreign: dict[Cause, int] = {}
@@ -405,8 +405,8 @@
         return node
 
     def _barrier(self, place: int, upto: int) -> int:
-        """A row that is over when all of a line up to a number are, or a later one; each made on the one before
-        it, so that all of them together have one arrow for each write. -1 if all are over."""
+        """A row that is over when all of a line up to a number are, or a later one; each made on the one
+        before it, so that all of them together have one arrow for each write. -1 if all are over."""
         last, before = self._barriers.get(place, (0, -1))
         if last >= upto:
             return before
@@ -708,8 +708,8 @@
                 self._graph.resume(row)
 
     def over(self) -> list[tuple[Dot, Fate]]:
-        """Own writes, since the last call, that are over with all that they follow: what the frontier may tell
-        others as in or gone. After a restart those that still have a record are named again."""
+        """Own writes, since the last call, that are over with all that they follow: what the frontier may
+        tell others as in or gone. After a restart those that still have a record are named again."""
         told, self._over_now = self._over_now, []
         return told
 
@@ -865,7 +865,7 @@
         return row
 
     def _restore_barriers(self, writes: list[KeptWrite]) -> dict[tuple[int, int], int]:
-        """All that the writes name, each exactly as far as it was named: later ones of its line may follow it."""
+        """All that the writes name, each exactly as far as named: later ones of its line may follow it."""
         named = {
             (place, number)
             for write in writes
--- a/woadyard/outbox/replay.py
+++ b/woadyard/outbox/replay.py
@@ -1,7 +1,7 @@
 """In which order, and how fast, kept writes go out. Pure.
 
-1. A write has its turn once all that it follows is in, in the order in which that came about. Independent ones
-   go side by side.
+1. A write has its turn once all that it follows is in, in the order in which that came about. Independent
+   ones go side by side.
 2. At most `limit` are out. It begins at 1, grows by one with each answer up to `most`, and is halved by a
    refusal, of a live request or of a kept one: additive increase, multiplicative decrease (Chiu and Jain,
    1989). So thirty edges that come back in one second begin with thirty writes in all.
--- a/woadyard/outbox/rows.py
+++ b/woadyard/outbox/rows.py
@@ -2,7 +2,7 @@
 
 1. A row has the number of its node in the graph.
 2. `Places` is a hash table with open addressing and linear probing (Knuth, TAOCP 3, 6.4, algorithms L and R):
-   16 bytes a place, at most two thirds of them used.
+   12 or 16 bytes a place, at most three quarters of them used, and in growth no fewer than three fifths.
 """
 
 from __future__ import annotations
@@ -43,8 +43,8 @@
 
 
 def short(*parts: bytes) -> int:
-    """63 bits that stand for a name, never 0; 0 if the last part is empty. Two names that share them are taken
-    for one: a write then follows one more than it must, and a key's owner is compared with the record."""
+    """63 bits that stand for a name, never 0; 0 if the last part is empty. Two names that share them are
+    taken for one: a write then follows one more than it must; a key's owner is compared with the record."""
     if not parts[-1]:
         return 0
     digest = blake2b(b"\0".join(parts), digest_size=8).digest()
@@ -52,22 +52,23 @@
 
 
 class Places:
-    """From positive integers to integers. No place has 0."""
+    """From positive integers to integers; with `wide`, to those of 64 bits. No place has 0."""
 
-    def __init__(self) -> None:
+    def __init__(self, wide: bool = False) -> None:
         self._used = 0
+        self._kind = "q" if wide else "i"
         self._keys = array("q", [_EMPTY]) * _SMALLEST
-        self._values = array("q", [0]) * _SMALLEST
+        self._values = array(self._kind, [0]) * _SMALLEST
 
     def __len__(self) -> int:
         return self._used
 
     def _place(self, key: int) -> int:
         """Of the key, or where it would stand."""
-        keys, mask = self._keys, len(self._keys) - 1
-        at = ((key * _MIX & _WORD) >> 32) & mask
+        keys, size = self._keys, len(self._keys)
+        at = ((key * _MIX & _WORD) >> 32) * size >> 32
         while keys[at] != _EMPTY and keys[at] != key:
-            at = (at + 1) & mask
+            at = at + 1 if at + 1 < size else 0
         return at
 
     def get(self, key: int, default: int = -1) -> int:
@@ -79,34 +80,35 @@
         if self._keys[at] == _EMPTY:
             self._used += 1
         self._keys[at], self._values[at] = key, value
-        if 3 * self._used > 2 * len(self._keys):
-            self._resize(2 * len(self._keys))
+        if 4 * self._used > 3 * len(self._keys):
+            self._resize(len(self._keys) * 5 // 4)
 
     def drop(self, key: int) -> None:
         at = self._place(key)
         if self._keys[at] != key:
             return
-        keys, mask = self._keys, len(self._keys) - 1
+        keys, size = self._keys, len(self._keys)
         keys[at] = _EMPTY
         self._used -= 1
         # What stood behind it may have been put there because this place was taken.
-        following = (at + 1) & mask
+        following = (at + 1) % size
         while keys[following] != _EMPTY:
             moved, value = keys[following], self._values[following]
             keys[following] = _EMPTY
             place = self._place(moved)
             keys[place], self._values[place] = moved, value
-            following = (following + 1) & mask
-        if 6 * self._used < len(keys) > _SMALLEST:
-            self._resize(len(keys) // 2)
+            following = (following + 1) % size
+        if 4 * self._used < size > _SMALLEST:
+            self._resize(max(_SMALLEST, size // 2))
 
     def _resize(self, size: int) -> None:
-        old = [(key, value) for key, value in zip(self._keys, self._values, strict=True) if key != _EMPTY]
+        keys, values = self._keys, self._values
         self._keys = array("q", [_EMPTY]) * size
-        self._values = array("q", [0]) * size
-        for key, value in old:
-            at = self._place(key)
-            self._keys[at], self._values[at] = key, value
+        self._values = array(self._kind, [0]) * size
+        for key, value in zip(keys, values, strict=True):
+            if key != _EMPTY:
+                at = self._place(key)
+                self._keys[at], self._values[at] = key, value
 
 
 class Rows:
