--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -23,6 +23,7 @@
     UnknownWriteError,
     VerdictError,
 )
+from woadyard.outbox.frontier import LocalFrontier
 from woadyard.outbox.graph import Graph
 from woadyard.outbox.journal import (
     TABLE,
@@ -522,6 +523,34 @@
     assert desk.due() == [] and desk.outbox.receipt(dot).reason is Reason.WINDOW
 
 
+def test_a_keyed_write_goes_out_while_a_whole_try_fits_in_its_window() -> None:
+    for late in (0, 1):
+        desk = Desk()
+        dot = desk.keep("album", key=b"k")
+        desk.now = 10 * HOUR - desk.bounds.send_us + late
+        assert desk.due() == ([] if late else [dot])
+        if not late:
+            desk.now += 1
+            desk.end(dot, End.MAY_HAVE_RUN)
+            assert desk.outbox.receipt(dot).reason is Reason.MAY_HAVE_RUN
+
+
+def test_what_an_edge_knows_by_itself() -> None:
+    desk, frontier = Desk(), LocalFrontier()
+    desk.outbox.frontier = frontier
+    cause = Cause("oak", 1, 4)
+    assert frontier.fate(cause) is Fate.UNKNOWN and frontier.holds(ASH)
+    frontier.tell(cause.dot, Fate.PARKED)
+    assert frontier.fate(cause) is Fate.PARKED
+    frontier.tell(cause.dot, Fate.IN)
+    frontier.tell(cause.dot, Fate.PARKED)  # late
+    assert frontier.declare_lost("oak", 1) and not frontier.declare_lost("oak", 1)
+    assert frontier.fate(cause) is Fate.IN and frontier.fate(Cause("oak", 1, 5)) is Fate.GONE
+    assert frontier.fate(Cause("oak", 2, 1)) is Fate.UNKNOWN
+    assert frontier.declare_lost("oak") and not frontier.declare_lost("oak")
+    assert frontier.fate(Cause("oak", 2, 1, True)) is Fate.GONE
+
+
 def test_one_key_at_two_edges_is_two_writes_under_one_key() -> None:
     """Upstream tells them apart by the key; each edge has one of them."""
     ash, oak = Desk(), Desk(Line("oak", 1))
--- a/woadyard/outbox/outbox.py
+++ b/woadyard/outbox/outbox.py
@@ -28,9 +28,7 @@
 
 from collections import deque
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
-from enum import IntEnum
-from typing import Final, Literal
+from typing import Final
 
 import msgspec
 
@@ -62,85 +60,11 @@
     Rows,
     short,
 )
+from woadyard.outbox.terms import Bounds, Change, End, KeptClass, Offer, Ticket
 
 __all__ = ["Bounds", "Change", "End", "KeptClass", "Offer", "Outbox", "Ticket"]
 
 
-@dataclass(frozen=True, slots=True)
-class KeptClass:
-    """How writes of one class are kept. `keyed`: upstream tells repeats apart by their key for `window_us`
-    after the first; otherwise unsafe: sent once, ever."""
-
-    name: str
-    keyed: bool
-    window_us: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Bounds:
-    """What is kept at most, and for how long."""
-
-    bytes_most: int = 1 << 30
-    count_most: int = 100_000
-    # Of bytes and count, that one tenant may use: 0 to 1.
-    tenant_share: float = 0.5
-    age_us: int = 7 * 86_400_000_000
-    # How long a receipt is kept after its write was done or given up, and how many at most.
-    receipt_us: int = 86_400_000_000
-    receipts_most: int = 100_000
-    replay_most: int = 8
-    # The longest time between a send and its run upstream: the deadline of one try.
-    send_us: int = 30_000_000
-    # After a refusal, live or of a kept write, nothing is replayed for so long.
-    hold_us: int = 1_000_000
-    # What becomes of those that follow a write that is given up or lost with its edge.
-    orphans: Literal["park", "release"] = "park"
-
-
-@dataclass(frozen=True, slots=True)
-class Offer:
-    """A write that could be kept. `named`: the header's tokens; `key`: its idempotency key, b"" if none."""
-
-    cls: str
-    start: bytes
-    headers: tuple[tuple[bytes, bytes], ...]
-    size: int
-    digest: bytes
-    key: bytes = b""
-    session: bytes = b""
-    obj: bytes = b""
-    tenant: str = ""
-    named: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Ticket:
-    """A number for an offer. `known`: it has this key already, and nothing is to be kept: compare its
-    record's key and digest with the offer's, and give its receipt once it is `durable`."""
-
-    dot: Dot
-    write: KeptWrite | None
-    known: bool = False
-
-
-class End(IntEnum):
-    """How a write that was sent ended."""
-
-    ANSWERED = 1  # a final answer that says that it ran
-    DENIED = 2  # a final answer that says no
-    NOT_RUN = 3  # no attempt of it can have run
-    MAY_HAVE_RUN = 4
-
-
-@dataclass(frozen=True, slots=True)
-class Change:
-    """One step of one write. `moved` is what becomes durable before `apply`."""
-
-    dot: Dot
-    event: Event
-    moved: Moved
-
-
 # Rows that one call of `due` looks at, and changes of one kind that it gives: guards the loop's time.
 SWEEP: Final = 256
 # When a client should come again to an outbox that is full.
