--- a/woadyard/outbox/outbox.py
+++ b/woadyard/outbox/outbox.py
@@ -14,8 +14,8 @@
 1. Between a change and its `apply` or `undo` its write takes no other.
 2. All times are µs: `now` monotonic, `wall` unix time as this machine has it.
 3. A write follows what its tokens name, and the last write kept before it of its session and of its object.
-4. A write that is final while its causes are not (judged, or given up) stays in the graph until they are: what
-   follows it still waits for them.
+4. A write that is final while its causes are not (judged, or given up) stays in the graph until they are:
+   what follows it still waits for them.
 5. With `orphans` = "park", those that follow a write given up or lost are parked, each with a change of its
    own, and halted until then. A write that could not be stored was never kept: nothing is parked for it.
 6. A keyed write goes out only while `send_us` is left of its window, counted from when it was kept. An
@@ -28,9 +28,7 @@
 
 from collections import deque
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
-from enum import IntEnum
-from typing import Final, Literal
+from typing import Final
 
 import msgspec
 
@@ -62,85 +60,11 @@
     Rows,
     short,
 )
+from woadyard.outbox.terms import Bounds, Change, End, KeptClass, Offer, Ticket
 
 __all__ = ["Bounds", "Change", "End", "KeptClass", "Offer", "Outbox", "Ticket"]
 
 
-@dataclass(frozen=True, slots=True)
-class KeptClass:
-    """How writes of one class are kept. `keyed`: upstream tells repeats apart by their key for `window_us`
-    after the first; otherwise unsafe: sent once, ever."""
-
-    name: str
-    keyed: bool
-    window_us: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Bounds:
-    """What is kept at most, and for how long."""
-
-    bytes_most: int = 1 << 30
-    count_most: int = 100_000
-    # Of bytes and count, that one tenant may use: 0 to 1.
-    tenant_share: float = 0.5
-    age_us: int = 7 * 86_400_000_000
-    # How long a receipt is kept after its write was done or given up, and how many at most.
-    receipt_us: int = 86_400_000_000
-    receipts_most: int = 100_000
-    replay_most: int = 8
-    # The longest time between a send and its run upstream: the deadline of one try.
-    send_us: int = 30_000_000
-    # After a refusal, live or of a kept write, nothing is replayed for so long.
-    hold_us: int = 1_000_000
-    # What becomes of those that follow a write that is given up or lost with its edge.
-    orphans: Literal["park", "release"] = "park"
-
-
-@dataclass(frozen=True, slots=True)
-class Offer:
-    """A write that could be kept. `named`: the header's tokens; `key`: its idempotency key, b"" if none."""
-
-    cls: str
-    start: bytes
-    headers: tuple[tuple[bytes, bytes], ...]
-    size: int
-    digest: bytes
-    key: bytes = b""
-    session: bytes = b""
-    obj: bytes = b""
-    tenant: str = ""
-    named: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Ticket:
-    """A number for an offer. `known`: it has this key already, and nothing is to be kept: compare its
-    record's key and digest with the offer's, and give its receipt once it is `durable`."""
-
-    dot: Dot
-    write: KeptWrite | None
-    known: bool = False
-
-
-class End(IntEnum):
-    """How a write that was sent ended."""
-
-    ANSWERED = 1  # a final answer that says that it ran
-    DENIED = 2  # a final answer that says no
-    NOT_RUN = 3  # no attempt of it can have run
-    MAY_HAVE_RUN = 4
-
-
-@dataclass(frozen=True, slots=True)
-class Change:
-    """One step of one write. `moved` is what becomes durable before `apply`."""
-
-    dot: Dot
-    event: Event
-    moved: Moved
-
-
 # Rows that one call of `due` looks at, and changes of one kind that it gives: guards the loop's time.
 SWEEP: Final = 256
 # When a client should come again to an outbox that is full.
@@ -173,7 +97,7 @@
         self._rows = Rows()
         self._turns = Turns()
         self._open = Places()  # row of an own dot
-        self._keys = Places()  # own dot of a key
+        self._keys = Places(True)  # own dot of a key
         self._sessions = Places()  # row of the last write
         self._objects = Places()
         self._foreign: dict[Cause, int] = {}
@@ -405,8 +329,8 @@
         return node
 
     def _barrier(self, place: int, upto: int) -> int:
-        """A row that is over when all of a line up to a number are, or a later one; each made on the one before
-        it, so that all of them together have one arrow for each write. -1 if all are over."""
+        """A row that is over when all of a line up to a number are, or a later one; each made on the one
+        before it, so that all of them together have one arrow for each write. -1 if all are over."""
         last, before = self._barriers.get(place, (0, -1))
         if last >= upto:
             return before
@@ -714,8 +638,8 @@
                 self._graph.resume(row)
 
     def over(self) -> list[tuple[Dot, Fate]]:
-        """Own writes, since the last call, that are over with all that they follow: what the frontier may tell
-        others as in or gone. After a restart those that still have a record are named again."""
+        """Own writes, since the last call, that are over with all that they follow: what the frontier may
+        tell others as in or gone. After a restart those that still have a record are named again."""
         told, self._over_now = self._over_now, []
         return told
 
@@ -871,7 +795,7 @@
         return row
 
     def _restore_barriers(self, writes: list[KeptWrite]) -> dict[tuple[int, int], int]:
-        """All that the writes name, each exactly as far as it was named: later ones of its line may follow it."""
+        """All that the writes name, each exactly as far as named: later ones of its line may follow it."""
         named = {
             (place, number)
             for write in writes
