Wait with what is kept while cut off: the turn of each second is enough

Cause: each write that was kept woke the replay, also while cut off, when nothing goes out but by the turn of each second. Change: the driver wakes the replay after a stored write only where the edge is not cut off. Tests: none in this diff.

--- a/woadyard/outbox/driver.py
+++ b/woadyard/outbox/driver.py
@@ -337,7 +337,8 @@
         waiting = self.storing.pop(dot)
         if kept:
             self.outbox.stored(dot, self._now())
-            self._wake()
+            if not self.cutoff.off:  # else nothing but the turn of each second goes out anyway
+                self._wake()
         else:
             self.outbox.unstored(dot, self._now())
         for one in waiting:
