Part what waits for what from keeping, replay and telling in the outbox

Need: outbox.py held what waits for what together with keeping, replay and telling. Tests: the schedules take NUMBERS from waiting.

--- a/tests/test_outbox_schedules.py
+++ b/tests/test_outbox_schedules.py
@@ -13,7 +13,6 @@
 
 import pytest
 
-from woadyard.outbox import outbox as real
 from woadyard.outbox.causes import Cause, Causes, Fate, Tokens
 from woadyard.outbox.dots import Dot, Line
 from woadyard.outbox.errors import FullError, StepError, UnknownWriteError, VerdictError
@@ -31,6 +30,7 @@
 )
 from woadyard.outbox.outbox import Bounds, Change, End, KeptClass, Offer, Outbox
 from woadyard.outbox.rows import BUSY, CLOSED, DURABLE, ORPHAN
+from woadyard.outbox.waiting import NUMBERS
 
 SECOND = 1_000_000
 SEND = 10 * SECOND
@@ -622,7 +622,7 @@
     """All up to a number: only that number."""
 
     def _barrier(self, place: int, upto: int) -> int:
-        return self._open.get(place << real._NUMBERS | upto)
+        return self._open.get(place << NUMBERS | upto)
 
 
 class Forgetful(Outbox):
--- a/woadyard/outbox/frontier.py
+++ b/woadyard/outbox/frontier.py
@@ -1,6 +1,6 @@
 """What one edge knows of the others by itself: what it was told. Pure.
 
-1. An edge that was declared lost is gone with all its lines, or one line alone: an older life of an edge whose
+1. An edge that was declared lost is gone with all its lines, or one line alone: a life of an edge whose
    disk was lost. It is never taken back: followers may have gone on without it.
 2. Nothing else is known of other lines, but what was told; `IN` and `GONE` stay.
 3. There is one process for each disk: the lines are its own. Where copies share, accord says so instead.
--- /dev/null
+++ b/woadyard/outbox/waiting.py
@@ -0,0 +1,278 @@
+"""Which kept writes there are, and what each waits for. Pure; `outbox` keeps, replays and tells on it.
+
+1. A row stands for an own write until that is over: final, and all that it follows over too.
+2. A write of another line has a row while one of ours follows it; a barrier while it holds one up.
+3. A name of an own write is one integer here: its line's place in the list of lines, then its number. What
+   has a number that was given out and no row is over.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+from typing import Final
+
+from woadyard.outbox.causes import Cause, Causes, Fate, Frontier, Tokens, merge
+from woadyard.outbox.dots import Dot, Line
+from woadyard.outbox.errors import (
+    UnknownWriteError,
+)
+from woadyard.outbox.graph import Graph
+from woadyard.outbox.journal import Event, KeptWrite, State, Verdict, follow
+from woadyard.outbox.replay import Pace, Turns
+from woadyard.outbox.rows import (
+    BARRIER,
+    BUSY,
+    CLOSED,
+    DURABLE,
+    FOREIGN,
+    JOIN,
+    ORPHAN,
+    Places,
+    Rows,
+)
+from woadyard.outbox.terms import Bounds, KeptClass
+
+__all__ = ["NUMBERS", "NUMBER_MASK", "Waiting"]
+
+NUMBERS: Final = 48  # bits of a number, beside its line's place
+NUMBER_MASK: Final = (1 << NUMBERS) - 1
+
+
+class Waiting:
+    """The rows, their names, and the graph. `line`: this life's name; `classes`: those that may be kept."""
+
+    def __init__(
+        self, line: Line, classes: Mapping[str, KeptClass], bounds: Bounds, tokens: Tokens, frontier: Frontier
+    ) -> None:
+        self.bounds = bounds
+        self.tokens = tokens
+        self.frontier = frontier
+        self.classes = dict(classes)
+        self.pace = Pace(bounds.replay_most, bounds.hold_us)
+        self._names = ["", *classes]  # the first is a join's
+        self._places = {name: place for place, name in enumerate(self._names)}
+        # Own lines, and the highest number known of each.
+        self._lines = [line]
+        self._line_places = {line: 0}
+        self._high = [0]
+        self._graph = Graph()
+        self._rows = Rows()
+        self._turns = Turns()
+        self._open = Places()  # row of an own dot
+        self._keys = Places(True)  # own dot of a key
+        self._sessions = Places()  # row of the last write
+        self._objects = Places()
+        self._foreign: dict[Cause, int] = {}
+        self._foreign_of: dict[int, Cause] = {}
+        self._barriers: dict[int, tuple[int, int]] = {}  # by line's place: up to which number, and its row
+        self._unsure: dict[int, Causes] = {}  # of rows whose record is not on the disk
+        self._joins: deque[int] = deque()
+        self._orphans: deque[int] = deque()
+        # Final ones whose receipts are kept: own dot, when that is over, key.
+        self._closed: deque[tuple[int, int, int]] = deque()
+        self._given_up: set[int] = set()
+        self._over_now: list[tuple[Dot, Fate]] = []
+        self._low: list[int] = [0]  # of each line: all up to it are over
+        self._judged: dict[int, tuple[int, Verdict, int]] = {}  # parking, verdict, unix time
+        # Rows that are not to be parked for a cause that is gone: an operator said to go on without it.
+        self._excused: set[int] = set()
+        self._tenants: dict[str, int] = {}
+        self._tenant_names: dict[int, str] = {}
+        self._usage: dict[int, list[int]] = {}  # by tenant's place: count, bytes
+        self._tenant_next = 0
+        self._swept = 0
+        self._life = 0
+        self.count = 0
+        self.size = 0
+
+    # Names
+
+    def _pack(self, dot: Cause | Dot) -> int:
+        """An own dot as one integer; -1 if it is of no line known here."""
+        place = self._line_places.get(dot.line, -1)
+        return place if place < 0 else place << NUMBERS | dot.number
+
+    def _dot(self, row: int) -> Dot:
+        if self._rows.has(row, FOREIGN):
+            return self._foreign_of[row].dot
+        return Dot(*self._lines[self._rows.line[row]], self._rows.number[row])
+
+    def _row(self, dot: Dot) -> int:
+        """Of a write that is in the graph, or -1."""
+        packed = self._pack(dot)
+        return -1 if packed < 0 else self._open.get(packed)
+
+    def _must_row(self, dot: Dot) -> int:
+        row = self._row(dot)
+        if row < 0 or self._rows.has(row, CLOSED):
+            raise UnknownWriteError(f"{dot} is not open here")
+        return row
+
+    def _through(self, causes: Causes) -> Causes:
+        """With the causes of those that are not durable yet, and may never be: a restart must find them."""
+        rows = [self._row(cause.dot) for cause in causes]
+        more = [self._unsure[row] for row in rows if row in self._unsure]
+        return merge(causes, *more) if more else causes
+
+    def _enter(self, write: KeptWrite, line: int, key: int, session: int, obj: int, since: int) -> int:
+        """A row for it, counted, without causes yet."""
+        row = self._graph.add()
+        rows = self._rows
+        rows.clear(row, 0 if write.cls else JOIN)
+        rows.cls[row] = self._places.get(write.cls, 0) if write.cls else 0
+        rows.line[row], rows.number[row], rows.since[row] = line, write.dot.number, since
+        rows.key[row], rows.session[row], rows.obj[row] = key, session, obj
+        rows.size[row] = write.size
+        packed = line << NUMBERS | write.dot.number
+        self._open.put(packed, row)
+        for places, name, value in (
+            (self._keys, key, packed),
+            (self._sessions, session, row),
+            (self._objects, obj, row),
+        ):
+            if name:
+                places.put(name, value)
+        self._count(row, write.tenant)
+        return row
+
+    def _count(self, row: int, tenant: str) -> None:
+        place = self._tenants.get(tenant)
+        if place is None:
+            place = self._tenants[tenant] = self._tenant_next
+            self._tenant_next += 1
+            self._usage[place] = [0, 0]
+            self._tenant_names[place] = tenant
+        usage = self._usage[place]
+        usage[0] += 1
+        usage[1] += self._rows.size[row]
+        self._rows.tenant[row] = place
+        self.count += 1
+        self.size += self._rows.size[row]
+
+    def _uncount(self, row: int) -> None:
+        place, size = self._rows.tenant[row], self._rows.size[row]
+        usage = self._usage[place]
+        usage[0] -= 1
+        usage[1] -= size
+        self.count -= 1
+        self.size -= size
+        if not usage[0]:
+            del self._usage[place]
+            del self._tenants[self._tenant_names.pop(place)]
+
+    # What waits for what
+
+    def _link(self, row: int, causes: Causes, barriers: Mapping[tuple[int, int], int] | None = None) -> None:
+        """Its arrows, each once. `barriers`: those of a restart, by line's place and number."""
+        found: set[int] = set()
+        for cause in causes:
+            place = self._line_places.get(cause.line, -1)
+            if place < 0 or cause.number > self._high[place]:
+                found.add(self._follow_foreign(row, cause))
+            elif cause.before and barriers is not None:
+                found.add(barriers[place, cause.number])
+            elif cause.before:
+                found.add(self._barrier(place, self._high[place] - (place == 0)))
+            else:
+                packed = place << NUMBERS | cause.number
+                found.add(self._open.get(packed))
+                if packed in self._given_up:
+                    self._orphan(row)
+        for node in found - {-1, row}:
+            self._graph.link(node, row)
+
+    def _follow_foreign(self, row: int, cause: Cause) -> int:
+        """The row of a write of another line, or -1 if it need not be waited for."""
+        node = self._foreign.get(cause, -1)
+        if node >= 0:
+            return node
+        fate = self.frontier.fate(cause)
+        if fate is Fate.GONE:
+            self._orphan(row)
+        if fate in (Fate.IN, Fate.GONE):
+            return -1
+        node = self._graph.add()
+        self._rows.clear(node, FOREIGN)
+        self._foreign[cause], self._foreign_of[node] = node, cause
+        if fate is Fate.PARKED:
+            self._graph.halt(node)
+        return node
+
+    def _barrier(self, place: int, upto: int) -> int:
+        """A row that is over when all of a line up to a number are, or a later one; each made on the one
+        before it, so that all of them together have one arrow for each write. -1 if all are over."""
+        last, before = self._barriers.get(place, (0, -1))
+        if last >= upto:
+            return before
+        open_rows = {self._open.get(place << NUMBERS | number) for number in range(last + 1, upto + 1)}
+        nodes = (open_rows | {before}) - {-1}
+        if not nodes:
+            self._barriers[place] = (upto, -1)
+            return -1
+        barrier = self._graph.add()
+        self._rows.clear(barrier, BARRIER)
+        self._rows.line[barrier] = place
+        for node in nodes:
+            self._graph.link(node, barrier)
+        self._barriers[place] = (upto, barrier)
+        return barrier
+
+    def _orphan(self, row: int) -> None:
+        """It follows what is given up or lost."""
+        if self.bounds.orphans == "release" or self._rows.has(row, ORPHAN) or row in self._excused:
+            return
+        if self._rows.has(row, BARRIER):
+            for follower in self._graph.followers(row):
+                self._orphan(follower)
+        elif self._rows.state[row] == State.KEPT and not self._rows.has(row, CLOSED):
+            self._rows.set(row, ORPHAN)
+            self._graph.halt(row)
+            self._orphans.append(row)
+
+    def _wake(self, row: int) -> None:
+        """It may be its turn."""
+        rows = self._rows
+        if (
+            rows.state[row] == State.KEPT
+            and rows.flags[row] & (DURABLE | ORPHAN | BUSY | CLOSED) == DURABLE
+            and self._graph.free(row)
+        ):
+            rows.state[row] = follow(State.KEPT, Event.CAUSES_IN)
+            if rows.has(row, JOIN):
+                self._joins.append(row)
+            else:
+                self._turns.add(row)
+
+    def _over(self, row: int) -> None:
+        """A free row is done with, and so are those without a state of their own that it frees."""
+        work = [row]
+        while work:
+            row = work.pop()
+            freed = self._graph.over(row)
+            self._leave(row)
+            for follower in freed:
+                if self._rows.flags[follower] & (BARRIER | CLOSED):
+                    work.append(follower)
+                else:
+                    self._wake(follower)
+
+    def _leave(self, row: int) -> None:
+        rows = self._rows
+        if rows.has(row, FOREIGN):
+            del self._foreign[self._foreign_of.pop(row)]
+        elif rows.has(row, BARRIER):
+            place = rows.line[row]
+            upto, last = self._barriers[place]
+            if last == row:
+                self._barriers[place] = (upto, -1)
+        else:
+            packed = rows.line[row] << NUMBERS | rows.number[row]
+            self._unsure.pop(row, None)
+            self._excused.discard(row)
+            self._over_now.append((self._dot(row), Fate.GONE if packed in self._given_up else Fate.IN))
+            self._open.drop(packed)
+            for places, name in ((self._sessions, rows.session[row]), (self._objects, rows.obj[row])):
+                if name and places.get(name) == row:
+                    places.drop(name)
+        rows.clear(row, CLOSED)
