--- a/woadyard/outbox/options.py
+++ b/woadyard/outbox/options.py
@@ -13,6 +13,9 @@
 # What becomes of the followers of an edge that is declared lost.
 Lost = Literal["park", "release"]
 
+# What the endpoints of an edge are: servers, or copies of this program that share what is in.
+Upstream = Literal["servers", "copies"]
+
 # A body is in the store in parts of this size.
 CHUNK: Final = 64 * 1024
 
@@ -44,6 +47,8 @@
     replay_most: int = 8
     send_us: int = 30_000_000  # the longest deadline of the classes that are kept
     lost: Lost = "park"
+    upstream: Upstream = "servers"
+    shared: bool = False  # this copy shares with the others of its tier which writes of edges are in
 
 
 def class_problem(
--- /dev/null
+++ b/woadyard/outbox/shared/terms.py
@@ -0,0 +1,121 @@
+"""What an edge and a copy upstream say to each other of kept writes. Pure.
+
+1. What goes between them is sealed with the edges' common secret (`Seal`): it can't be made up, and a seal of
+   one use is of no use for another.
+2. A life is the incarnation of one opening of an outbox's store. A line is held by one life at a time; at first
+   by the life of its own incarnation.
+3. Everything that is said may come twice, late, or not at all, and means the same.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import Final, Protocol
+
+import msgspec
+
+from woadyard.outbox.causes import Cause, Fate
+from woadyard.outbox.dots import Dot, Line
+
+__all__ = [
+    "ASKED_MOST",
+    "FATE_HEADER",
+    "KEPT_HEADER",
+    "SHARED_PATH",
+    "Answered",
+    "Ask",
+    "Begun",
+    "Claim",
+    "Claimed",
+    "Frontiers",
+    "Replayed",
+    "Told",
+]
+
+# On a replay: a sealed `Replayed`. On an answer to one: "in", "begun" or "fenced".
+KEPT_HEADER: Final = b"x-kept-write"
+FATE_HEADER: Final = b"x-kept-fate"
+# An edge asks with GET of this and a sealed `Ask`, at the callers' address.
+SHARED_PATH: Final = b"/outbox/shared/"
+# Of fates asked, told and claims in one ask, each: the sealed ask must fit in a request line.
+ASKED_MOST: Final = 16
+
+
+class Replayed(msgspec.Struct, array_like=True, frozen=True):
+    """A kept write on its way upstream."""
+
+    dot: Dot
+    life: int
+    unsafe: bool
+
+
+class Claim(msgspec.Struct, array_like=True, frozen=True):
+    """A life wants to replay a line: the holders that its disk has known, itself not among them.
+    `force`: an operator says that this disk is the right one."""
+
+    line: Line
+    life: int
+    known: tuple[int, ...]
+    force: bool = False
+
+
+class Told(msgspec.Struct, array_like=True, frozen=True):
+    """What the holder of a line says of one write, or with `before` of all up to it.
+
+    `UNKNOWN`: it waits at its edge (parked no more). `IN`, `GONE`: final. `unbegin`: an operator said that it never ran."""
+
+    dot: Dot
+    fate: Fate
+    life: int
+    before: bool = False
+    unbegin: bool = False
+
+
+class Ask(msgspec.Struct, array_like=True, frozen=True):
+    """Of an edge. At most `ASKED_MOST` of each."""
+
+    fates: tuple[Cause, ...] = ()
+    claims: tuple[Claim, ...] = ()
+    told: tuple[Told, ...] = ()
+
+
+class Claimed(IntEnum):
+    """What became of a claim."""
+
+    OPEN = 0  # not agreed yet: ask again
+    HELD = 1
+    FENCED = 2  # another life holds it, or it is lost
+
+
+class Answered(msgspec.Struct, array_like=True, frozen=True):
+    """To an ask, each in the order of what was asked. `told`: whether the record says so now."""
+
+    fates: tuple[Fate, ...] = ()
+    claims: tuple[Claimed, ...] = ()
+    told: tuple[bool, ...] = ()
+
+
+class Begun(IntEnum):
+    """What the record says of an unsafe write for one ask of a gate."""
+
+    OPEN = 0  # nobody's
+    MINE = 1  # this ask may send it
+    OTHERS = 2  # another ask may have sent it: it may have run
+    IN = 3
+    FENCED = 4  # the line is another life's, lost, or gone
+
+
+class Frontiers(Protocol):
+    """The agreed record as it is read: `shared.record.Record` has these."""
+
+    def fate(self, cause: Cause) -> Fate: ...
+
+    def holder(self, line: Line) -> int:
+        """The life that may replay it; 0 if it is lost."""
+
+    def begun(self, dot: Dot, life: int, ask: int) -> Begun: ...
+
+    def claimed(self, claim: Claim) -> Claimed:
+        """OPEN while the claim, agreed now, would hold."""
+
+    def says(self, told: Told) -> bool: ...
