Judge the clocks that loops wake early on made time

It is caught only where a cancel comes within the last millisecond before a call's time.

`EarlyLoop` has a made time now: its selector does not wait but lets the time pass, and the clock reads it. The faulty clock is caught each time, however busy the machine. `BusyLoop` stands at drawn moments, also between reading the time and using it: the clock of the program holds there, 60 seeds.

The contract itself is unchanged.

--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -8,15 +8,19 @@
 import copy
 import errno
 import itertools
+import math
 import random
+import selectors
 import socket
 import subprocess
 import sys
 import tempfile
+import time
 from collections.abc import AsyncIterator, Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, ClassVar
+from unittest import mock
 
 import pytest
 import uvloop
@@ -131,10 +135,12 @@
 
     async def until(self, due: int) -> None:
         loop = asyncio.get_running_loop()
-        passed = asyncio.Event()
-        # Behind every timer of the clock, which counts in whole milliseconds.
-        loop.call_at(loop.time() + max(0, due - self.clock.now()) / 1e6 + 0.005, passed.set)
-        await passed.wait()
+        # Behind every timer of the clock, which counts in whole milliseconds; and once more, for one that
+        # woke early and, on a busy machine, was set anew only now.
+        for wait_s in (max(0, due - self.clock.now()) / 1e6 + 0.005, 0.005):
+            passed = asyncio.Event()
+            loop.call_at(loop.time() + wait_s, passed.set)
+            await passed.wait()
 
 
 class TestLoopClock(ClockContract):
@@ -148,18 +154,100 @@
         return uvloop.new_event_loop()
 
 
-class EarlyLoop(asyncio.SelectorEventLoop):
+class Jumps(selectors.DefaultSelector):
+    """Nobody waits in it: the time that is to pass has passed."""
+
+    def __init__(self, passes: Callable[[float], None]) -> None:
+        super().__init__()
+        self.passes = passes
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        found = super().select(0)
+        if not found:
+            assert timeout is not None, "nothing to wait for"
+            self.passes(timeout)
+        return found
+
+
+class MadeLoop(asyncio.SelectorEventLoop):
+    """Its time is made, and the same however busy the machine is."""
+
+    turn_us = 10  # a turn takes some time, or a timer set for now would stop it
+
+    def __init__(self) -> None:
+        self.us = 1_000_000
+        super().__init__(Jumps(self.passes))
+
+    def passes(self, span_s: float) -> None:
+        self.us += max(self.turn_us, math.ceil(span_s * 1e6))
+
+    def time(self) -> float:
+        return self.us / 1e6
+
+    def now(self) -> int:
+        return self.us
+
+
+class EarlyLoop(MadeLoop):
     """Its timers come up to a millisecond early, as those of a loop that rounds may."""
 
     def call_later(  # type: ignore[override]
         self, delay: float, callback: Callable[..., object], *args: Any, context: Any = None
     ) -> asyncio.TimerHandle:
-        return super().call_later(max(0.0, delay - 0.001), callback, *args, context=context)
+        return super().call_later(max(0.0, delay - self.early_s()), callback, *args, context=context)
+
+    def early_s(self) -> float:
+        return 0.001
+
+
+class BusyLoop(EarlyLoop):
+    """On a machine that is busy: its turns begin late, and whoever has read the time may stand for long."""
+
+    often = 0.05
+    longest_us = 20_000
+
+    def __init__(self, seed: int) -> None:
+        self.draw = random.Random(seed)
+        super().__init__()
+
+    def passes(self, span_s: float) -> None:
+        super().passes(span_s)
+        self.stand()
+
+    def now(self) -> int:
+        read = super().now()
+        self.stand()
+        return read
+
+    def early_s(self) -> float:
+        return self.draw.choice((0.0, 0.0004, 0.001))
+
+    def stand(self) -> None:
+        if self.draw.random() < self.often:
+            self.us += self.draw.randrange(self.longest_us)
 
 
 class TestLoopClockWokenEarly(TestLoopClock):
-    def new_loop(self) -> asyncio.AbstractEventLoop:
-        return EarlyLoop()
+    seed: ClassVar[int | None] = None
+
+    def new_loop(self) -> MadeLoop:
+        return EarlyLoop() if self.seed is None else BusyLoop(self.seed)
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[Running]:
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, MadeLoop)
+        with mock.patch.object(time, "monotonic_ns", lambda: loop.now() * 1000):
+            yield Passing(LoopClock(loop))
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_a_clock_on_a_busy_machine_holds(seed: int) -> None:
+    class Busy(TestLoopClockWokenEarly):
+        pass
+
+    Busy.seed = seed
+    assert Busy().failures() == {}
 
 
 @dataclass
@@ -241,13 +329,13 @@
 class RearmingClock:
     """Sets a timer that woke early anew, and leaves its handle behind."""
 
-    def __init__(self) -> None:
-        self.real = LoopClock(asyncio.get_running_loop())
-        self.now, self.wall = self.real.now, self.real.wall
+    def __init__(self, loop: MadeLoop) -> None:
+        self.loop = loop
+        self.now, self.wall = loop.now, LoopClock(loop).wall
 
     def at(self, due: int, callback: Callable[..., None], *args: Any) -> asyncio.TimerHandle:
         delay = max(0, due - self.now() + 999) // 1000 / 1000
-        return self.real.loop.call_later(delay, self._due, due, callback, args)
+        return self.loop.call_later(delay, self._due, due, callback, args)
 
     def _due(self, due: int, callback: Callable[..., None], args: tuple[Any, ...]) -> None:
         if self.now() < due:
@@ -260,7 +348,9 @@
     class Faulty(TestLoopClockWokenEarly):
         @contextlib.asynccontextmanager
         async def running(self) -> AsyncIterator[Running]:
-            yield Passing(RearmingClock())
+            loop = asyncio.get_running_loop()
+            assert isinstance(loop, MadeLoop)
+            yield Passing(RearmingClock(loop))
 
     caught(Faulty(), "test_a_call_cancelled_shortly_before_its_time_never_comes")
 
