Keep two test processes from finding the same free port

A port of free_port was once taken before its process listened: it is bound, let go, and told to a process that listens some time later; a second test process could find the same one meanwhile, as each draws from the same 12,000. Each takes whole blocks of 50 now, under an abstract socket's name that only one process of the system can hold and that ends with it. The same for datagrams, where tests/test_links and tests/test_contracts took ports that the system gives to anybody. A program that claims nothing may still come between.

--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -45,7 +45,17 @@
 from woadyard.orders.recorder import Hand, OrderRecorder
 from woadyard.store import FolderDisk, Options, Store, StoreError
 from woadyard.store.disk import Disk
-from woadyard.testing import Endpoint, Message, Reader, Writer, answer, free_port, push, read_message
+from woadyard.testing import (
+    Endpoint,
+    Message,
+    Reader,
+    Writer,
+    answer,
+    free_port,
+    free_udp_port,
+    push,
+    read_message,
+)
 from woadyard.testing.contracts.base import Contract, raises
 from woadyard.testing.contracts.clock import ClockContract, Running
 from woadyard.testing.contracts.disk import DiskContract
@@ -1144,12 +1154,7 @@
 
 def free_addresses(count: int) -> list[tuple[str, int]]:
     """UDP addresses that nobody has now."""
-    with contextlib.ExitStack() as stack:
-        sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
-        for one in sockets:
-            stack.callback(one.close)
-            one.bind(("127.0.0.1", 0))
-        return [("127.0.0.1", one.getsockname()[1]) for one in sockets]
+    return [("127.0.0.1", free_udp_port()) for _ in range(count)]
 
 
 class TestUdpLink(ReachableLinkContract):
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -25,6 +25,7 @@
 from woadyard.accord.stores.none import NoStore
 from woadyard.store import StoreError
 from woadyard.store.manifest import segment_name
+from woadyard.testing import free_udp_port
 from woadyard.testing.disk import SimulatedDisk
 
 
@@ -48,13 +49,7 @@
 
 def free_ports(count: int) -> list[int]:
     """UDP ports that nobody has now."""
-    sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
+    return [free_udp_port() for _ in range(count)]
 
 
 class Wires:
--- a/tests/test_testing.py
+++ b/tests/test_testing.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import socket
+import subprocess
+import sys
 from collections.abc import Coroutine
 from typing import Any
 
@@ -27,6 +31,7 @@
     status,
     whole_list,
 )
+from woadyard.testing.messages import BLOCK, Ports
 
 
 def run(test: Coroutine[Any, Any, None]) -> None:
@@ -127,3 +132,45 @@
         assert whole_list(generation=2) == {"generation": 2, "reset": True, "instances": []}
 
     run(main())
+
+
+# --- Ports --------------------------------------------------------------------------------
+
+
+def test_of_two_that_look_for_free_ports_none_finds_one_of_the_others() -> None:
+    """Nobody listens yet at what the first was given; so it was with the second's whole choice."""
+    name = f"test-{os.getpid()}"
+    few = range(19_800, 20_000)
+    first, second, third = (Ports(few, name) for _ in range(3))
+    one = first.take()
+    found = [second.take() for _ in range(2 * BLOCK)]
+    assert one not in found and len(set(found)) == 2 * BLOCK
+    with socket.create_server(("127.0.0.1", first.left[-1])) as taken:
+        assert first.take() != taken.getsockname()[1]
+    third.take()
+    with pytest.raises(OSError, match="no port"):
+        Ports(few, name).take()
+    first.close()
+    again = Ports(few, name)
+    assert one in [again.take() for _ in range(BLOCK)]
+    for ports in (second, third, again):
+        ports.close()
+
+
+def test_a_claim_holds_while_its_process_lives() -> None:
+    name, few = f"ended-{os.getpid()}", range(19_750, 19_800)
+    code = (
+        "from woadyard.testing.messages import Ports\n"
+        f"ports = Ports(range(19_750, 19_800), {name!r})\nports.take()\n"
+        "print('taken', flush=True)\ninput()"
+    )
+    other = subprocess.Popen(
+        [sys.executable, "-c", code], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+    )
+    assert other.stdout is not None and other.stdout.readline() == "taken\n"
+    with pytest.raises(OSError, match="no port"):
+        Ports(few, name).take()
+    other.communicate("\n")
+    ports = Ports(few, name)
+    assert ports.take() in few
+    ports.close()
--- a/woadyard/testing/__init__.py
+++ b/woadyard/testing/__init__.py
@@ -25,7 +25,7 @@
     stall,
     status,
 )
-from woadyard.testing.messages import Message, Reader, Writer, answer, free_port, read_message
+from woadyard.testing.messages import Message, Reader, Writer, answer, free_port, free_udp_port, read_message
 from woadyard.testing.registry import Registry, push, push_raw, whole_list
 
 __all__ = [
@@ -42,6 +42,7 @@
     "answer",
     "close",
     "free_port",
+    "free_udp_port",
     "in_turn",
     "paced",
     "push",
--- a/woadyard/testing/messages.py
+++ b/woadyard/testing/messages.py
@@ -56,17 +56,61 @@
 # Below what systems give to outgoing connections: one of those would take a port while the
 # process that listens there is down, or be connected to itself.
 PORTS = range(20_000, 32_000)
-_given: set[int] = set()
+BLOCK = 50
+
+
+class Ports:
+    """Ports for processes that must be told one; none twice.
+
+    Guards against a second test process that finds a port free before the first one's process
+    listens there: each takes whole blocks, under names that only one socket of the system can have
+    and that end with it. A program that claims nothing may still come in between.
+    """
+
+    def __init__(self, ports: range = PORTS, name: str = "laurelstep-ports") -> None:
+        self.name = name
+        self.starts = list(ports[::BLOCK])
+        random.SystemRandom().shuffle(self.starts)
+        self.left: list[int] = []
+        self.claims: list[socket.socket] = []
+
+    def take(self, kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+        while True:
+            if not self.left:
+                self.left = self._claim()
+            port = self.left.pop()
+            with socket.socket(type=kind) as found, contextlib.suppress(OSError):
+                if kind == socket.SOCK_STREAM:
+                    found.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                found.bind(("127.0.0.1", port))
+                return port
+
+    def _claim(self) -> list[int]:
+        while self.starts:
+            start = self.starts.pop()
+            claim = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+            try:
+                claim.bind(f"\0{self.name}-{start}")
+            except OSError:
+                claim.close()
+                continue
+            self.claims.append(claim)
+            return list(range(start, start + BLOCK))
+        raise OSError("no port is free")
+
+    def close(self) -> None:
+        for claim in self.claims:
+            claim.close()
+
+
+_ports = Ports()
 
 
 def free_port() -> int:
     """A port that nobody listens at, for a process that must be told one; none twice."""
-    for port in random.SystemRandom().sample(PORTS, len(PORTS)):
-        if port in _given:
-            continue
-        with socket.socket() as found, contextlib.suppress(OSError):
-            found.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            found.bind(("127.0.0.1", port))
-            _given.add(port)
-            return port
-    raise OSError("no port is free")
+    return _ports.take()
+
+
+def free_udp_port() -> int:
+    """The same for datagrams."""
+    return _ports.take(socket.SOCK_DGRAM)
--- a/woadyard/testing/processes/tier.py
+++ b/woadyard/testing/processes/tier.py
@@ -7,7 +7,6 @@
 import itertools
 import json
 import random
-import socket
 import tempfile
 from collections import Counter
 from collections.abc import AsyncIterator, Iterable, Mapping, Sequence
@@ -17,7 +16,7 @@
 from typing import Any, Final, Self
 
 from woadyard.testing.endpoints import Effects, Endpoint, Handler
-from woadyard.testing.messages import Message, Writer, answer, free_port
+from woadyard.testing.messages import Message, Writer, answer, free_udp_port
 from woadyard.testing.processes.faults import Weather
 from woadyard.testing.processes.history import (
     Cleared,
@@ -136,7 +135,7 @@
             self.lists.append(lists)
             self._stack.callback(lists.close)
             await lists.open()
-        self.datagrams = DatagramRelay([(HOST, _free_udp()) for _ in self.programs], self.seed)
+        self.datagrams = DatagramRelay([(HOST, free_udp_port()) for _ in self.programs], self.seed)
         self._stack.callback(self.datagrams.close)
         await self.datagrams.start()
         for program in self.programs:
@@ -417,15 +416,6 @@
     return int(name.removeprefix("s-"))
 
 
-def _free_udp() -> int:
-    """A port for a process's datagrams, below those that systems give out."""
-    while True:
-        port = free_port()
-        with socket.socket(type=socket.SOCK_DGRAM) as found, contextlib.suppress(OSError):
-            found.bind((HOST, port))
-            return port
-
-
 def _text(address: tuple[str, int]) -> str:
     return f"{address[0]}:{address[1]}"
 
