Play the files that use nothing compiled once, not twice

The files of accord's and the outbox's cores and schedules, and of the store, import none of the modules that setup.py compiles, so the second time proves nothing new. They carry a mark, and a test follows their imports, nested ones too, and fails where one leads to a compiled module. Upkeep's schedules lead to engine/members, and are played twice as before.

--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -10,6 +10,7 @@
 import pytest
 from hypothesis import given, settings
 
+from tests.once import once
 from woadyard.accord import kept as keeping
 from woadyard.accord import messages as m
 from woadyard.accord.core import FAR, Core, Timing
@@ -23,6 +24,8 @@
 from woadyard.testing.schedules import BrokenError, Made, Process, Tape, World
 from woadyard.testing.schedules.script import QUICK, founded, settle
 
+pytestmark = once
+
 SECOND = 1_000_000
 
 
--- a/tests/test_accord_schedules.py
+++ b/tests/test_accord_schedules.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tests.once import once
 from woadyard.accord import core as real
 from woadyard.accord.following import Following
 from woadyard.accord.founding import Founding
@@ -23,6 +24,8 @@
 from woadyard.testing.schedules import BrokenError, Made, Process, Shape, World, play
 from woadyard.testing.schedules.script import QUICK, founded, settle
 
+pytestmark = once
+
 # 10,000 seeds: about two minutes on one core in plain Python.
 PER_CHUNK = 250
 CHUNKS = 40
--- a/tests/test_compiled.py
+++ b/tests/test_compiled.py
@@ -1,9 +1,11 @@
-"""The compiled module beside the plain one: the same events, the same sends.
+"""The compiled module beside the plain one: the same events, the same sends; and which tests need not be
+played on both.
 
 Plays where the compiled one is tested; `./check` does both."""
 
 from __future__ import annotations
 
+import ast
 import json
 import os
 import subprocess
@@ -17,6 +19,7 @@
 from hypothesis import strategies as st
 
 from tests.player import CONFIGS, play
+from tests.test_memory import compiled_modules
 from tests.test_rules import STEPS
 from woadyard import policy
 from woadyard.interface import DRAINING, GONE, LIST_DELTA, LIST_FULL, LIST_PART, READY
@@ -82,3 +85,81 @@
 def test_compiled_and_plain_do_the_same(other: Other, seed: int, config: int, steps: list[list[Any]]) -> None:
     flat = [list(one) for group in steps for one in group]
     assert play(seed, config, flat) == other.play(seed, config, flat)
+
+
+# --- What is played once --------------------------------------------------------------------
+
+ONCE = [
+    path for path in sorted((ROOT / "tests").glob("test_*.py")) if "\npytestmark = once\n" in path.read_text()
+]
+
+
+def named(node: ast.AST) -> list[str]:
+    """The modules that an import may mean: `from a import b` is of `a`, and of `a.b` if that is one."""
+    if isinstance(node, ast.Import):
+        return [one.name for one in node.names]
+    if isinstance(node, ast.ImportFrom):
+        assert node.module is not None and node.level == 0, "the project imports by whole names"
+        modules = [f"{node.module}.{one.name}" for one in node.names]
+        # The package itself gives its names from compiled modules.
+        own = node.module != "woadyard" or any(file_of(one) is None for one in modules)
+        return [*modules, *([node.module] if own else [])]
+    return []
+
+
+def file_of(module: str) -> Path | None:
+    base = ROOT.joinpath(*module.split("."))
+    return next((one for one in (base.with_suffix(".py"), base / "__init__.py") if one.exists()), None)
+
+
+def used(path: Path) -> set[str]:
+    """The project's modules that a file imports, anywhere in it, and those that they import."""
+    found: set[str] = set()
+    left = [path]
+    while left:
+        for node in ast.walk(ast.parse(left.pop().read_text())):
+            for module in named(node):
+                # What holds a module is run when it is imported; the package's own head does nothing more.
+                parts = module.split(".")
+                for one in (".".join(parts[:n]) for n in range(2, len(parts) + 1)):
+                    if one not in found and (file := file_of(one)) is not None:
+                        found.add(one)
+                        left.append(file)
+                if module == "woadyard":
+                    found.add(module)
+    return found
+
+
+def compiled(path: Path) -> set[str]:
+    """Of what it uses, what an installation has compiled."""
+    names = {"woadyard", *(f"woadyard.{name}".replace("/", ".") for name in compiled_modules())}
+    return used(path) & names
+
+
+def test_some_files_are_played_once() -> None:
+    assert {"test_accord_schedules.py", "test_outbox_schedules.py"} <= {path.name for path in ONCE}
+
+
+@pytest.mark.parametrize("path", ONCE, ids=lambda path: str(path.name))
+def test_what_is_played_once_uses_nothing_compiled(path: Path) -> None:
+    assert compiled(path) == set()
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("import woadyard.policy", {"woadyard.policy"}),
+        ("from woadyard import Balancer", {"woadyard"}),
+        ("from woadyard import interface", {"woadyard.interface"}),
+        ("from woadyard.upkeep import roll", {"woadyard.engine.members"}),  # by what that imports
+        ("def late():\n    from woadyard.engine.members import PHASES", {"woadyard.engine.members"}),
+        ("from tests import fakes", {"woadyard.engine.call", "woadyard.interface"}),
+        ("from woadyard.accord import core", set()),
+    ],
+)
+def test_what_is_compiled_is_seen_wherever_it_is_imported(
+    tmp_path: Path, text: str, expected: set[str]
+) -> None:
+    path = tmp_path / "test_one.py"
+    path.write_text(text)
+    assert compiled(path) >= expected and bool(compiled(path)) == bool(expected)
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from tests.once import once
 from woadyard.outbox.causes import CAUSES_MOST, TOKEN_MOST, Cause, Fate, Tokens, merge
 from woadyard.outbox.cutoff import CutOff, CutOffRule
 from woadyard.outbox.dots import Dot, Line, check_edge, read_dot
@@ -43,6 +44,8 @@
 from woadyard.outbox.replay import Pace, Turns
 from woadyard.outbox.rows import Places, short
 
+pytestmark = once
+
 SECOND = 1_000_000
 HOUR = 3_600 * SECOND
 YEAR = 365 * 24 * HOUR
--- a/tests/test_outbox_schedules.py
+++ b/tests/test_outbox_schedules.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from tests.once import once
 from woadyard.outbox.causes import Cause, Causes, Fate, Tokens
 from woadyard.outbox.dots import Dot, Line
 from woadyard.outbox.errors import FullError, StepError, UnknownWriteError, VerdictError
@@ -32,6 +33,8 @@
 from woadyard.outbox.rows import BUSY, CLOSED, DURABLE, ORPHAN
 from woadyard.outbox.waiting import NUMBERS
 
+pytestmark = once
+
 SECOND = 1_000_000
 SEND = 10 * SECOND
 STEPS = 110
--- a/tests/test_outbox_store.py
+++ b/tests/test_outbox_store.py
@@ -13,12 +13,15 @@
 
 import pytest
 
+from tests.once import once
 from woadyard.outbox.journal import KeptWrite
 from woadyard.outbox.store import FailedToKeepError, KeptStore
 from woadyard.store import Disk, FolderDisk
 from woadyard.testing.contracts.outbox import Lives, WriteStoreContract, made
 from woadyard.testing.disk import SimulatedDisk
 
+pytestmark = once
+
 MOST = 64 << 20
 NO_SPACE = OSError(errno.ENOSPC, "No space left on device")
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -19,6 +19,7 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
+from tests.once import once
 from woadyard.store import FolderDisk, LogError, Options, Store, StoreError, StoreUnavailableError
 from woadyard.store.index import place_of
 from woadyard.store.log import (
@@ -37,6 +38,8 @@
 from woadyard.store.tool import main as tool
 from woadyard.testing.disk import Op, SimulatedDisk
 
+pytestmark = once
+
 State = dict[bytes, bytes]
 SMALL = Options(segment_bytes=400, batch_records=4, ahead_bytes=100)
 FULL_DISK = OSError(errno.ENOSPC, "No space left on device")
