--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -85,6 +85,43 @@
     assert not wrong
 
 
+# --- Made time ----------------------------------------------------------------------------------
+
+
+class Jumps(selectors.DefaultSelector):
+    """Nobody waits in it: the time that is to pass has passed."""
+
+    def __init__(self, passes: Callable[[float], None]) -> None:
+        super().__init__()
+        self.passes = passes
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        found = super().select(0)
+        if not found:
+            assert timeout is not None, "nothing to wait for"
+            self.passes(timeout)
+        return found
+
+
+class MadeLoop(asyncio.SelectorEventLoop):
+    """Its time is made, and the same however busy the machine is."""
+
+    turn_us = 10  # a turn takes some time, or a timer set for now would stop it
+
+    def __init__(self) -> None:
+        self.us = 1_000_000
+        super().__init__(Jumps(self.passes))
+
+    def passes(self, span_s: float) -> None:
+        self.us += max(self.turn_us, math.ceil(span_s * 1e6))
+
+    def time(self) -> float:
+        return self.us / 1e6
+
+    def now(self) -> int:
+        return self.us
+
+
 # --- The contracts themselves ---------------------------------------------------------------
 
 
@@ -110,6 +147,9 @@
 class Waits(Contract):
     patience_s = 0.01
 
+    def new_loop(self) -> MadeLoop:
+        return MadeLoop()
+
     def test_waits(self) -> None:
         self.run(self.soon(asyncio.Event().wait(), "an event"))  # type: ignore[arg-type]
 
@@ -164,40 +204,6 @@
         return uvloop.new_event_loop()
 
 
-class Jumps(selectors.DefaultSelector):
-    """Nobody waits in it: the time that is to pass has passed."""
-
-    def __init__(self, passes: Callable[[float], None]) -> None:
-        super().__init__()
-        self.passes = passes
-
-    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
-        found = super().select(0)
-        if not found:
-            assert timeout is not None, "nothing to wait for"
-            self.passes(timeout)
-        return found
-
-
-class MadeLoop(asyncio.SelectorEventLoop):
-    """Its time is made, and the same however busy the machine is."""
-
-    turn_us = 10  # a turn takes some time, or a timer set for now would stop it
-
-    def __init__(self) -> None:
-        self.us = 1_000_000
-        super().__init__(Jumps(self.passes))
-
-    def passes(self, span_s: float) -> None:
-        self.us += max(self.turn_us, math.ceil(span_s * 1e6))
-
-    def time(self) -> float:
-        return self.us / 1e6
-
-    def now(self) -> int:
-        return self.us
-
-
 class EarlyLoop(MadeLoop):
     """Its timers come up to a millisecond early, as those of a loop that rounds may."""
 
