Seal what edges and upstream's copies say to each other

A replay's name, an edge's ask and the answer to it go between processes through others' hands. Each use has a key of its own from outbox.secret_file; an answer is sealed together with its ask; a text has one form, also in base64's left-over bits, and 16384 characters at most.

First try compared the bytes alone: a last character with other left-over bits was taken for the same seal. The text is now compared too.

--- /dev/null
+++ b/woadyard/outbox/shared/seal.py
@@ -0,0 +1,184 @@
+"""What edges and upstream's copies say to each other, sealed with their common secret. Pure.
+
+1. A seal is made and read with `outbox.secret_file`'s bytes alone. Each use has a key of its own, so a sealed
+   replay is no ask, and neither of them an answer, nor any of them a causal token.
+2. One value has one text, and no bit of that can be changed: also not those of its last character that base64
+   leaves over.
+3. An answer is sealed together with the ask that it is to: the answer to one is of no use for another.
+4. A text is at most `SEALED_MOST` characters, which fit a request line. What is longer is not sealed.
+5. What is sealed may be another version's: it is read as strictly as if it were not.
+6. It is no secret to those on the way: nothing is ciphered.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import hmac
+from collections.abc import Iterator
+from contextlib import contextmanager
+from hashlib import blake2b
+from typing import Any, ClassVar, Final, TypeVar
+
+import msgspec
+
+from woadyard.outbox.dots import Line, check_edge
+from woadyard.outbox.errors import OutboxError
+from woadyard.outbox.shared.terms import ASKED_MOST, Answered, Ask, Replayed
+
+__all__ = ["SEALED_MOST", "Seal", "SealError", "SealedLengthError"]
+
+# Characters. The head of a request, which it is part of, may have 64 KiB.
+SEALED_MOST: Final = 16 * 1024
+_SIGN_SIZE: Final = 16
+_VERSION: Final = 1
+_NUMBER_END: Final = 1 << 63
+_LIFE_END: Final = 1 << 64
+
+_Sealed = TypeVar("_Sealed", Replayed, Ask, Answered)
+
+_Versioned = tuple[int, msgspec.Raw]
+_decoder: Final[msgspec.msgpack.Decoder[_Versioned]] = msgspec.msgpack.Decoder(_Versioned)
+
+
+class SealError(OutboxError, ValueError):
+    """A sealed text that nobody with this secret made for this use."""
+
+    cause: ClassVar[str] = (
+        "what came as a kept write's name, an edge's ask or the answer to one is forged, damaged or of "
+        "edges with another secret; it was refused"
+    )
+    remedy: ClassVar[str] = (
+        "give all edges and upstream copies one outbox.secret_file; else look at who can reach the port"
+    )
+
+
+class SealedLengthError(OutboxError, ValueError):
+    """More than one sealed text may say."""
+
+    cause: ClassVar[str] = "an edge or a copy was to say more at once than a request line holds"
+    remedy: ClassVar[str] = "report it with the text: the fault is in the program; nothing was sent"
+
+
+class Seal:
+    """Makes and reads sealed texts with the secret of the edges and upstream's copies (16 bytes or more)."""
+
+    def __init__(self, secret: bytes) -> None:
+        if len(secret) < 16:
+            raise ValueError("the secret is shorter than 16 bytes")
+        self._keys: dict[type[Any], bytes] = {
+            kind: blake2b(secret, digest_size=32, person=person).digest()
+            for kind, person in (
+                (Replayed, b"outbox replay"),
+                (Ask, b"outbox ask"),
+                (Answered, b"outbox answer"),
+            )
+        }
+
+    def replayed(self, value: Replayed) -> str:
+        return self._text(value, b"")
+
+    def ask(self, value: Ask) -> str:
+        return self._text(value, b"")
+
+    def answered(self, value: Answered, to: str) -> str:
+        """`to`: the sealed ask."""
+        return self._text(value, to.encode("latin-1", "replace"))
+
+    def open_replayed(self, text: str) -> Replayed:
+        """`SealError`, as of all that opens."""
+        value = self._open(Replayed, text, b"")
+        with _as_read():
+            _check_line(value.dot.line)
+            _check_number(value.dot.number)
+            _check_life(value.life)
+        return value
+
+    def open_ask(self, text: str) -> Ask:
+        value = self._open(Ask, text, b"")
+        with _as_read():
+            _check_ask(value)
+        return value
+
+    def open_answered(self, text: str, to: str) -> Answered:
+        """`to`: the sealed ask that it is to be an answer to."""
+        value = self._open(Answered, text, to.encode("latin-1", "replace"))
+        with _as_read():
+            _check_count(value.fates, value.claims, value.told)
+        return value
+
+    def _text(self, value: Replayed | Ask | Answered, to: bytes) -> str:
+        data = msgspec.msgpack.encode((_VERSION, value))
+        text = _told(self._sign(type(value), data, to) + data)
+        if len(text) > SEALED_MOST:
+            raise SealedLengthError(f"{len(text)} characters, {SEALED_MOST} are the most")
+        return text
+
+    def _open(self, kind: type[_Sealed], text: str, to: bytes) -> _Sealed:
+        if len(text) > SEALED_MOST:
+            raise SealError(f"a sealed text is longer than {SEALED_MOST} characters")
+        try:
+            raw = base64.b64decode(text.encode("ascii") + b"=" * (-len(text) % 4), b"-_", validate=True)
+        except (UnicodeEncodeError, binascii.Error, ValueError):
+            raise SealError("a sealed text is not in the form of one") from None
+        sign, data = raw[:_SIGN_SIZE], raw[_SIGN_SIZE:]
+        if not hmac.compare_digest(sign, self._sign(kind, data, to)) or _told(raw) != text:
+            raise SealError("a sealed text was not made with this secret for this use")
+        with _as_read():
+            version, value = _decoder.decode(data)
+            if version != _VERSION:
+                raise ValueError(f"a seal of version {version}")
+            return msgspec.msgpack.decode(value, type=kind)
+
+    def _sign(self, kind: type[Any], data: bytes, to: bytes) -> bytes:
+        # The ask goes in as its digest: of a fixed size, so no byte of one part can be taken for the other's.
+        bound = blake2b(to, digest_size=16).digest()
+        return blake2b(bound + data, digest_size=_SIGN_SIZE, key=self._keys[kind]).digest()
+
+
+@contextmanager
+def _as_read() -> Iterator[None]:
+    """Signed, but maybe by another version (rule 5)."""
+    try:
+        yield
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise SealError(f"a sealed text can't be read: {error}") from None
+
+
+def _told(raw: bytes) -> str:
+    return base64.urlsafe_b64encode(raw).rstrip(b"=").decode()
+
+
+def _check_ask(ask: Ask) -> None:
+    _check_count(ask.fates, ask.claims, ask.told)
+    for cause in ask.fates:
+        _check_line(cause.line)
+        _check_number(cause.number)
+    for claim in ask.claims:
+        _check_line(claim.line)
+        for life in (claim.life, *claim.known):
+            _check_life(life)
+    for told in ask.told:
+        _check_line(told.dot.line)
+        _check_number(told.dot.number)
+        _check_life(told.life)
+
+
+def _check_count(*parts: tuple[object, ...]) -> None:
+    if any(len(part) > ASKED_MOST for part in parts):
+        raise ValueError(f"more than {ASKED_MOST} of one kind")
+
+
+def _check_line(line: Line) -> None:
+    check_edge(line.edge)
+    _check_life(line.incarnation)
+
+
+def _check_life(life: int) -> None:
+    if not 0 <= life < _LIFE_END:
+        raise ValueError("an incarnation that can't be")
+
+
+def _check_number(number: int) -> None:
+    if not 0 < number < _NUMBER_END:
+        raise ValueError("a number that can't be")
