--- /dev/null
+++ b/woadyard/outbox/shared/record.py
@@ -0,0 +1,399 @@
+"""What copies agreed on of kept writes. Pure: a `Machine` of accord, and the `Frontiers` that are read.
+
+1. Of each line: its holder (at first the life of its own incarnation), up to which number all are over,
+   the numbers above it that are in, the gone and the parked ones as ranges, and the unsafe ones that were
+   begun with the ask that began them.
+2. In and gone are final: nothing that comes later takes either back, also where both are said.
+3. A BEGIN is granted only to the line's holder, for a write that is not over and not begun by another ask,
+   and never to an ask that was taken back. It ends with IN, with gone, by UNBEGIN of that very ask, or by the
+   holder's word that this ask never ran it.
+4. A CLAIM holds if it names the present holder, and how often the holder changed before; an operator's
+   force need not name the holder. Then the former one gets nothing more.
+5. What the holder says holds of all that is not over. All up to a number are over: those that are not gone
+   are in.
+6. Of a line or edge that is lost (an edge: all its lines, later ones too) what is not in is gone; nobody
+   holds it, and nothing of it changes any more.
+7. All up to a number are in once each of them is in or gone; where the line is lost first, they are gone.
+8. What does not fit in a bound is refused and counted: it changes nothing, and nothing is forgotten for it.
+   The one exception is the list of asks that were taken back: an older one of them could only leave a write
+   begun that was never sent.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+
+from woadyard.accord.errors import KeptError
+from woadyard.outbox.causes import Cause, Fate
+from woadyard.outbox.dots import Dot, Line, check_edge
+from woadyard.outbox.shared.entries import (
+    ID_END,
+    NUMBER_END,
+    Begin,
+    Entry,
+    Hold,
+    In,
+    Lost,
+    Said,
+    Unbegin,
+    unpack,
+)
+from woadyard.outbox.shared.spans import NONE, Spans, add, cut, has, missing, well_formed
+from woadyard.outbox.shared.terms import Begun, Claim, Claimed, Told
+
+__all__ = [
+    "BEGUN_MOST", "LINES_MOST", "LOST_MOST", "PARKED_MOST", "RANGES_MOST", "SPANS_MOST", "UNDONE_MOST",
+    "Record",
+]  # fmt: skip
+
+# A life that kept something leaves one line for ever.
+LINES_MOST: Final = 4_096
+# Of one line: ranges of in and gone, and of parked.
+RANGES_MOST: Final = 256
+PARKED_MOST: Final = 256
+# Over all lines: ranges of any kind, and begun ones. With these a snapshot is within accord's bound.
+SPANS_MOST: Final = 16_384
+BEGUN_MOST: Final = 1_024
+# Edges declared lost.
+LOST_MOST: Final = 1_024
+# Asks that were taken back last.
+UNDONE_MOST: Final = 512
+
+
+class _Row(msgspec.Struct, frozen=True, array_like=True):
+    """Of one line."""
+
+    holder: int  # 0: lost
+    turn: int = 0
+    low: int = 0
+    ins: Spans = NONE  # above low
+    gone: Spans = NONE  # anywhere
+    parked: Spans = NONE  # above low
+    begun: tuple[tuple[int, int], ...] = ()  # number, ask; sorted
+
+    @property
+    def spans(self) -> int:
+        return len(self.ins) + len(self.gone) + len(self.parked)
+
+    def fate(self, number: int) -> Fate:
+        if has(self.gone, number):
+            return Fate.GONE
+        if number <= self.low or has(self.ins, number):
+            return Fate.IN
+        if self.holder == 0:
+            return Fate.GONE
+        return Fate.PARKED if has(self.parked, number) else Fate.UNKNOWN
+
+    def fate_up_to(self, number: int) -> Fate:
+        if number <= self.low:
+            return Fate.IN
+        if self.holder == 0:
+            return Fate.GONE
+        return Fate.PARKED if self.parked and self.parked[0][0] <= number else Fate.UNKNOWN
+
+    def begun_by(self, number: int) -> int:
+        """The ask; 0 if it is not begun."""
+        place = bisect_left(self.begun, (number, 0))
+        if place < len(self.begun) and self.begun[place][0] == number:
+            return self.begun[place][1]
+        return 0
+
+    def with_begun(self, number: int, ask: int) -> _Row:
+        return self._with(begun=tuple(sorted((*self.begun, (number, ask)))))
+
+    def without_begun(self, first: int, last: int) -> _Row:
+        if not any(first <= number <= last for number, _ in self.begun):
+            return self
+        return self._with(begun=tuple(one for one in self.begun if not first <= one[0] <= last))
+
+    def over(self, first: int, last: int, fate: Fate) -> _Row:
+        """All of first..last that are not over have become `fate`, which is in or gone."""
+        ins, gone = self.ins, self.gone
+        for start, end in missing(self.gone, max(first, self.low + 1), last):
+            if fate is Fate.IN:
+                ins = add(ins, start, end)
+            else:
+                for one in missing(self.ins, start, end):
+                    gone = add(gone, *one)
+        row = self.without_begun(first, last)
+        row = row._with(ins=ins, gone=gone, parked=cut(row.parked, first, last))
+        return row._raised()
+
+    def _raised(self) -> _Row:
+        """`low` as high as it is true."""
+        low, ins = self.low, self.ins
+        while True:
+            if ins and ins[0][0] <= low + 1:
+                low, ins = max(low, ins[0][1]), ins[1:]
+            elif has(self.gone, low + 1):
+                low = next(last for first, last in self.gone if first <= low + 1 <= last)
+            else:
+                return self if low == self.low else self._with(low=low, ins=ins)
+
+    def lost(self) -> _Row:
+        return self._with(holder=0, turn=0, parked=NONE, begun=())
+
+    def _with(self, **changes: object) -> _Row:
+        return msgspec.structs.replace(self, **changes)
+
+
+class _Saved(msgspec.Struct, frozen=True, array_like=True):
+    rows: tuple[tuple[str, int, _Row], ...] = ()
+    lost: tuple[str, ...] = ()
+    undone: tuple[int, ...] = ()
+
+
+_decoder: Final[msgspec.msgpack.Decoder[_Saved]] = msgspec.msgpack.Decoder(_Saved)
+
+
+class Record:
+    """See the rules."""
+
+    def __init__(self) -> None:
+        # Called after each entry was applied, with its bytes as `apply` has them.
+        self.applied: Callable[[bytes], None] = lambda data: None
+        self.ignored = 0  # entries that could not be read
+        self.refused = dict.fromkeys(("lines", "ranges", "parked", "spans", "begun", "lost"), 0)
+        self._rows: dict[Line, _Row] = {}
+        self._lost: set[str] = set()
+        self._undone: dict[int, None] = {}  # in their order
+        self._spans = self._begun = 0
+
+    # --- Machine ----------------------------------------------------------------------
+
+    def apply(self, index: int, data: bytes) -> None:
+        entry = unpack(data)
+        if entry is None:
+            self.ignored += 1
+        else:
+            self._apply(entry)
+        self.applied(data)
+
+    def dump(self) -> bytes:
+        rows = tuple((*line, row) for line, row in sorted(self._rows.items(), key=lambda item: item[0]))
+        saved = _Saved(rows, tuple(sorted(self._lost)), tuple(self._undone))
+        return msgspec.msgpack.encode(saved)
+
+    def load(self, raw: bytes) -> None:
+        """`KeptError`, with nothing changed, if it can't be read."""
+        try:
+            saved = _decoder.decode(raw) if raw else _Saved()
+            _check(saved)
+        except (msgspec.MsgspecError, ValueError, RecursionError, OverflowError) as error:
+            raise KeptError(f"the record of kept writes: {error}") from None
+        self._rows = {Line(edge, incarnation): row for edge, incarnation, row in saved.rows}
+        self._lost = set(saved.lost)
+        self._undone = dict.fromkeys(saved.undone)
+        self._spans = sum(row.spans for row in self._rows.values())
+        self._begun = sum(len(row.begun) for row in self._rows.values())
+
+    # --- Frontiers --------------------------------------------------------------------
+
+    def fate(self, cause: Cause) -> Fate:
+        row = self._row(cause.line)
+        return row.fate_up_to(cause.number) if cause.before else row.fate(cause.number)
+
+    def holder(self, line: Line) -> int:
+        return self._row(line).holder
+
+    def begun(self, dot: Dot, life: int, ask: int) -> Begun:
+        row = self._row(dot.line)
+        fate = row.fate(dot.number)
+        if fate is Fate.IN:
+            return Begun.IN
+        if fate is Fate.GONE or row.holder != life:
+            return Begun.FENCED
+        by = row.begun_by(dot.number)
+        if by == 0:
+            return Begun.OPEN
+        return Begun.MINE if by == ask else Begun.OTHERS
+
+    def claimed(self, claim: Claim) -> Claimed:
+        """OPEN also where there is no room for the line yet."""
+        holder = self._row(claim.line).holder
+        if holder == 0:
+            return Claimed.FENCED
+        if holder == claim.life:
+            return Claimed.HELD
+        return Claimed.OPEN if claim.force or holder in claim.known else Claimed.FENCED
+
+    def says(self, told: Told) -> bool:
+        """True of what is over, also if it was told to be over otherwise: that is final."""
+        row, number = self._row(told.dot.line), told.dot.number
+        fate = row.fate_up_to(number) if told.before else row.fate(number)
+        if fate in (Fate.IN, Fate.GONE):
+            return True
+        return fate is told.fate and not (told.unbegin and row.begun_by(number))
+
+    # --- What is to be agreed next ------------------------------------------------------
+
+    def undone(self, ask: int) -> bool:
+        """This ask was taken back: no BEGIN of it is granted, also if one comes late."""
+        return ask in self._undone
+
+    def claim_entry(self, claim: Claim) -> Hold | None:
+        """By which the claim would hold now; None if it is not open."""
+        if self.claimed(claim) is not Claimed.OPEN:
+            return None
+        row = self._row(claim.line)
+        return Hold(claim.line, claim.life, row.holder, row.turn, claim.force)
+
+    def said_entry(self, told: Told) -> Said | None:
+        """By which the record would say so; None if it does."""
+        if self.says(told):
+            return None
+        ask = self._row(told.dot.line).begun_by(told.dot.number) if told.unbegin else 0
+        return Said(told.dot, told.fate, told.life, told.before, ask)
+
+    def status(self) -> dict[str, int]:
+        """For an operator, in JSON's types."""
+        refused = {f"refused_{name}": count for name, count in self.refused.items()}
+        return {
+            "lines": len(self._rows),
+            "spans": self._spans,
+            "begun": self._begun,
+            "lost_edges": len(self._lost),
+            "ignored": self.ignored,
+            **refused,
+        }
+
+    # --- Entries ----------------------------------------------------------------------
+
+    def _row(self, line: Line) -> _Row:
+        row = self._rows.get(line)
+        return row if row is not None else self._new(line)
+
+    def _new(self, line: Line) -> _Row:
+        return _Row(0 if line.edge in self._lost else line.incarnation)
+
+    def _apply(self, entry: Entry) -> None:
+        match entry:
+            case Begin():
+                self._begin(entry)
+            case Unbegin():
+                self._unbegin(entry)
+            case In():
+                self._change(entry.dot, entry.dot.number, Fate.IN)
+            case Hold():
+                self._hold(entry)
+            case Said():
+                self._said(entry)
+            case Lost():
+                self._lose(entry)
+
+    def _begin(self, entry: Begin) -> None:
+        row, number = self._row(entry.dot.line), entry.dot.number
+        if self.begun(entry.dot, entry.life, entry.ask) is not Begun.OPEN or entry.ask in self._undone:
+            return
+        # Its holder replays it: it is parked no more.
+        row = msgspec.structs.replace(row, parked=cut(row.parked, number, number))
+        self._put(entry.dot.line, row.with_begun(number, entry.ask))
+
+    def _unbegin(self, entry: Unbegin) -> None:
+        row, number = self._row(entry.dot.line), entry.dot.number
+        if row.begun_by(number) == entry.ask:
+            self._put(entry.dot.line, row.without_begun(number, number))
+        self._undo(entry.ask)
+
+    def _undo(self, ask: int) -> None:
+        if ask not in self._undone:
+            if len(self._undone) >= UNDONE_MOST:
+                del self._undone[next(iter(self._undone))]
+            self._undone[ask] = None
+
+    def _hold(self, entry: Hold) -> None:
+        row = self._row(entry.line)
+        if row.holder in (0, entry.life) or row.turn != entry.turn:
+            return
+        if entry.force or row.holder == entry.of:
+            self._put(entry.line, msgspec.structs.replace(row, holder=entry.life, turn=row.turn + 1))
+
+    def _said(self, entry: Said) -> None:
+        row, number = self._row(entry.dot.line), entry.dot.number
+        if row.holder == 0 or row.holder != entry.life:
+            return
+        if entry.ask and row.begun_by(number) == entry.ask:
+            self._put(entry.dot.line, row.without_begun(number, number))
+            self._undo(entry.ask)
+        self._change(entry.dot, 1 if entry.before else number, entry.fate)
+
+    def _change(self, dot: Dot, first: int, fate: Fate) -> None:
+        """What is not over of first..number becomes `fate`."""
+        row = self._row(dot.line)
+        if row.holder == 0:
+            return
+        if fate in (Fate.IN, Fate.GONE):
+            self._put(dot.line, row.over(first, dot.number, fate))
+            return
+        parked = cut(row.parked, first, dot.number)
+        if fate is Fate.PARKED:
+            for start, end in missing(row.gone, max(first, row.low + 1), dot.number):
+                for one in missing(row.ins, start, end):
+                    parked = add(parked, *one)
+        self._put(dot.line, msgspec.structs.replace(row, parked=parked))
+
+    def _lose(self, entry: Lost) -> None:
+        if entry.incarnation:
+            line = Line(entry.edge, entry.incarnation)
+            self._put(line, self._row(line).lost())
+        elif entry.edge not in self._lost:
+            if len(self._lost) >= LOST_MOST:
+                self.refused["lost"] += 1
+                return
+            self._lost.add(entry.edge)
+            for line in [line for line in self._rows if line.edge == entry.edge]:
+                self._put(line, self._rows[line].lost())
+
+    def _put(self, line: Line, row: _Row) -> None:
+        """The line's new state, if it fits; one that says nothing is not kept."""
+        old = self._rows.get(line)
+        new = self._new(line)
+        before = new if old is None else old
+        if row == before and row != new:
+            return
+        spans, begun = row.spans - before.spans, len(row.begun) - len(before.begun)
+        if (why := self._bound(old is None, before, row, spans, begun)) is not None:
+            self.refused[why] += 1
+            return
+        self._spans += spans
+        self._begun += begun
+        if row == new:
+            self._rows.pop(line, None)
+        else:
+            self._rows[line] = row
+
+    def _bound(self, is_new: bool, old: _Row, row: _Row, spans: int, begun: int) -> str | None:
+        """The bound that it would break; what takes no more than before breaks none."""
+        if is_new and len(self._rows) >= LINES_MOST:
+            return "lines"
+        if len(row.ins) + len(row.gone) > max(RANGES_MOST, len(old.ins) + len(old.gone)):
+            return "ranges"
+        if len(row.parked) > max(PARKED_MOST, len(old.parked)):
+            return "parked"
+        if spans > 0 and self._spans + spans > SPANS_MOST:
+            return "spans"
+        return "begun" if begun > 0 and self._begun + begun > BEGUN_MOST else None
+
+
+def _check(saved: _Saved) -> None:
+    """ValueError for what no `dump` gives."""
+    for edge, incarnation, row in saved.rows:
+        check_edge(edge)
+        ids = (incarnation, *(ask for _, ask in row.begun))
+        numbers = [number for number, _ in row.begun]
+        if not all(0 < id < ID_END for id in ids) or not 0 <= row.holder < ID_END:
+            raise ValueError("a life, incarnation or ask that can't be")
+        if not (0 <= row.low < NUMBER_END and row.turn >= 0):
+            raise ValueError("a number that can't be")
+        if not all(well_formed(spans, NUMBER_END) for spans in (row.ins, row.gone, row.parked)):
+            raise ValueError("ranges that can't be")
+        if numbers != sorted(set(numbers)):
+            raise ValueError("begun ones out of order")
+    for edge in saved.lost:
+        check_edge(edge)
+    if not all(0 < ask < ID_END for ask in saved.undone):
+        raise ValueError("an ask that can't be")
--- /dev/null
+++ b/woadyard/outbox/shared/sharer.py
@@ -0,0 +1,237 @@
+"""Brings entries of the record to agreement: from whichever copy, through whoever leads.
+
+1. An entry is proposed where this process leads, else told to the leader as a word; again after `AGAIN_US`,
+   each time twice as long up to `AGAIN_MOST_US`: until the record says so, or the asker's time is over.
+2. What is agreed is seen in the record alone: a proposal that was taken says nothing.
+3. An entry that is on its way is not proposed again, whoever tells it: until it is applied, another leads, or
+   `FLIGHT_US` are over.
+4. `WAITS_MOST` wait at a time; one more hears False at once. So do all, once this is closed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, Protocol
+
+from woadyard.accord.errors import BusyError, NotLeadingError
+from woadyard.engine.ports import Clock, Handle
+from woadyard.outbox.shared.entries import KIND, Entry, pack, unpack_word
+from woadyard.outbox.shared.record import Record
+
+__all__ = ["AGAIN_MOST_US", "AGAIN_US", "FLIGHT_US", "WAITS_MOST", "Sharer"]
+
+AGAIN_US: Final = 100_000
+AGAIN_MOST_US: Final = 800_000
+FLIGHT_US: Final = 1_000_000
+WAITS_MOST: Final = 512
+_FLIGHTS_MOST: Final = 1_024
+
+
+class Accord(Protocol):
+    """What copies share, as it is needed here: a `woadyard.accord.parts.Part`, or a node of its own."""
+
+    heard: Callable[[int, int, bytes], None]
+    on_change: Callable[[], None]
+
+    @property
+    def era(self) -> object: ...
+    @property
+    def leading(self) -> bool: ...
+    @property
+    def leader(self) -> int | None: ...
+    @property
+    def known(self) -> bool: ...
+    @property
+    def in_touch(self) -> bool: ...
+
+    def propose(self, data: bytes) -> None:
+        """NotLeadingError, BusyError."""
+
+    def word(self, data: bytes) -> None:
+        """To whoever leads, also if that is this process; it may be lost. BusyError."""
+
+
+class _Telling:
+    """One entry that somebody here waits for."""
+
+    __slots__ = ("again_us", "data", "due", "timer", "waits")
+
+    def __init__(self, data: bytes) -> None:
+        self.data = data
+        self.again_us = AGAIN_US
+        self.due = 0  # when it is told again
+        self.timer: Handle | None = None
+        self.waits: list[_Wait] = []
+
+
+class _Wait:
+    __slots__ = ("done", "future", "until")
+
+    def __init__(self, done: Callable[[], bool], until: int, future: asyncio.Future[bool]) -> None:
+        self.done = done
+        self.until = until
+        self.future = future
+
+
+class Sharer:
+    """See the rules. Takes the accord's `heard` and `on_change`, and the record's `applied`.
+
+    `on_change` of its own is called after entries were applied, and when it is known, led or in touch
+    otherwise."""
+
+    def __init__(self, accord: Accord, record: Record, clock: Clock) -> None:
+        self.accord = accord
+        self.record = record
+        self.clock = clock
+        self.on_change: Callable[[], None] = lambda: None
+        self.counters = {"agreed": 0, "late": 0, "full": 0, "told": 0, "proposed": 0, "unread": 0}
+        self._tellings: dict[bytes, _Telling] = {}
+        self._count = 0  # of waits
+        self._flights: dict[bytes, int] = {}  # until when each counts as on its way
+        self._reign: tuple[object, ...] = ()
+        self._closed = False
+        accord.heard = self._hear
+        accord.on_change = self._change
+        record.applied = self._landed
+
+    @property
+    def ready(self) -> bool:
+        """All that was agreed when this copy came is known here, and a leader with a majority is heard."""
+        return not self._closed and self.accord.known and self.accord.in_touch
+
+    def agree(self, entry: Entry, done: Callable[[], bool], until: int) -> asyncio.Future[bool]:
+        """Whether `done()` holds on the record by `until`. Told from now on, also if nobody awaits it yet;
+        cancel it to tell no more. `EntryError` for what is no entry."""
+        data = pack(entry)
+        future = asyncio.get_running_loop().create_future()
+        if done():
+            self.counters["agreed"] += 1
+            future.set_result(True)
+        elif self._closed or until <= self.clock.now():
+            future.set_result(False)
+        elif self._count >= WAITS_MOST:
+            self.counters["full"] += 1
+            future.set_result(False)
+        else:
+            self._await(data, _Wait(done, until, future))
+        return future
+
+    def close(self) -> None:
+        """All that waits hears False."""
+        self._closed = True
+        for telling in list(self._tellings.values()):
+            for wait in list(telling.waits):
+                self._end(telling, wait, False)
+        self._flights.clear()
+
+    # --- What waits -------------------------------------------------------------------
+
+    def _await(self, data: bytes, wait: _Wait) -> None:
+        telling = self._tellings.get(data)
+        is_new = telling is None
+        if telling is None:
+            telling = self._tellings[data] = _Telling(data)
+        telling.waits.append(wait)
+        self._count += 1
+        wait.future.add_done_callback(lambda future: self._called_off(telling, wait))
+        if is_new:
+            telling.due = self.clock.now() + telling.again_us
+            self._tell(data)
+        if telling.waits:
+            self._arm(telling)
+
+    def _called_off(self, telling: _Telling, wait: _Wait) -> None:
+        if wait in telling.waits:  # its asker cancelled it
+            self._end(telling, wait, False)
+
+    def _end(self, telling: _Telling, wait: _Wait, verdict: bool) -> None:
+        telling.waits.remove(wait)
+        self._count -= 1
+        if not telling.waits:
+            del self._tellings[telling.data]
+            if telling.timer is not None:
+                telling.timer.cancel()
+        if not wait.future.done():
+            self.counters["agreed" if verdict else "late"] += 1
+            wait.future.set_result(verdict)
+
+    def _arm(self, telling: _Telling) -> None:
+        if telling.timer is not None:
+            telling.timer.cancel()
+        due = min(telling.due, *(wait.until for wait in telling.waits))
+        telling.timer = self.clock.at(due, self._wake, telling)
+
+    def _wake(self, telling: _Telling) -> None:
+        """Told again, or too late. What became true meanwhile is true."""
+        telling.timer = None
+        now = self.clock.now()
+        self._judge(telling, now)
+        if not telling.waits:
+            return
+        if now >= telling.due:
+            telling.again_us = min(2 * telling.again_us, AGAIN_MOST_US)
+            telling.due = now + telling.again_us
+            self._tell(telling.data)
+        if telling.waits:
+            self._arm(telling)
+
+    def _judge(self, telling: _Telling, now: int) -> None:
+        for wait in list(telling.waits):
+            if wait.done():
+                self._end(telling, wait, True)
+            elif now >= wait.until:
+                self._end(telling, wait, False)
+
+    def _change(self) -> None:
+        now = self.clock.now()
+        for telling in list(self._tellings.values()):
+            self._judge(telling, now)
+        self._look_who_leads()
+        self.on_change()
+
+    # --- On its way -------------------------------------------------------------------
+
+    def _tell(self, data: bytes) -> None:
+        self.counters["told"] += 1
+        if self.accord.leading:
+            self._propose(data)
+            return
+        try:
+            self.accord.word(data)
+        except BusyError:
+            return  # as if it were lost
+
+    def _hear(self, peer: int, incarnation: int, data: bytes) -> None:
+        """A word came to this process, which leads."""
+        if unpack_word(data) is None:
+            self.counters["unread"] += 1
+        else:
+            self._propose(data)
+
+    def _propose(self, data: bytes) -> None:
+        self._look_who_leads()
+        now = self.clock.now()
+        if self._closed or self._flights.get(data, now) > now:
+            return
+        if len(self._flights) >= _FLIGHTS_MOST:
+            self._flights = {one: until for one, until in self._flights.items() if until > now}
+            if len(self._flights) >= _FLIGHTS_MOST:
+                return
+        self._flights[data] = now + FLIGHT_US  # it may land at once
+        try:
+            self.accord.propose(data)
+        except (NotLeadingError, BusyError):
+            self._flights.pop(data, None)  # its asker tells it again
+        else:
+            self.counters["proposed"] += 1
+
+    def _landed(self, data: bytes) -> None:
+        self._flights.pop(KIND + data, None)
+
+    def _look_who_leads(self) -> None:
+        """What was on its way under another leader may be lost."""
+        reign = self.accord.era, self.accord.leader, self.accord.leading
+        if reign != self._reign:
+            self._reign = reign
+            self._flights.clear()
