Stand at a copy upstream for edges' replays: the gate, and where edges ask

A replay is told by its sealed X-Kept-Write; an unsafe one is admitted once its BEGIN is agreed, a served answer leaves once IN is, a refusal after UNBEGIN. GET /outbox/shared/ at the callers' address answers edges' asks. A recorder is asked before the keeper, else a copy's own outbox would keep an edge's replay; and what it does not record may stream its answer again.

--- a/woadyard/engine/engine.py
+++ b/woadyard/engine/engine.py
@@ -169,16 +169,23 @@
         self.tally.taken[call.cls] += 1
         self.open_names.add(call.name)
         call.timer = self.clock.at(call.expires, self._expire, call)
+        if self._is_recorded(call):
+            return
         if self.keeper is not None and self.keeper.comes_first(call) and self._keep(call, None):
             return
-        if self.recorder is not None:
-            call.recorded = True
-            call.streams = False  # the record holds whole answers
-            if self.recorder.begin(call, self):
-                return
-            call.recorded = False
         self.admit(call)
 
+    def _is_recorded(self, call: Call) -> bool:
+        """Whether a recorder has it in hand."""
+        if self.recorder is None:
+            return False
+        streams = call.streams
+        call.recorded, call.streams = True, False  # the record holds whole answers
+        if self.recorder.begin(call, self):
+            return True
+        call.recorded, call.streams = False, streams
+        return False
+
     def admit(self, call: Call) -> None:
         """The module is told of a call that is open."""
         if not call.open:
--- a/woadyard/net/request.py
+++ b/woadyard/net/request.py
@@ -25,8 +25,8 @@
      b"x-deadline-ms", b"idempotency-key", b"x-retry", b"x-cost-hint")
 )  # fmt: skip
 # What a write follows, where its class may be kept: receipts, the token of the client's last answer, and
-# its session. Of each so many bytes.
-CAUSE_HEADERS: Final = (b"x-follows", b"x-causal-token", b"x-session")
+# its session; and of an edge's replay, which one it is. Of each so many bytes. None is passed on.
+CAUSE_HEADERS: Final = (b"x-follows", b"x-causal-token", b"x-session", b"x-kept-write")
 CAUSES_MOST: Final = 1024
 TOKEN: Final = re.compile(rb"[0-9A-Za-z._~+/=:-]{1,128}")
 # Origin form and nothing else: no second word, no control characters, no fragment.
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -38,6 +38,8 @@
 READY_PATH: Final = b"/health/ready"
 # Where a receipt of a kept write is asked for, as no class is named so: by a client, so at its address.
 RECEIPTS_PATH: Final = b"/outbox/receipts/"
+# What edges ask a copy upstream of kept writes; here, as nothing of the outbox is loaded where it is off.
+SHARED_PATH: Final = b"/outbox/shared/"
 ASKING: Final = -1  # in place of a class: it is no request of the engine's
 REASONS: Final = {status.value: status.phrase.encode() for status in HTTPStatus}
 START_LINES: Final = {status: b"HTTP/1.1 %d %b\r\n" % (status, reason) for status, reason in REASONS.items()}
@@ -238,21 +240,28 @@
             checked(self.headers)
             return Answer(Ending.SERVED, 200) if self.server.lifecycle.ready else Answer(Ending.FAILED, 503)
         if self.server.receipts is not None and self.target.startswith(RECEIPTS_PATH):
-            return self._asking(method)
+            return self._asking(method, RECEIPTS_PATH, "a receipt")
+        if self.server.shared is not None and self.target.startswith(SHARED_PATH):
+            return self._asking(method, SHARED_PATH, "what is shared")
         engine = self.server.engine
         most = self.server.body_most
         return call_from(method, self.target, self.headers, engine.names, engine.settings, self, most)
 
-    def _asking(self, method: bytes) -> Call:
-        """For a receipt: a call that is not open, as the engine never has it."""
+    def _asking(self, method: bytes, path: bytes, what: str) -> Call:
+        """Asked of the outbox: a call that is not open, as the engine never has it. Its `order` is the path."""
         if body_length(checked(self.headers)):
-            raise BadRequestError(400, "asking for a receipt has no body")
+            raise BadRequestError(400, f"asking for {what} has no body")
         if method != b"GET":
-            raise BadRequestError(405, "ask for a receipt with GET")
-        asking = Call(ASKING, 0, self.target[len(RECEIPTS_PATH) :], b"", b"", self)
+            raise BadRequestError(405, f"ask for {what} with GET")
+        asking = Call(ASKING, 0, self.target[len(path) :], b"", b"", self, order=path)
         asking.open = False
         return asking
 
+    def _ask(self, asking: Call) -> None:
+        asked = self.server.shared if asking.order == SHARED_PATH else self.server.receipts
+        assert asked is not None
+        asked(asking)
+
     # --- A request that is passed on while it comes -----------------------------------
 
     def _begin_upload(self) -> None:
@@ -317,8 +326,7 @@
         elif asked is not None and asked.cls == ASKING:
             self._forget_body()
             self.call = asked
-            assert self.server.receipts is not None
-            self.server.receipts(asked)
+            self._ask(asked)
         elif asked is not None and asked.name in engine.open_names:
             self.refuse(BadRequestError(409, "X-Request-Id is that of an open request"))
         elif asked is not None:
@@ -510,6 +518,7 @@
         self.listener: asyncio.Server | None = None
         self.on_end: Callable[[], None] = lambda: None
         self.receipts: Callable[[Call], None] | None = None  # asked for one; its front is answered later
+        self.shared: Callable[[Call], None] | None = None  # the same, asked what copies share
 
     async def listen(
         self, host: str, port: int, shared: bool = False, handed: socket.socket | None = None
--- /dev/null
+++ b/woadyard/outbox/shared/gate.py
@@ -0,0 +1,389 @@
+"""Where replays of edges come in at a copy upstream: joins the engine with what the copies agreed.
+
+The rules:
+
+1. A replay is told by its sealed header. All else is the inner recorder's, where there is one, or nobody's.
+2. Nothing is granted, told or answered while this copy does not know the record, or hears of no leader that a
+   majority follows.
+3. An unsafe write is sent only once its BEGIN under this very ask is agreed; each ask is drawn anew. A keyed
+   one needs none: upstream tells its repeats apart.
+4. Before a served answer leaves, IN is agreed; otherwise the edge hears that it may have run.
+5. Of an ask that sent nothing and never will, UNBEGIN is agreed before its refusal leaves. Where it is not in
+   time, the refusal leaves all the same: it is true, as the call is over and nothing of it can be sent any
+   more. What stands in the record can only make the next ask hear that the write may have run, until the
+   UNBEGIN, which is told on, has come through. So no retry can run it twice.
+6. What was not agreed in time is told on for `LATER_US`, by `LATER_MOST` at a time. What is given up is on the
+   safe side: begun, and not in.
+7. A replay whose body is passed on while it comes is judged by its head, and sent as any other upload. Its
+   answer is held whole, as that of all replays: one over the bound of held answers is told as one that may
+   have run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any, Final, Protocol
+
+from woadyard.accord.errors import EntryError
+from woadyard.engine.call import Answer, Attempt, Call, Ending
+from woadyard.engine.ports import Clock, Log, Recorded, Recorder
+from woadyard.outbox.causes import Cause, Fate
+from woadyard.outbox.dots import Dot, Line
+from woadyard.outbox.shared.entries import Begin, Entry, Hold, In, Lost, Said, Unbegin
+from woadyard.outbox.shared.seal import Seal, SealError
+from woadyard.outbox.shared.terms import (
+    FATE_HEADER,
+    Answered,
+    Ask,
+    Begun,
+    Claim,
+    Claimed,
+    Frontiers,
+    Told,
+)
+
+__all__ = ["Gate", "Ledger", "Sharing"]
+
+# What is agreed within a call waits so long at most; a leader is replaced in less.
+AGREE_US: Final = 5_000_000
+# Of a call's time, for the answer to leave.
+LEFT_US: Final = 10_000
+# An edge that asks waits so long for what it claims and tells; then it hears how far it has come.
+ASK_US: Final = 1_000_000
+ASKS_MOST: Final = 64
+LATER_US: Final = 30_000_000
+LATER_MOST: Final = 256
+# When an edge may come again.
+RETRY_US: Final = 1_000_000
+# Between two lines about seals that can't be read.
+SEAL_LOG_US: Final = 10_000_000
+# Of an edge that is lost every line is, also one that never was: this one stands for all.
+_ANY_LIFE: Final = (1 << 64) - 1
+
+TEXT: Final = (b"content-type", b"text/plain")
+
+
+class Ledger(Frontiers, Protocol):
+    """The agreed record (`shared.record.Record`), with what would have to be agreed next."""
+
+    def undone(self, ask: int) -> bool: ...
+
+    def claim_entry(self, claim: Claim) -> Hold | None: ...
+
+    def said_entry(self, told: Told) -> Said | None: ...
+
+    def status(self) -> dict[str, int]: ...
+
+
+class Sharing(Protocol):
+    """Brings entries to agreement: `shared.sharer.Sharer`."""
+
+    @property
+    def ready(self) -> bool: ...
+
+    def agree(self, entry: Entry, done: Callable[[], bool], until: int) -> Awaitable[bool]: ...
+
+
+@dataclass(eq=False)
+class Hand:
+    """One replay in hand."""
+
+    call: Call
+    dot: Dot
+    life: int
+    unsafe: bool
+    ask: int = 0  # 0: no BEGIN was told
+    admitted: bool = False
+
+
+class Gate:
+    """The engine's `Recorder` at a copy upstream. `classes`: those that may be kept, by number, and whether a
+    write of each is unsafe."""
+
+    def __init__(
+        self,
+        record: Ledger,
+        sharer: Sharing,
+        seal: Seal,
+        classes: Mapping[int, bool],
+        clock: Clock,
+        log: Log,
+        inner: Recorder | None = None,
+        draw: Callable[[], int] = lambda: secrets.randbits(64) or 1,
+    ) -> None:
+        self.record = record
+        self.sharer = sharer
+        self.seal = seal
+        self.classes = dict(classes)
+        self.clock = clock
+        self.log = log
+        self.inner = inner
+        self.draw = draw
+        self.hands: dict[Call, Hand] = {}
+        self.asking = 0
+        self.later = 0
+        self.counters = {"replays": 0, "in": 0, "fenced": 0, "begun": 0, "refused": 0, "late": 0, "bad": 0}
+        self.told_bad = -SEAL_LOG_US
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def close(self) -> None:
+        for task in set(self.tasks):
+            task.cancel()
+        if self.tasks:
+            await asyncio.wait(set(self.tasks))
+
+    def status(self) -> dict[str, Any]:
+        """For an operator."""
+        return {"ready": self.sharer.ready, **self.record.status(), "gate": dict(self.counters)}
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    # --- Before the module is told ------------------------------------------------------
+
+    def begin(self, call: Call, engine: Recorded) -> bool:
+        sealed = call.causes[3] if len(call.causes) > 3 else b""
+        if not sealed or call.cls not in self.classes:
+            return self.inner is not None and self.inner.begin(call, engine)
+        try:
+            replayed = self.seal.open_replayed(sealed.decode("latin-1"))
+        except SealError as error:
+            engine.settle(call, self._unsealed("a kept write's name", error))
+            return True
+        self.counters["replays"] += 1
+        unsafe = replayed.unsafe or self.classes[call.cls]
+        hand = Hand(call, replayed.dot, replayed.life, unsafe)
+        verdict = self._verdict(hand)
+        if verdict is not None:
+            engine.settle(call, verdict)
+        elif unsafe:
+            self.hands[call] = hand
+            self._spawn(self._begin(hand, engine))
+        else:
+            self.hands[call] = hand
+            self._admit(hand, engine)
+        return True
+
+    def _verdict(self, hand: Hand) -> Answer | None:
+        """What can be answered from what is agreed; None if it may be sent, or its BEGIN be told."""
+        if not self.sharer.ready:
+            return self._refusal()
+        begun = self.record.begun(hand.dot, hand.life, hand.ask)
+        if begun is Begun.IN:
+            self.counters["in"] += 1
+            return Answer(Ending.SERVED, 200, ((FATE_HEADER, b"in"),))
+        if begun is Begun.FENCED:
+            self.counters["fenced"] += 1
+            return Answer(Ending.REFUSED, 503, ((FATE_HEADER, b"fenced"),), retry_after_us=RETRY_US)
+        if begun is Begun.OTHERS:
+            self.counters["begun"] += 1
+            return Answer(Ending.FAILED, 502, ((FATE_HEADER, b"begun"),))
+        return None
+
+    async def _begin(self, hand: Hand, engine: Recorded) -> None:
+        call, until = hand.call, self._until(hand.call)
+        if until > self.clock.now():
+            hand.ask = self.draw()
+            entry = Begin(hand.dot, hand.life, hand.ask)
+            await self._agree(entry, lambda: self._begun(hand) is not Begun.OPEN, until)
+        if call not in self.hands:
+            self._take_back_later(hand)  # its time is over, or its edge left
+            return
+        begun = self._begun(hand)
+        if begun is Begun.MINE and self.sharer.ready:
+            self._admit(hand, engine)
+            return
+        del self.hands[call]
+        if begun in (Begun.OPEN, Begun.MINE):
+            self._take_back_later(hand)  # it may still come through
+            engine.settle(call, self._refusal())
+        else:
+            engine.settle(call, self._verdict(hand) or self._refusal())
+
+    def _begun(self, hand: Hand) -> Begun:
+        return self.record.begun(hand.dot, hand.life, hand.ask)
+
+    def _admit(self, hand: Hand, engine: Recorded) -> None:
+        hand.admitted = True
+        engine.admit(hand.call)
+
+    # --- Before the final answer leaves -------------------------------------------------
+
+    def finish(self, call: Call, answer: Answer, engine: Recorded) -> None:
+        hand = self.hands.pop(call, None)
+        if hand is None:
+            if self.inner is not None:
+                self.inner.finish(call, answer, engine)
+            else:
+                engine.deliver(call, answer)
+        elif not hand.admitted:
+            engine.deliver(call, self._refusal())  # nothing was sent; `_begin` takes its BEGIN back
+        elif answer.ending is Ending.SERVED:
+            self._spawn(self._say_in(hand, answer, engine))
+        elif answer.ending is Ending.REFUSED or not _may_have_run(call, call.attempts):
+            self._refuse(hand, answer if answer.ending is Ending.REFUSED else self._refusal(), engine)
+        else:
+            engine.deliver(call, answer)
+
+    async def _say_in(self, hand: Hand, answer: Answer, engine: Recorded) -> None:
+        cause = Cause(*hand.dot)
+
+        def over() -> bool:
+            return self.record.fate(cause) in (Fate.IN, Fate.GONE)
+
+        entry = In(hand.dot)
+        if await self._agree(entry, over, self._until(hand.call)) and self.record.fate(cause) is Fate.IN:
+            engine.deliver(hand.call, answer)
+            return
+        engine.deliver(hand.call, Answer(Ending.FAILED, 502))
+        if not over():
+            await self._tell_on(entry, over)
+
+    def _refuse(self, hand: Hand, answer: Answer, engine: Recorded) -> None:
+        if hand.unsafe:
+            self._spawn(self._take_back_and_refuse(hand, answer, engine))
+        else:
+            engine.deliver(hand.call, answer)
+
+    async def _take_back_and_refuse(self, hand: Hand, answer: Answer, engine: Recorded) -> None:
+        """Rule 5 says why the refusal leaves either way."""
+        entry = Unbegin(hand.dot, hand.ask)
+        agreed = await self._agree(entry, lambda: self.record.undone(hand.ask), self._until(hand.call))
+        engine.deliver(hand.call, answer)
+        if not agreed:
+            await self._tell_on(entry, lambda: self.record.undone(hand.ask))
+
+    def _take_back_later(self, hand: Hand) -> None:
+        if hand.ask:
+            entry = Unbegin(hand.dot, hand.ask)
+            self._spawn(self._tell_on(entry, lambda: self.record.undone(hand.ask)))
+
+    async def _tell_on(self, entry: Entry, done: Callable[[], bool]) -> None:
+        """Rule 6."""
+        if self.later >= LATER_MOST:
+            self.counters["late"] += 1
+            return
+        self.later += 1
+        try:
+            if not await self._agree(entry, done, self.clock.now() + LATER_US):
+                self.counters["late"] += 1
+        finally:
+            self.later -= 1
+
+    async def _agree(self, entry: Entry, done: Callable[[], bool], until: int) -> bool:
+        try:
+            return await self.sharer.agree(entry, done, until)
+        except EntryError:
+            return False  # sealed, but no entry: no edge says so
+
+    def _until(self, call: Call) -> int:
+        return min(self.clock.now() + AGREE_US, call.expires - LEFT_US)
+
+    def _refusal(self) -> Answer:
+        self.counters["refused"] += 1
+        return Answer(Ending.REFUSED, 503, retry_after_us=RETRY_US)
+
+    # --- Those that leave ---------------------------------------------------------------
+
+    def gone(self, call: Call, engine: Recorded) -> None:
+        hand = self.hands.pop(call, None)
+        if hand is None:
+            if self.inner is not None:
+                self.inner.gone(call, engine)
+        elif hand.admitted and hand.unsafe:
+            # The module calls off what is out: only then it shows whether it can have run.
+            self.clock.at(self.clock.now(), self._left, hand, tuple(call.attempts))
+
+    def _left(self, hand: Hand, attempts: tuple[Attempt, ...]) -> None:
+        if not _may_have_run(hand.call, attempts):
+            self._take_back_later(hand)
+
+    # --- Asked by edges -----------------------------------------------------------------
+
+    def ask(self, call: Call) -> None:
+        """`call.start` is a sealed ask; its front is answered later."""
+        if self.asking >= ASKS_MOST:
+            call.front.answered(call, self._refusal())
+            return
+        self.asking += 1
+        self._spawn(self._ask(call))
+
+    async def _ask(self, call: Call) -> None:
+        try:
+            answer = await self._answer(call.start.decode("latin-1"))
+        finally:
+            self.asking -= 1
+        call.front.answered(call, answer)
+
+    async def _answer(self, text: str) -> Answer:
+        try:
+            ask = self.seal.open_ask(text)
+        except SealError as error:
+            return self._unsealed("an ask", error)
+        if self.sharer.ready:
+            await self._bring_about(ask)
+        if not self.sharer.ready:
+            return self._refusal()
+        record = self.record
+        answered = Answered(
+            fates=tuple(record.fate(cause) for cause in ask.fates),
+            claims=tuple(record.claimed(claim) for claim in ask.claims),
+            told=tuple(record.says(told) for told in ask.told),
+        )
+        return Answer(Ending.SERVED, 200, (TEXT,), self.seal.answered(answered, text).encode())
+
+    async def _bring_about(self, ask: Ask) -> None:
+        """What it claims and tells, as far as that is agreed within `ASK_US`."""
+        record, until = self.record, self.clock.now() + ASK_US
+        waits = []
+        for claim in ask.claims:
+            hold = record.claim_entry(claim)
+            if hold is not None:
+                waits.append(self._agree(hold, self._claimed(claim), until))
+        for told in ask.told:
+            said = record.said_entry(told)
+            if said is not None:
+                waits.append(self._agree(said, self._said(told), until))
+        await asyncio.gather(*waits)
+
+    def _claimed(self, claim: Claim) -> Callable[[], bool]:
+        return lambda: self.record.claimed(claim) is not Claimed.OPEN
+
+    def _said(self, told: Told) -> Callable[[], bool]:
+        return lambda: self.record.says(told)
+
+    def _unsealed(self, what: str, error: SealError) -> Answer:
+        """One line for the operator, and not one for each of a crowd."""
+        self.counters["bad"] += 1
+        now = self.clock.now()
+        if now >= self.told_bad + SEAL_LOG_US:
+            self.told_bad = now
+            self.log(f"outbox: {what} was refused: {error}; {error.remedy}")
+        return Answer(Ending.FAILED, 400, (TEXT,), f"{error}\n".encode())
+
+    # --- An operator's word -------------------------------------------------------------
+
+    def lose(self, edge: str, incarnation: int = 0) -> bool:
+        """Declare an edge lost, or one life of it. False if it is."""
+        line = Line(edge, incarnation or _ANY_LIFE)
+
+        def lost() -> bool:
+            return self.record.holder(line) == 0
+
+        if lost():
+            return False
+        self.log(f"outbox: {edge}: declared lost{f', its life {incarnation:016x}' if incarnation else ''}")
+        self._spawn(self._tell_on(Lost(edge, incarnation), lost))
+        return True
+
+
+def _may_have_run(call: Call, attempts: Sequence[Attempt]) -> bool:
+    """Of an upload, any part that an endpoint had counts."""
+    if call.upload is not None and call.upload.begun:
+        return True
+    return any(attempt.out or attempt.may_have_run for attempt in attempts)
