Switch on what copies share of kept writes: settings, wiring, operators' calls

outbox.shared and outbox.upstream, each with what it needs told in one line; every copy in accord carries the record and passes its words on, also where it shares nothing; a copy's own outbox reads the record and tells it. POST /api/outbox/lost and /claim.

--- a/woadyard/daemon.py
+++ b/woadyard/daemon.py
@@ -15,7 +15,7 @@
 from woadyard.net.assembly import Assembly
 from woadyard.net.collector import Collector
 from woadyard.net.discovery import Discovery
-from woadyard.net.message import log
+from woadyard.net.message import LARGE_MAX, log
 from woadyard.net.server import Server
 from woadyard.net.slices import Slices
 from woadyard.orders import open_recorder
@@ -23,11 +23,16 @@
 
 if TYPE_CHECKING:
     from woadyard.accord.node import Node
+    from woadyard.accord.parts import Parts
+    from woadyard.accord.ports import Machine
+    from woadyard.engine.ports import Recorder
     from woadyard.handover.giver import Giver
     from woadyard.handover.place import Place
     from woadyard.handover.taker import Taken
     from woadyard.management.server import Management
     from woadyard.outbox.driver import OutboxDriver
+    from woadyard.outbox.shared.assembly import Shared
+    from woadyard.outbox.shared.carried import Carried
     from woadyard.upkeep.assembly import Upkeep
     from woadyard.workers.child import Seat
 
@@ -88,18 +93,23 @@
         self.node: Node | None = None
         self.upkeep: Upkeep | None = None
         self.outbox: OutboxDriver | None = None
+        self.shared: Shared | None = None  # what copies share of kept writes
+        self.carried: Carried | None = None  # the same, where this copy does not
+        self.node_parts: Parts | None = None
         self.leaving = False
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def run(self, read_config: ReadConfig, seat: Seat | None = None) -> None:
         """Until a stop is over. `ConfigError` if it can't begin."""
         config = self.config
-        recorder = None
+        orders = None
         if config.orders is not None:
-            recorder = await open_recorder(config.orders, config.names.classes, log)
+            orders = await open_recorder(config.orders, config.names.classes, log)
+        self.shared = self._sharing()
         self.outbox = await self._outbox()
         self.upkeep = self._upkeep()
         self.node = self._shared()
+        recorder = self._recorder(orders)
         holding = None if self.upkeep is None else self.upkeep.hold
         self.parts = Assembly(self.loop, config, log, recorder, collector=Collector(), holding=holding)
         self.parts.start()
@@ -114,6 +124,7 @@
         if self.outbox is not None:
             self.outbox.begin(self.parts.engine)
             self.server.receipts = self.outbox.ask
+        self._begin_sharing(alone=orders is None)
         await self._take_part()
         if self.upkeep is not None:
             self._heed_signals(read_config)  # a start may have to wait
@@ -130,11 +141,13 @@
         self.leaving = True
         if self.outbox is not None:
             await self.outbox.close()  # what is out may still be answered
+        if self.shared is not None:
+            await self.shared.close()
         self._close()
         if self.node is not None:
             await self.node.close()
-        if recorder is not None:
-            await recorder.close()
+        if orders is not None:
+            await orders.close()
 
     def stop(self) -> None:
         if self.lifecycle.phase is Phase.STARTING:  # nobody was taken yet
@@ -173,13 +186,20 @@
         # Imported where it is on.
         from woadyard.accord.machines import Machines
         from woadyard.accord.node import check_folder, node_of
+        from woadyard.accord.parts import Parts
         from woadyard.engine.clock import LoopClock
+        from woadyard.outbox.shared.entries import KIND as KEPT_WRITES
         from woadyard.upkeep.assembly import carried
 
         try:
             check_folder(settings.store_path)
-            machines = Machines(carried() if self.upkeep is None else self.upkeep.machines)
-            return node_of(settings, machines, self.loop, LoopClock(self.loop), log)
+            clock = LoopClock(self.loop)
+            upkeep = carried() if self.upkeep is None else self.upkeep.machines
+            node = node_of(settings, Machines(upkeep | self._machines()), self.loop, clock, log)
+            self.node_parts = Parts(node)
+            if self.carried is not None:
+                self.carried.join(self.node_parts.part(KEPT_WRITES), clock)
+            return node
         except ImportError as error:
             problem = f"{error.name} is missing: pip install 'laurelstep[store]'"
         except OSError as error:
@@ -198,8 +218,47 @@
             listen = self.config.accord.listen if self.config.accord is not None else ""
             problem = f"{listen}: {error.strerror}: expected where this process may listen, on this machine"
             raise ConfigError(f"{self._file}accord.peer_listen: {problem}") from None
-        if self.upkeep is not None:
-            self.upkeep.begin(self.node, self.parts.engine, self._is_alone)
+        if self.upkeep is not None and self.node_parts is not None:
+            from woadyard.upkeep.entries import KIND
+
+            self.upkeep.begin(self.node_parts.part(KIND), self.parts.engine, self._is_alone)
+
+    def _sharing(self) -> Shared | None:
+        """What upstream's copies share of edges' kept writes, not yet begun; None where it is off."""
+        if self.config.outbox is None or not self.config.outbox.shared:
+            return None
+        # Imported where it is on.
+        try:
+            from woadyard.outbox.shared.assembly import Shared
+        except ImportError as error:
+            missing = f"{error.name} is missing: pip install 'laurelstep[store]'"
+            raise ConfigError(f"{self._file}outbox.shared: {missing}") from None
+        return Shared(self.loop, self.config, log)
+
+    def _machines(self) -> dict[int, Machine]:
+        """The record's part of kept writes: every copy that takes part carries it."""
+        if self.shared is not None:
+            return self.shared.machines
+        from woadyard.outbox.shared.carried import Carried
+
+        self.carried = Carried()
+        return self.carried.machines
+
+    def _recorder(self, orders: Recorder | None) -> Recorder | None:
+        """That of `[orders]`, behind the gate for edges' replays where there is one."""
+        if self.shared is None or self.outbox is None or self.node_parts is None:
+            return orders
+        from woadyard.outbox.shared.entries import KIND
+
+        return self.shared.join(self.node_parts.part(KIND), self.outbox, orders)
+
+    def _begin_sharing(self, alone: bool) -> None:
+        if self.shared is None or self.shared.gate is None:
+            return
+        if alone:
+            self.server.body_most = LARGE_MAX  # the gate holds no bodies
+        self.server.shared = self.shared.gate.ask
+        self.shared.begin()
 
     async def _outbox(self) -> OutboxDriver | None:
         """The writes kept by earlier lives; None where it is off. `ConfigError` if they can't be read."""
@@ -212,7 +271,8 @@
         except ImportError as error:
             missing = f"{error.name} is missing: pip install 'laurelstep[store]'"
             raise ConfigError(f"{self._file}outbox: {missing}") from None
-        return await open_driver(settings, names.classes, names.tenants, log, self._file)
+        frontier = None if self.shared is None else self.shared.frontier
+        return await open_driver(settings, names.classes, names.tenants, log, self._file, frontier)
 
     def _upkeep(self) -> Upkeep | None:
         """Machines out for work, not yet begun; None where it is off, or has nothing to rest on."""
@@ -308,9 +368,10 @@
         if self.upkeep is not None:
             subsystems.append(self.upkeep.reply)
         if self.outbox is not None:
-            from woadyard.outbox.calls import reply_about
+            from woadyard.outbox.calls import Claimer, reply_about
 
-            subsystems.append(partial(reply_about, desk=self.outbox))
+            claimer = self.shared or (self.outbox if isinstance(self.outbox, Claimer) else None)
+            subsystems.append(partial(reply_about, desk=self.outbox, shared=self.shared, claimer=claimer))
 
         def more(method: bytes, target: bytes) -> Reply | None:
             found = (one(method, target) for one in subsystems)
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -248,7 +248,7 @@
         return call_from(method, self.target, self.headers, engine.names, engine.settings, self, most)
 
     def _asking(self, method: bytes, path: bytes, what: str) -> Call:
-        """Asked of the outbox: a call that is not open, as the engine never has it. Its `order` is the path."""
+        """Asked of the outbox: a call that is not open, as the engine never has it; `order` is the path."""
         if body_length(checked(self.headers)):
             raise BadRequestError(400, f"asking for {what} has no body")
         if method != b"GET":
--- a/woadyard/outbox/calls.py
+++ b/woadyard/outbox/calls.py
@@ -3,26 +3,33 @@
 Rules that everything here serves:
 
 1. `GET /api/outbox` tells how much is kept, whether the edge is cut off, and the first parked writes.
+   Where copies share what is in, also what their record holds.
 2. `POST /api/outbox/judge` says what became of one: `write`, `parking` and `verdict` (`ran`, `never_ran`,
    `give_up`) as query parameters. It names the parking, so that a verdict given twice holds once.
-3. 202: it is being written, and `GET` tells when it holds; 200: this verdict was given already; 400, 404 and
+3. `POST /api/outbox/lost` with `edge`, and `incarnation` in 16 hex digits for one of its lives alone, at a
+   copy that shares: that edge will not come back, and what of it is not in is given up. Never taken back.
+4. `POST /api/outbox/claim` with `line` as `edge/incarnation`, where a former life's line is fenced: of the
+   processes that have copies of this disk, this one replays it.
+5. 202: it is being written, and `GET` tells when it holds; 200: it was said already; 400, 404 and
    409: the error's name, cause and remedy, and nothing was changed.
 """
 
 from __future__ import annotations
 
-from typing import Any, Final, Protocol
+from typing import Any, Final, Protocol, runtime_checkable
 from urllib.parse import parse_qs
 
 import msgspec
 
 from woadyard.errors import LaurelstepError
 from woadyard.management.calls import Reply
+from woadyard.outbox.dots import Line, check_edge, read_dot
 from woadyard.outbox.errors import OutboxError, UnknownWriteError, VerdictError
 from woadyard.outbox.journal import Verdict
 
 ROOT: Final = b"/api/outbox"
-METHODS: Final = {ROOT: b"GET", ROOT + b"/judge": b"POST"}
+JUDGE, LOST, CLAIM = ROOT + b"/judge", ROOT + b"/lost", ROOT + b"/claim"
+METHODS: Final = {ROOT: b"GET", JUDGE: b"POST", LOST: b"POST", CLAIM: b"POST"}
 JSON_TYPE: Final = b"application/json"
 FIELDS: Final = ("write", "parking", "verdict")
 VERDICTS: Final = {one.name.lower(): one for one in Verdict}
@@ -37,15 +44,41 @@
         """False if it was given already. `OutboxError`."""
 
 
+class Loser(Protocol):
+    """What copies share, as calls know it."""
+
+    def lose(self, edge: str, incarnation: int) -> bool:
+        """An edge is lost, or with an incarnation one life of it. False if that was said already."""
+
+    def status(self) -> dict[str, Any]: ...
+
+
+@runtime_checkable
+class Claimer(Protocol):
+    """Who holds lines of former lives, as calls know it."""
+
+    def claim(self, line: Line) -> bool:
+        """False if it is held. `UnknownWriteError`."""
+
+
 class OutboxCallError(OutboxError):
     """A call that can't be understood."""
 
     cause = "a call about a kept write can't be understood; nothing was changed"
-    remedy = "give write, parking and verdict, once each, as GET /api/outbox tells them"
+    remedy = "give what the call needs, once each, as GET /api/outbox and the operators' page tell it"
 
 
-def reply_about(method: bytes, target: bytes, desk: Desk) -> Reply | None:
-    """None for what is no call of the outbox's."""
+class UnsharedError(OutboxError):
+    """A call about what copies share, where none do."""
+
+    cause = "a call is about what copies upstream share of kept writes, and this process has no part in it"
+    remedy = "call a copy upstream that has outbox.shared on, or the edge whose line it is"
+
+
+def reply_about(
+    method: bytes, target: bytes, desk: Desk, shared: Loser | None = None, claimer: Claimer | None = None
+) -> Reply | None:
+    """None for what is no call of the outbox's. `shared`: at a copy that shares."""
     path, _, query = target.partition(b"?")
     expected = METHODS.get(path)
     if expected is None:
@@ -53,14 +86,27 @@
     if method != expected:
         return Reply(405, f"call it with {expected.decode()}\n", allow=expected)
     if path == ROOT:
-        return _json(200, desk.status())
+        told = desk.status()
+        return _json(200, told if shared is None else {**told, "shared": shared.status()})
     try:
-        is_new = desk.judge(*_read(query))
+        is_new = _act(path, query, desk, shared, claimer)
     except LaurelstepError as error:
         return _json(_status(error), _told(error))
     return _json(202 if is_new else 200, {"state": "being written" if is_new else "given already"})
 
 
+def _act(path: bytes, query: bytes, desk: Desk, shared: Loser | None, claimer: Claimer | None) -> bool:
+    if path == JUDGE:
+        return desk.judge(*_read(query))
+    if path == LOST:
+        if shared is None:
+            raise UnsharedError("edges are declared lost where outbox.shared is on")
+        return shared.lose(*_read_lost(query))
+    if claimer is None:
+        raise UnsharedError("lines are claimed where outbox.shared is on, or outbox.upstream is 'copies'")
+    return claimer.claim(_read_line(query))
+
+
 def _status(error: LaurelstepError) -> int:
     if isinstance(error, UnknownWriteError):
         return 404
@@ -78,15 +124,49 @@
 
 
 def _read(query: bytes) -> tuple[str, int, Verdict]:
-    try:
-        given = parse_qs(query.decode("ascii"), strict_parsing=True, max_num_fields=len(FIELDS))
-    except ValueError as error:
-        raise OutboxCallError(f"the query can't be read: {error}") from None
-    if sorted(given) != sorted(FIELDS) or any(len(values) != 1 for values in given.values()):
-        raise OutboxCallError(f"expected {', '.join(FIELDS)}, once each, and nothing else")
-    write, parking, verdict = (given[name][0] for name in FIELDS)
+    given = _fields(query, FIELDS)
+    write, parking, verdict = (given[name] for name in FIELDS)
     if not parking.isdecimal() or not parking.isascii() or len(parking) > 9:
         raise OutboxCallError(f"parking: expected a number, got {parking[:40]!r}")
     if verdict not in VERDICTS:
         raise OutboxCallError(f"verdict: expected one of {', '.join(VERDICTS)}, got {verdict[:40]!r}")
     return write, int(parking), VERDICTS[verdict]
+
+
+def _read_lost(query: bytes) -> tuple[str, int]:
+    given = _fields(query, ("edge",), ("incarnation",))
+    life = given.get("incarnation")
+    if life is not None:
+        return _line(f"{given['edge']}/{life}")
+    try:
+        return check_edge(given["edge"]), 0
+    except ValueError as error:
+        raise OutboxCallError(f"edge: {error}") from None
+
+
+def _read_line(query: bytes) -> Line:
+    return _line(_fields(query, ("line",))["line"])
+
+
+def _line(text: str) -> Line:
+    try:
+        line = read_dot(f"{text}/1").line
+    except OutboxError:
+        line = Line("", 0)
+    if not line.incarnation:
+        raise OutboxCallError(f"expected an edge's name and a life in 16 hex digits, got {text[:60]!r}")
+    return line
+
+
+def _fields(query: bytes, needed: tuple[str, ...], others: tuple[str, ...] = ()) -> dict[str, str]:
+    """Each once, and nothing else."""
+    try:
+        most = len(needed) + len(others)
+        given = parse_qs(query.decode("ascii"), strict_parsing=True, max_num_fields=most)
+    except ValueError as error:
+        raise OutboxCallError(f"the query can't be read: {error}") from None
+    names = set(given)
+    if not set(needed) <= names <= {*needed, *others} or any(len(values) != 1 for values in given.values()):
+        told = ", ".join(needed) + "".join(f" and maybe {name}" for name in others)
+        raise OutboxCallError(f"expected {told}, once each, and nothing else")
+    return {name: values[0] for name, values in given.items()}
--- a/woadyard/outbox/driver.py
+++ b/woadyard/outbox/driver.py
@@ -30,7 +30,7 @@
 from woadyard.net.message import lines as lines_of
 from woadyard.net.request import hint, key_of
 from woadyard.orders.book import another_body, digest_of, may_have_run
-from woadyard.outbox.causes import Cause, Causes, Fate, Tokens
+from woadyard.outbox.causes import Cause, Causes, Fate, Frontier, Tokens
 from woadyard.outbox.cutoff import CutOff, CutOffRule
 from woadyard.outbox.dots import Dot, Line, read_dot
 from woadyard.outbox.errors import (
@@ -131,7 +131,12 @@
 
     @classmethod
     async def open(
-        cls, settings: OutboxSettings, classes: Mapping[str, int], tenants: Mapping[str, int], log: Log
+        cls,
+        settings: OutboxSettings,
+        classes: Mapping[str, int],
+        tenants: Mapping[str, int],
+        log: Log,
+        frontier: Frontier | None = None,
     ) -> OutboxDriver:
         """With all that earlier lives kept. `StoreError` or `OutboxError` if that can't be read, OSError
         or ValueError if the secret can't be."""
@@ -154,7 +159,7 @@
                 for name, one in settings.classes.items()
             }
             line = Line(settings.edge, store.incarnation)
-            outbox = Outbox(line, kept, bounds, tokens, Alone(settings.edge))
+            outbox = Outbox(line, kept, bounds, tokens, frontier or Alone(settings.edge))
             self = cls(store, outbox, tokens, settings, classes, tenants, log)
             await self._restore()
         except BaseException:
@@ -579,7 +584,12 @@
 
 
 async def open_driver(
-    settings: OutboxSettings, classes: Mapping[str, int], tenants: Mapping[str, int], log: Log, file: str = ""
+    settings: OutboxSettings,
+    classes: Mapping[str, int],
+    tenants: Mapping[str, int],
+    log: Log,
+    file: str = "",
+    frontier: Frontier | None = None,
 ) -> OutboxDriver:
     """As `OutboxDriver.open`; `ConfigError` with the key, `file` before it, if that can't be."""
     if settings.secret_file:
@@ -589,7 +599,7 @@
             problem = f"{error.strerror}: expected a file that this user may read"
             raise ConfigError(f"{file}outbox.secret_file: {settings.secret_file}: {problem}") from None
     try:
-        return await OutboxDriver.open(settings, classes, tenants, log)
+        return await OutboxDriver.open(settings, classes, tenants, log, frontier)
     except ValueError as error:
         if isinstance(error, OutboxError):
             raise ConfigError(f"{file}outbox.store_path: {settings.store_path}: {error}") from None
--- a/woadyard/outbox/options.py
+++ b/woadyard/outbox/options.py
@@ -86,3 +86,22 @@
         if os.path.commonpath((mine, other)) in (mine, other):
             return f"outbox.store_path: expected a folder outside that of {key}, {path!r}"
     return None
+
+
+def shared_problem(settings: OutboxSettings, accord_path: str | None) -> str | None:
+    """Why it can't share, or can't be an edge of copies: `accord_path` is `accord.store_path`, None without
+    the table `[accord]`."""
+    if settings.shared and settings.upstream == "copies":
+        # An edge's write would have a name in its copies' record, and none in that of the copies beyond: a
+        # repeat that goes through another copy would run there as another write.
+        return (
+            "outbox.shared: expected false where outbox.upstream is 'copies': a copy's endpoints are servers"
+        )
+    if settings.shared and accord_path is None:
+        return "outbox.shared: expected the table [accord]: what is in is agreed there"
+    if settings.shared and not accord_path:
+        return "accord.store_path: expected a folder where outbox.shared is on: what is in must last"
+    if (settings.shared or settings.upstream == "copies") and not settings.secret_file:
+        why = "outbox.shared is on" if settings.shared else "outbox.upstream is 'copies'"
+        return f"outbox.secret_file: expected the file of the edges' and copies' common secret, as {why}"
+    return None
--- /dev/null
+++ b/woadyard/outbox/shared/carried.py
@@ -0,0 +1,33 @@
+"""What each copy that takes part in accord has of kept writes, also one that shares none itself.
+
+It may come to lead. Without the machine its snapshot would make the others forget; without the sharer their
+words would come to nothing."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from woadyard.accord.parts import Part
+from woadyard.accord.ports import Machine
+from woadyard.engine.ports import Clock
+from woadyard.outbox.shared.entries import KIND
+from woadyard.outbox.shared.record import Record
+from woadyard.outbox.shared.sharer import Sharer
+
+__all__ = ["Carried"]
+
+
+class Carried:
+    def __init__(self) -> None:
+        self.record: Final = Record()
+        self.machines: Final[dict[int, Machine]] = {KIND[0]: self.record}
+        self.sharer: Sharer | None = None
+
+    def join(self, part: Part, clock: Clock) -> Sharer:
+        """`part`: that of `KIND`."""
+        self.sharer = Sharer(part, self.record, clock)
+        return self.sharer
+
+    def close(self) -> None:
+        if self.sharer is not None:
+            self.sharer.close()
--- a/woadyard/outbox/shared/gate.py
+++ b/woadyard/outbox/shared/gate.py
@@ -9,8 +9,8 @@
    one needs none: upstream tells its repeats apart.
 4. Before a served answer leaves, IN is agreed; otherwise the edge hears that it may have run.
 5. Of an ask that sent nothing and never will, UNBEGIN is agreed before its refusal leaves. Where it is not in
-   time, the refusal leaves all the same: it is true, as the call is over and nothing of it can be sent any
-   more. What stands in the record can only make the next ask hear that the write may have run, until the
+   time, the refusal leaves all the same: it is true, as the call is over and nothing of it can be sent
+   any more. What stands in the record can only make the next ask hear that the write may have run, until the
    UNBEGIN, which is told on, has come through. So no retry can run it twice.
 6. What was not agreed in time is told on for `LATER_US`, by `LATER_MOST` at a time. What is given up is on the
    safe side: begun, and not in.
@@ -58,8 +58,8 @@
 LATER_MOST: Final = 256
 # When an edge may come again.
 RETRY_US: Final = 1_000_000
-# Between two lines about seals that can't be read.
-SEAL_LOG_US: Final = 10_000_000
+# Between two lines about replays and asks that were refused for what they are.
+COMPLAIN_US: Final = 10_000_000
 # Of an edge that is lost every line is, also one that never was: this one stands for all.
 _ANY_LIFE: Final = (1 << 64) - 1
 
@@ -100,8 +100,8 @@
 
 
 class Gate:
-    """The engine's `Recorder` at a copy upstream. `classes`: those that may be kept, by number, and whether a
-    write of each is unsafe."""
+    """The engine's `Recorder` at a copy upstream. `classes`: those that edges may keep, by number, and
+    whether a write of each is unsafe."""
 
     def __init__(
         self,
@@ -126,7 +126,7 @@
         self.asking = 0
         self.later = 0
         self.counters = {"replays": 0, "in": 0, "fenced": 0, "begun": 0, "refused": 0, "late": 0, "bad": 0}
-        self.told_bad = -SEAL_LOG_US
+        self.complained = -COMPLAIN_US
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def close(self) -> None:
@@ -148,7 +148,7 @@
 
     def begin(self, call: Call, engine: Recorded) -> bool:
         sealed = call.causes[3] if len(call.causes) > 3 else b""
-        if not sealed or call.cls not in self.classes:
+        if not sealed:
             return self.inner is not None and self.inner.begin(call, engine)
         try:
             replayed = self.seal.open_replayed(sealed.decode("latin-1"))
@@ -156,6 +156,12 @@
             engine.settle(call, self._unsealed("a kept write's name", error))
             return True
         self.counters["replays"] += 1
+        if call.cls not in self.classes:
+            self._complain(
+                f"{replayed.dot.edge}: a kept write of a class that [orders] records here was refused"
+            )
+            engine.settle(call, self._refusal())
+            return True
         unsafe = replayed.unsafe or self.classes[call.cls]
         hand = Hand(call, replayed.dot, replayed.life, unsafe)
         verdict = self._verdict(hand)
@@ -358,14 +364,17 @@
         return lambda: self.record.says(told)
 
     def _unsealed(self, what: str, error: SealError) -> Answer:
-        """One line for the operator, and not one for each of a crowd."""
         self.counters["bad"] += 1
-        now = self.clock.now()
-        if now >= self.told_bad + SEAL_LOG_US:
-            self.told_bad = now
-            self.log(f"outbox: {what} was refused: {error}; {error.remedy}")
+        self._complain(f"{what} was refused: {error}; {error.remedy}")
         return Answer(Ending.FAILED, 400, (TEXT,), f"{error}\n".encode())
 
+    def _complain(self, text: str) -> None:
+        """One line for the operator, and not one for each of a crowd."""
+        now = self.clock.now()
+        if now >= self.complained + COMPLAIN_US:
+            self.complained = now
+            self.log(f"outbox: {text}")
+
     # --- An operator's word -------------------------------------------------------------
 
     def lose(self, edge: str, incarnation: int = 0) -> bool:
--- /dev/null
+++ b/woadyard/outbox/shared/own.py
@@ -0,0 +1,194 @@
+"""The frontier of a copy's own outbox, where upstream's copies share: the record is read, and told by accord.
+
+The rules:
+
+1. What the record says of other lines is read as it is here. In and gone are final, so a copy that is behind
+   knows less, and nothing that is false.
+2. A line is replayed only while this copy knows the record, is in touch, and holds the line there. That of
+   this life is its own; that of a former life is claimed first, once something of it is to be sent or told.
+3. A claim names all lives that this disk has known. Each of them has a line in the store before it does
+   anything, this life too; so a copy of the disk that was started apart names fewer, and is fenced.
+4. What becomes of own writes is told until the record says so, in the order in which it was told here. "All
+   up to a number are over" waits until those given up on its line are told: else they would be taken for in.
+5. At most `SAID_MOST` are to be told; one more finds no room, and is told again later.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Hashable, Iterable
+from typing import Final, Protocol
+
+import msgspec
+
+from woadyard.engine.ports import Clock, Handle, Log
+from woadyard.outbox.causes import Cause, Fate
+from woadyard.outbox.dots import Dot, Line
+from woadyard.outbox.shared.entries import Entry, Hold, Said
+from woadyard.outbox.shared.terms import Claim, Claimed, Frontiers, Told
+
+__all__ = ["OwnFrontier"]
+
+SAID_MOST: Final = 4_096
+# Entries on their way at a time, and how long each is told before it is looked at again.
+OUT_MOST: Final = 16
+AGREE_US: Final = 5_000_000
+TURN_US: Final = 1_000_000
+# Changes of the record that come together are heard of once.
+SOON_US: Final = 20_000
+
+
+class Ledger(Frontiers, Protocol):
+    def claim_entry(self, claim: Claim) -> Hold | None: ...
+
+    def said_entry(self, told: Told) -> Said | None: ...
+
+
+class Sharing(Protocol):
+    @property
+    def ready(self) -> bool: ...
+
+    def agree(self, entry: Entry, done: Callable[[], bool], until: int) -> asyncio.Future[bool]: ...
+
+
+class OwnFrontier:
+    """A `Frontier` and a `Teller`. Made before the outbox is opened; `begin` once it is."""
+
+    def __init__(self, record: Ledger, clock: Clock, log: Log) -> None:
+        self.record = record
+        self.clock = clock
+        self.log = log
+        self.sharer: Sharing | None = None
+        self.life = 0
+        self.changed: Callable[[], None] = lambda: None
+        self.claims: dict[Line, Claim] = {}  # of all former lives
+        self.wanted: set[Line] = set()
+        self.fenced: set[Line] = set()
+        self.said: dict[Cause, tuple[Dot, Fate]] = {}
+        self.out: dict[Hashable, asyncio.Future[bool]] = {}
+        self.timer: Handle | None = None
+        self.soon: Handle | None = None
+
+    def begin(self, sharer: Sharing, line: Line, lines: Iterable[Line], changed: Callable[[], None]) -> None:
+        """`line`: of this life; `lines`: all that this disk has known, durable. `changed` is called when the
+        record has."""
+        self.sharer = sharer
+        self.life = line.incarnation
+        self.changed = changed
+        known = tuple(one.incarnation for one in lines if one != line)
+        self.claims = {one: Claim(one, self.life, known) for one in lines if one != line}
+        self._turn()
+
+    def close(self) -> None:
+        for handle in (self.timer, self.soon):
+            if handle is not None:
+                handle.cancel()
+        for future in list(self.out.values()):
+            future.cancel()
+
+    # --- Frontier and Teller ------------------------------------------------------------
+
+    def fate(self, cause: Cause) -> Fate:
+        return self.record.fate(cause)
+
+    def holds(self, line: Line) -> bool:
+        self._want(line)
+        return self.sharer is not None and self.sharer.ready and self._is_mine(line)
+
+    def tell(self, dot: Dot, fate: Fate) -> bool:
+        cause = Cause(*dot)
+        if cause not in self.said and len(self.said) >= SAID_MOST:
+            return False
+        self.said.pop(cause, None)
+        self.said[cause] = dot, fate
+        self._want(dot.line)
+        return True
+
+    def low(self, line: Line, number: int) -> bool:
+        self.said[Cause(*line, 0, True)] = Dot(*line, number), Fate.IN
+        self._want(line)
+        return True
+
+    def force(self, line: Line) -> bool:
+        """An operator says that this disk is the right one. False if it holds the line; KeyError if it never
+        knew it."""
+        claim = self.claims[line]
+        if self._is_mine(line):
+            return False
+        self.claims[line] = msgspec.structs.replace(claim, force=True)
+        self.fenced.discard(line)
+        self._want(line)
+        self.heard()
+        return True
+
+    def _want(self, line: Line) -> None:
+        if line not in self.wanted:
+            self.wanted.add(line)
+            if self.sharer is not None:
+                self.heard()
+
+    def _is_mine(self, line: Line) -> bool:
+        return self.record.holder(line) == self.life
+
+    # --- Turns --------------------------------------------------------------------------
+
+    def heard(self) -> None:
+        """The record has changed, or how it is in touch."""
+        if self.soon is None:
+            self.soon = self.clock.at(self.clock.now() + SOON_US, self._look)
+
+    def _look(self) -> None:
+        self.soon = None
+        self._turn()
+        self.changed()
+
+    def _turn(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.clock.at(self.clock.now() + TURN_US, self._turn)
+        if self.sharer is None or not self.sharer.ready:
+            return
+        for line in sorted(self.wanted & self.claims.keys()):
+            self._claim(line, self.claims[line])
+        waiting = {cause.line for cause, (_, fate) in self.said.items() if fate is Fate.GONE}
+        for cause in list(self.said):
+            if not (cause.before and cause.line in waiting):
+                self._say(cause)
+
+    def _claim(self, line: Line, claim: Claim) -> None:
+        became = self.record.claimed(claim)
+        if became is Claimed.HELD and claim.force:  # an operator's word counts once
+            self.claims[line] = msgspec.structs.replace(claim, force=False)
+        if became is Claimed.FENCED and line not in self.fenced:
+            self.fenced.add(line)
+            self.log(
+                f"outbox: {line.edge}/{line.incarnation:016x}: fenced: another process with a copy of this "
+                "disk replays it, or it is lost; stop one of the two"
+            )
+        entry = self.record.claim_entry(claim)
+        if entry is not None:
+            self._agree(line, entry, lambda: self.record.claimed(claim) is not Claimed.OPEN)
+
+    def _say(self, cause: Cause) -> None:
+        if not self._is_mine(cause.line):
+            if cause.line in self.fenced:
+                del self.said[cause]  # nobody would believe it
+            return
+        dot, fate = self.said[cause]
+        told = Told(dot, fate, self.life, cause.before)
+        entry = self.record.said_entry(told)
+        if entry is None:
+            del self.said[cause]
+        else:
+            self._agree(cause, entry, lambda: self.record.says(told))
+
+    def _agree(self, key: Hashable, entry: Entry, done: Callable[[], bool]) -> None:
+        if key in self.out or len(self.out) >= OUT_MOST or self.sharer is None:
+            return
+        future = self.out[key] = self.sharer.agree(entry, done, self.clock.now() + AGREE_US)
+        future.add_done_callback(lambda _: self._agreed(key))
+
+    def _agreed(self, key: Hashable) -> None:
+        del self.out[key]
+        if self.timer is not None:
+            self.heard()
--- a/woadyard/settings/operator.py
+++ b/woadyard/settings/operator.py
@@ -16,7 +16,16 @@
 
 from woadyard.accord.options import AccordSettings, LinkKind, problem_of, seats_for
 from woadyard.orders.book import OrderClass, Orders
-from woadyard.outbox.options import How, KeptClass, Lost, OutboxSettings, class_problem, store_problem
+from woadyard.outbox.options import (
+    How,
+    KeptClass,
+    Lost,
+    OutboxSettings,
+    Upstream,
+    class_problem,
+    shared_problem,
+    store_problem,
+)
 from woadyard.settings.config import Config, ConfigError, Join, address, config_from
 from woadyard.upkeep.options import StartAlone, UpkeepSettings
 
@@ -36,6 +45,7 @@
     "start_alone": get_args(StartAlone),
     "keep": get_args(How),
     "lost": get_args(Lost),
+    "upstream": get_args(Upstream),
 }
 
 Count = Annotated[int, msgspec.Meta(ge=1)]
@@ -334,6 +344,8 @@
     back_ms: Annotated[int, msgspec.Meta(ge=10)] = 1_000
     replay_most: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 8
     lost: Lost = "park"
+    upstream: Upstream = "servers"
+    shared: bool = False
 
     def problem(self) -> str | None:
         names = [one.name for one in self.classes]
@@ -368,6 +380,8 @@
             back_us=self.back_ms * 1000,
             replay_most=self.replay_most,
             lost=self.lost,
+            upstream=self.upstream,
+            shared=self.shared,
         )
 
 
@@ -394,7 +408,12 @@
             "orders.store_path": "" if self.orders is None else self.orders.store_path,
             "accord.store_path": "" if self.accord is None else self.accord.store_path,
         }
-        return self.outbox.problem() or store_problem(self.outbox.store_path, others)
+        accord_path = None if self.accord is None else self.accord.store_path
+        return (
+            self.outbox.problem()
+            or store_problem(self.outbox.store_path, others)
+            or shared_problem(self.outbox.settings(), accord_path)
+        )
 
     def _workers_problem(self) -> str | None:
         if self.workers is None:
@@ -451,7 +470,11 @@
             )
             for name, one in settings.classes.items()
         }
-        config.names.keepable = frozenset(config.names.classes[name] for name in classes)
+        # A copy upstream minds what its edges keep, whether it would keep that itself or not.
+        minded = [one for one, (effect, _, _) in effects.items() if effect != "safe"]
+        config.names.keepable = frozenset(
+            config.names.classes[one] for one in (minded if settings.shared else classes)
+        )
         send_us = max(rules[name].deadline_us for name in classes)
         return replace(config, outbox=replace(settings, classes=classes, send_us=send_us))
 
@@ -480,6 +503,9 @@
             told = str(error).startswith(("peer_listen:", "peers:", "me:"))
             where = f"{source}: " if source and told else f"{path}: accord."
             raise ConfigError(f"{where}{error}") from None
+        if config.outbox is not None and config.outbox.shared and not accord.is_linked:
+            problem = f"expected them where outbox.shared is on in {path}"
+            raise ConfigError(f"{source}: peers, peer_listen: {problem}")
         return replace(config, accord=accord, upkeep=None if self.upkeep is None else self.upkeep.settings())
 
 
