Test what an edge hears at the gate, row by row of the design's table

Need: the table in the design note is the gate's promise. Change: a test for each row, on a real engine with made time.

--- /dev/null
+++ b/tests/test_shared_gate.py
@@ -0,0 +1,788 @@
+"""The gate at a copy upstream: what an edge hears of its replay, and when; the test times what is agreed."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from tests.fakes import Answers, ManualClock, PlayedUpstream, Sent, entry
+from woadyard.engine import Answer, Call, Ending, Engine
+from woadyard.engine.flow import Flow
+from woadyard.engine.given import GivenMembers
+from woadyard.engine.names import Names
+from woadyard.engine.ports import Recorded
+from woadyard.interface import ERROR, FULL, KEYED, OK, RESET, UNSAFE, RequestClass, Settings
+from woadyard.outbox.causes import Cause, Fate
+from woadyard.outbox.dots import Dot, Line
+from woadyard.outbox.shared.entries import Begin, Entry, Hold, In, Lost, Said, Unbegin, pack
+from woadyard.outbox.shared.gate import ASK_US, ASKS_MOST, COMPLAIN_US, LATER_MOST, LATER_US, Gate
+from woadyard.outbox.shared.record import Record
+from woadyard.outbox.shared.seal import Seal
+from woadyard.outbox.shared.terms import (
+    FATE_HEADER,
+    Answered,
+    Ask,
+    Begun,
+    Claim,
+    Claimed,
+    Replayed,
+    Told,
+)
+
+SECRET = b"of the edges and of the copies"
+SEAL = Seal(SECRET)
+LIFE, LATER_LIFE = 7, 8
+LINE = Line("edge-1", LIFE)
+DOT = Dot("edge-1", LIFE, 3)
+PAY, PUT, POST = 0, 1, 2
+DEADLINE_US = 2_000_000
+
+
+class Agreed:
+    """A sharer whose entries are agreed when the test says so."""
+
+    def __init__(self, record: Record, clock: ManualClock) -> None:
+        self.record = record
+        self.clock = clock
+        self.ready = True
+        self.index = 0
+        self.waiting: list[tuple[Entry, Callable[[], bool], asyncio.Future[bool]]] = []
+
+    def agree(self, entry: Entry, done: Callable[[], bool], until: int) -> asyncio.Future[bool]:
+        pack(entry)
+        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        if done():
+            future.set_result(True)
+        elif until <= self.clock.now():
+            future.set_result(False)
+        else:
+            self.waiting.append((entry, done, future))
+            self.clock.at(until, self._end, future)
+        return future
+
+    def _end(self, future: asyncio.Future[bool]) -> None:
+        if not future.done():
+            future.set_result(False)
+        self._look()
+
+    def _look(self) -> None:
+        for _, done, future in self.waiting:
+            if not future.done() and done():
+                future.set_result(True)
+        self.waiting = [one for one in self.waiting if not one[2].done()]
+
+    @property
+    def asked(self) -> list[Entry]:
+        return [one for one, _, _ in self.waiting]
+
+    def land(self, *entries: Entry) -> None:
+        """These are agreed now; or all that is asked for."""
+        for one in entries or self.asked:
+            self.index += 1
+            self.record.apply(self.index, pack(one)[1:])
+        self._look()
+
+
+class Inner:
+    """A recorder behind the gate."""
+
+    def __init__(self, takes: bool) -> None:
+        self.takes = takes
+        self.begun: list[Call] = []
+        self.finished: list[Call] = []
+        self.left: list[Call] = []
+
+    def begin(self, call: Call, engine: Recorded) -> bool:
+        self.begun.append(call)
+        if self.takes:
+            engine.admit(call)
+        return self.takes
+
+    def finish(self, call: Call, answer: Answer, engine: Recorded) -> None:
+        self.finished.append(call)
+        engine.deliver(call, answer)
+
+    def gone(self, call: Call, engine: Recorded) -> None:
+        self.left.append(call)
+
+
+class World:
+    def __init__(self, inner: Inner | None = None) -> None:
+        self.clock = ManualClock()
+        self.upstream = PlayedUpstream(self.clock)
+        self.front = Answers()
+        self.record = Record()
+        self.sharer = Agreed(self.record, self.clock)
+        self.lines: list[str] = []
+        self.asks = iter(range(1, 1000))
+        self.gate = Gate(
+            self.record, self.sharer, SEAL, {PAY: True, PUT: False}, self.clock, self.lines.append, inner,
+            lambda: next(self.asks),
+        )  # fmt: skip
+        classes = (
+            RequestClass(effect=UNSAFE, aim_us=500_000, deadline_us=DEADLINE_US),
+            RequestClass(effect=KEYED, aim_us=500_000, deadline_us=DEADLINE_US, window_us=60_000_000),
+            RequestClass(effect=UNSAFE, aim_us=500_000, deadline_us=DEADLINE_US),
+        )
+        found = Settings(classes=classes, can_cancel=True, max_attempts=3)
+        names = Names({"classes": [{"name": "pay"}, {"name": "put"}, {"name": "post"}]}, found)
+        self.engine = Engine(
+            self.clock, 1, found, names, self.upstream, GivenMembers(), 500_000, lambda line: None, self.gate
+        )
+        self.engine.start()
+        self.engine.listed(1, True, [entry("a")])
+        self.count = 0
+
+    def call(self, cls: int = PAY, sealed: str | None = None, dot: Dot = DOT, life: int = LIFE) -> Call:
+        """A replay; `sealed`: with this in place of its name."""
+        if sealed is None:
+            sealed = SEAL.replayed(Replayed(dot, life, cls == PAY))
+        self.count += 1
+        name = b"r%d" % self.count
+        call = Call(cls, self.clock.now() + DEADLINE_US, b"POST /pay", b"host: x\r\n", b"x", self.front, name)
+        call.causes = (b"", b"", b"", sealed.encode())
+        return call
+
+    async def take(self, cls: int = PAY, sealed: str | None = None, dot: Dot = DOT, life: int = LIFE) -> Call:
+        call = self.call(cls, sealed, dot, life)
+        self.engine.take(call)
+        await self.turn()
+        return call
+
+    async def turn(self) -> None:
+        """Until nothing here goes on by itself."""
+        for _ in range(20):
+            await asyncio.sleep(0)
+            self.clock.advance(0)
+
+    async def land(self, *entries: Entry) -> None:
+        self.sharer.land(*entries)
+        await self.turn()
+
+    async def advance(self, span_us: int) -> None:
+        """What comes due at one time goes on before the next time comes."""
+        end = self.clock.time + span_us
+        while self.clock.due and self.clock.due[0][0] <= end:
+            self.clock.advance(self.clock.due[0][0] - self.clock.time)
+            await self.turn()
+        self.clock.advance(end - self.clock.time)
+        await self.turn()
+
+    async def play(self, outcome: int = OK, runs: bool = True, written: bool = True) -> None:
+        sent = self.sent[0]
+        if written:
+            self.upstream.write(sent, runs)
+        self.upstream.answer(sent, outcome)
+        await self.turn()
+
+    async def ask(self, text: str) -> Answer:
+        call = Call(-1, 0, text.encode(), b"", b"", self.front)
+        call.open = False
+        before = len(self.front.given)
+        self.gate.ask(call)
+        await self.turn()
+        assert len(self.front.given) == before + 1
+        return self.front.given[-1][1]
+
+    @property
+    def sent(self) -> list[Sent]:
+        return list(self.upstream.out.values())
+
+    @property
+    def told(self) -> list[tuple[int, bytes]]:
+        return [(answer.status, dict(answer.headers).get(FATE_HEADER, b"")) for _, answer in self.front.given]
+
+    def begun(self) -> Begun:
+        """As another ask would hear."""
+        return self.record.begun(DOT, LIFE, 0)
+
+    def fate(self, dot: Dot = DOT) -> Fate:
+        return self.record.fate(Cause(*dot))
+
+
+def play(test: Callable[[World], Awaitable[None]], inner: Inner | None = None) -> World:
+    """In a world of its own, which keeps nothing at its end."""
+
+    async def main() -> World:
+        world = World(inner)
+        try:
+            await test(world)
+        finally:
+            await world.gate.close()
+        assert not world.gate.tasks
+        return world
+
+    return asyncio.run(asyncio.wait_for(main(), 20))
+
+
+# --- Before it is sent ------------------------------------------------------------------
+
+
+def test_an_unsafe_write_is_sent_once_its_begin_is_agreed_and_answered_once_it_is_in() -> None:
+    async def test(world: World) -> None:
+        await world.take()
+        assert world.sharer.asked == [Begin(DOT, LIFE, 1)] and world.sent == []
+        await world.land()
+        assert len(world.sent) == 1
+        await world.play()
+        assert world.sharer.asked == [In(DOT)] and world.told == []
+        await world.land()
+        assert world.told == [(200, b"")] and world.front.given[0][1].body == b"ok"
+        assert not world.gate.hands and not world.engine.calls
+
+    play(test)
+
+
+def test_a_keyed_write_needs_no_begin_but_is_answered_once_it_is_in() -> None:
+    async def test(world: World) -> None:
+        await world.take(PUT)
+        assert len(world.sent) == 1 and world.sharer.asked == []
+        await world.play()
+        assert world.sharer.asked == [In(DOT)] and world.told == []
+        await world.land()
+        assert world.told == [(200, b"")]
+
+    play(test)
+
+
+def test_a_class_that_is_unsafe_here_is_begun_also_if_its_edge_says_otherwise() -> None:
+    async def test(world: World) -> None:
+        await world.take(PAY, SEAL.replayed(Replayed(DOT, LIFE, False)))
+        assert world.sharer.asked == [Begin(DOT, LIFE, 1)] and world.sent == []
+
+    play(test)
+
+
+@pytest.mark.parametrize("cls", [PAY, PUT])
+def test_nothing_is_sent_while_the_record_is_not_known(cls: int) -> None:
+    async def test(world: World) -> None:
+        world.sharer.ready = False
+        await world.take(cls)
+        answer = world.front.given[0][1]
+        assert world.told == [(503, b"")] and answer.ending is Ending.REFUSED and answer.retry_after_us > 0
+        assert not world.upstream.writes and world.sharer.asked == []
+
+    play(test)
+
+
+def test_a_begin_that_is_not_agreed_in_time_is_refused_and_taken_back_when_it_comes_late() -> None:
+    async def test(world: World) -> None:
+        await world.take()
+        begin = world.sharer.asked[0]
+        await world.advance(DEADLINE_US)
+        assert world.told == [(503, b"")] and world.front.given[0][1].ending is Ending.REFUSED
+        assert world.sharer.asked == [Unbegin(DOT, 1)]
+        await world.land(begin)
+        assert world.begun() is Begun.OTHERS  # what the next ask would hear
+        await world.land()
+        assert world.begun() is Begun.OPEN and world.upstream.writes == []
+        await world.land(begin)
+        assert world.begun() is Begun.OPEN  # also if it comes once more
+
+    play(test)
+
+
+def test_a_copy_that_lost_touch_while_its_begin_was_agreed_sends_nothing() -> None:
+    async def test(world: World) -> None:
+        await world.take()
+        world.sharer.ready = False
+        await world.land()
+        assert world.told == [(503, b"")] and not world.sent
+        assert world.sharer.asked == [Unbegin(DOT, 1)]
+
+    play(test)
+
+
+@pytest.mark.parametrize("cls", [PAY, PUT])
+def test_a_line_that_another_life_holds_is_fenced(cls: int) -> None:
+    async def test(world: World) -> None:
+        await world.land(Hold(LINE, LATER_LIFE, LIFE, 0))
+        await world.take(cls)
+        assert world.told == [(503, b"fenced")] and world.front.given[0][1].ending is Ending.REFUSED
+        await world.take(cls, life=LATER_LIFE)
+        await world.land(*world.sharer.asked)
+        assert len(world.sent) == 1  # its holder's is not
+
+    play(test)
+
+
+@pytest.mark.parametrize("cls", [PAY, PUT])
+@pytest.mark.parametrize("lost", [Lost("edge-1"), Lost("edge-1", LIFE)])
+def test_what_is_lost_is_fenced(cls: int, lost: Lost) -> None:
+    async def test(world: World) -> None:
+        await world.land(lost)
+        await world.take(cls)
+        assert world.told == [(503, b"fenced")] and not world.sent
+
+    play(test)
+
+
+@pytest.mark.parametrize("cls", [PAY, PUT])
+def test_what_is_in_is_told_so_and_not_sent_again(cls: int) -> None:
+    async def test(world: World) -> None:
+        await world.land(In(DOT))
+        await world.take(cls)
+        assert world.told == [(200, b"in")] and world.front.given[0][1].body == b""
+        assert world.upstream.writes == []
+
+    play(test)
+
+
+def test_what_another_ask_has_begun_may_have_run() -> None:
+    async def test(world: World) -> None:
+        await world.land(Begin(DOT, LIFE, 99))
+        await world.take()
+        answer = world.front.given[0][1]
+        assert world.told == [(502, b"begun")] and answer.ending is Ending.FAILED
+        assert world.upstream.writes == [] and world.sharer.asked == []
+
+    play(test)
+
+
+@pytest.mark.parametrize(
+    ("others", "told"),
+    [
+        (Begin(DOT, LIFE, 99), (502, b"begun")),
+        (In(DOT), (200, b"in")),
+        (Hold(LINE, LATER_LIFE, LIFE, 0), (503, b"fenced")),
+    ],
+)
+def test_of_two_that_begin_at_a_time_one_alone_is_sent(others: Entry, told: tuple[int, bytes]) -> None:
+    """What is agreed first, while this one's BEGIN is on its way, decides."""
+
+    async def test(world: World) -> None:
+        await world.take()
+        await world.land(others, *world.sharer.asked)
+        assert world.told == [told] and world.upstream.writes == [] and not world.sent
+
+    play(test)
+
+
+def test_two_asks_for_one_write_at_one_copy_send_it_once() -> None:
+    async def test(world: World) -> None:
+        await world.take()
+        await world.take()
+        assert world.sharer.asked == [Begin(DOT, LIFE, 1), Begin(DOT, LIFE, 2)]
+        await world.land()
+        assert len(world.sent) == 1 and world.told == [(502, b"begun")]
+
+    play(test)
+
+
+def test_a_bad_seal_is_a_400_and_one_line_for_a_crowd() -> None:
+    async def test(world: World) -> None:
+        for _ in range(3):
+            await world.take(PUT, SEAL.replayed(Replayed(DOT, LIFE, False))[:-1] + "~")
+        await world.take(PUT, Seal(SECRET + b"!").replayed(Replayed(DOT, LIFE, False)))
+        assert world.told == [(400, b"")] * 4 and not world.sent
+        assert len(world.lines) == 1 and "secret" in world.lines[0] and "\n" not in world.lines[0]
+        await world.advance(COMPLAIN_US)
+        await world.take(PUT, "x")
+        assert len(world.lines) == 2
+
+    play(test)
+
+
+def test_a_replay_of_a_class_that_is_recorded_here_is_refused_with_one_line() -> None:
+    async def test(world: World) -> None:
+        await world.take(POST)
+        assert world.told == [(503, b"")] and not world.sent and len(world.lines) == 1
+
+    play(test, Inner(takes=True))
+
+
+def test_a_call_without_the_header_is_as_without_a_gate() -> None:
+    async def test(world: World) -> None:
+        call = world.call(PUT, "")
+        call.streams = True
+        world.engine.take(call)
+        assert len(world.sent) == 1 and not call.recorded and call.streams
+        await world.play()
+        assert world.told == [(200, b"")] and world.sharer.asked == []
+
+    play(test)
+
+
+@pytest.mark.parametrize("takes", [True, False])
+def test_a_call_without_the_header_is_the_inner_recorders(takes: bool) -> None:
+    inner = Inner(takes)
+
+    async def test(world: World) -> None:
+        first = await world.take(POST, "")
+        await world.play()
+        second = await world.take(POST, "")
+        world.engine.gone(second)
+        assert inner.begun == [first, second] and world.told == [(200, b"")]
+        assert inner.finished == ([first] if takes else []) and inner.left == ([second] if takes else [])
+        await world.take(PUT)
+        assert len(inner.begun) == 2  # a replay is not its
+
+    play(test, inner)
+
+
+def test_a_keeper_is_not_asked_about_a_replay() -> None:
+    """Else a copy's own outbox would keep an edge's write, and the edge take that for its answer."""
+
+    class First:
+        def comes_first(self, call: Call) -> bool:
+            return True
+
+        def keep(self, call: Call, answer: Answer | None, engine: Recorded) -> bool:
+            engine.settle(call, Answer(Ending.SERVED, 202))
+            return True
+
+        def left(self, call: Call) -> None: ...
+        def heard(self, endpoint: int, outcome: int) -> None: ...
+
+    async def test(world: World) -> None:
+        world.engine.keeper = First()
+        await world.take(PUT, "")
+        assert world.told == [(202, b"")]
+        await world.take(PUT)
+        assert len(world.sent) == 1 and len(world.told) == 1
+
+    play(test)
+
+
+# --- Before its answer leaves -----------------------------------------------------------
+
+
+@pytest.mark.parametrize("cls", [PAY, PUT])
+def test_an_in_that_is_not_agreed_in_time_may_have_run_and_is_told_on(cls: int) -> None:
+    async def test(world: World) -> None:
+        await world.take(cls)
+        await world.land()
+        await world.play()
+        await world.advance(DEADLINE_US)
+        assert world.told == [(502, b"")] and world.front.given[0][1].ending is Ending.FAILED
+        assert world.fate() is Fate.UNKNOWN and world.sharer.asked == [In(DOT)]
+        await world.land()
+        assert world.fate() is Fate.IN and len(world.told) == 1
+        await world.take(cls)
+        assert world.told[1:] == [(200, b"in")] and len(world.upstream.writes) == 1
+
+    play(test)
+
+
+def test_a_write_that_was_declared_lost_before_its_in_is_not_told_as_in() -> None:
+    async def test(world: World) -> None:
+        await world.take(PUT)
+        await world.play()
+        await world.land(Lost("edge-1"))
+        assert world.told == [(502, b"")] and world.fate() is Fate.GONE
+
+    play(test)
+
+
+def test_a_refusal_leaves_once_its_begin_is_taken_back() -> None:
+    async def test(world: World) -> None:
+        await world.take()
+        await world.land()
+        while world.sent:
+            await world.play(FULL, runs=False)
+            await world.advance(100_000)
+        await world.advance(1_000_000)
+        assert world.sharer.asked == [Unbegin(DOT, 1)] and world.told == []
+        await world.land()
+        assert world.told == [(503, b"")] and world.begun() is Begun.OPEN
+
+    play(test)
+
+
+def test_a_refusal_whose_begin_could_not_be_taken_back_leaves_and_its_retry_runs_at_most_once() -> None:
+    async def test(world: World) -> None:
+        await world.take()
+        await world.land()
+        while world.sent:
+            await world.play(FULL, runs=False)
+            await world.advance(100_000)
+        await world.advance(DEADLINE_US)
+        answer = world.front.given[0][1]
+        assert world.told[0][0] == 503 and world.sharer.asked == [Unbegin(DOT, 1)]
+        assert answer.ending is Ending.REFUSED
+        await world.take()
+        assert world.told[1:] == [(502, b"begun")]
+        await world.land()
+        await world.take()
+        await world.land()
+        assert len(world.sent) == 1 and world.upstream.ran == {}
+
+    play(test)
+
+
+def test_a_keyed_refusal_leaves_at_once() -> None:
+    async def test(world: World) -> None:
+        await world.take(PUT)
+        while world.sent:
+            await world.play(FULL, runs=False)
+            await world.advance(100_000)
+        await world.advance(DEADLINE_US)
+        assert [status for status, _ in world.told] == [503] and world.sharer.asked == []
+
+    play(test)
+
+
+@pytest.mark.parametrize(("outcome", "runs"), [(RESET, True), (ERROR, True), (RESET, False)])
+def test_a_failure_leaves_at_once_and_stays_begun(outcome: int, runs: bool) -> None:
+    async def test(world: World) -> None:
+        await world.take()
+        await world.land()
+        await world.play(outcome, runs)
+        assert [status for status, _ in world.told] == [502] and world.sharer.asked == []
+        assert world.begun() is Begun.OTHERS
+        await world.take()
+        assert world.told[1:] == [(502, b"begun")] and len(world.upstream.writes) == 1
+
+    play(test)
+
+
+# --- Edges that leave -------------------------------------------------------------------
+
+
+def test_an_edge_that_leaves_before_its_begin_is_agreed_has_nothing_sent() -> None:
+    async def test(world: World) -> None:
+        call = await world.take()
+        begin = world.sharer.asked[0]
+        world.engine.gone(call)
+        await world.land(begin)
+        assert world.sharer.asked == [Unbegin(DOT, 1)] and not world.sent
+        await world.land()
+        assert world.begun() is Begun.OPEN and world.told == []
+
+    play(test)
+
+
+def test_an_edge_that_leaves_before_anything_was_written_has_its_begin_taken_back() -> None:
+    async def test(world: World) -> None:
+        call = await world.take()
+        await world.land()
+        assert len(world.sent) == 1
+        world.engine.gone(call)
+        await world.turn()
+        assert world.sharer.asked == [Unbegin(DOT, 1)]
+
+    play(test)
+
+
+def test_an_edge_that_leaves_after_it_was_written_leaves_it_begun() -> None:
+    async def test(world: World) -> None:
+        call = await world.take()
+        await world.land()
+        world.upstream.write(world.sent[0], True)
+        world.engine.gone(call)
+        await world.advance(DEADLINE_US)
+        assert world.sharer.asked == [] and world.begun() is Begun.OTHERS
+
+    play(test)
+
+
+def test_an_edge_that_leaves_while_its_in_is_agreed_finds_it_in() -> None:
+    async def test(world: World) -> None:
+        call = await world.take()
+        await world.land()
+        await world.play()
+        world.engine.gone(call)
+        await world.land()
+        assert world.fate() is Fate.IN and world.told == [] and not world.engine.calls
+
+    play(test)
+
+
+def test_what_is_told_on_has_a_bound_and_an_end() -> None:
+    async def test(world: World) -> None:
+        for number in range(LATER_MOST + 5):
+            await world.take(dot=Dot("edge-1", LIFE, number + 1))
+        await world.advance(DEADLINE_US)
+        assert len(world.sharer.asked) == LATER_MOST and world.gate.later == LATER_MOST
+        await world.advance(LATER_US)
+        assert world.sharer.asked == [] and not world.gate.tasks and world.gate.later == 0
+        assert world.gate.counters["late"] == LATER_MOST + 5
+
+    play(test)
+
+
+# --- A body that is passed on while it comes --------------------------------------------
+
+
+class Source:
+    def hold(self) -> None: ...
+    def go_on(self) -> None: ...
+    def unwanted(self) -> None: ...
+
+
+def test_an_upload_is_sent_once_its_begin_is_agreed() -> None:
+    async def test(world: World) -> None:
+        call = world.call()
+        call.upload, call.body = Flow(Source(), 10), b""
+        call.span, call.expires = DEADLINE_US, world.clock.now() + 600_000_000
+        world.engine.take(call)
+        await world.turn()
+        assert not world.sent and world.sharer.asked == [Begin(DOT, LIFE, 1)]
+        await world.land()
+        assert len(world.sent) == 1
+        world.upstream.write(world.sent[0], True)  # what has come of it
+        call.upload.end(True)
+        world.engine.whole(call)
+        await world.play()
+        assert world.sharer.asked == [In(DOT)]
+        await world.land()
+        assert world.told == [(200, b"")]
+
+    play(test)
+
+
+def test_an_upload_of_which_an_endpoint_had_a_part_stays_begun() -> None:
+    async def test(world: World) -> None:
+        call = world.call()
+        call.upload, call.body = Flow(Source(), 10), b""
+        call.span, call.expires = DEADLINE_US, world.clock.now() + 600_000_000
+        world.engine.take(call)
+        await world.turn()
+        await world.land()
+        world.upstream.write(world.sent[0], True)
+        world.engine.gone(call)
+        await world.turn()
+        assert world.sharer.asked == [] and world.begun() is Begun.OTHERS
+
+    play(test)
+
+
+def test_an_upload_whose_begin_is_not_agreed_is_refused_before_its_provisional_time() -> None:
+    async def test(world: World) -> None:
+        call = world.call()
+        call.upload, call.body = Flow(Source(), 10), b""
+        call.span, call.expires = DEADLINE_US, world.clock.now() + 600_000_000
+        world.engine.take(call)
+        await world.turn()
+        await world.advance(10_000_000)
+        assert world.told == [(503, b"")]
+
+    play(test)
+
+
+# --- Asked by edges ---------------------------------------------------------------------
+
+
+def answered(answer: Answer, sealed: str) -> Answered:
+    assert answer.status == 200, answer.body
+    return SEAL.open_answered(answer.body.decode(), sealed)
+
+
+def test_fates_are_told_in_the_order_in_which_they_are_asked() -> None:
+    async def test(world: World) -> None:
+        await world.land(In(Dot("edge-2", 5, 1)), Said(Dot("edge-2", 5, 2), Fate.GONE, 5))
+        await world.land(Said(Dot("edge-2", 5, 3), Fate.PARKED, 5))
+        sealed = SEAL.ask(Ask(fates=tuple(Cause("edge-2", 5, number) for number in (4, 3, 2, 1))))
+        told = answered(await world.ask(sealed), sealed)
+        assert told.fates == (Fate.UNKNOWN, Fate.PARKED, Fate.GONE, Fate.IN)
+
+    play(test)
+
+
+def test_a_copy_that_does_not_know_the_record_answers_no_ask() -> None:
+    async def test(world: World) -> None:
+        world.sharer.ready = False
+        answer = await world.ask(SEAL.ask(Ask(fates=(Cause(*DOT),))))
+        assert answer.status == 503 and answer.retry_after_us > 0 and answer.body == b""
+
+    play(test)
+
+
+def test_a_claim_is_told_as_held_once_it_is_agreed_and_as_open_before() -> None:
+    async def test(world: World) -> None:
+        sealed = SEAL.ask(Ask(claims=(Claim(LINE, LATER_LIFE, (LIFE,)), Claim(LINE, 9, (4,)))))
+        asking = Call(-1, 0, sealed.encode(), b"", b"", world.front)
+        world.gate.ask(asking)
+        await world.turn()
+        assert world.sharer.asked == [Hold(LINE, LATER_LIFE, LIFE, 0)] and world.told == []
+        await world.land()
+        told = answered(world.front.given[0][1], sealed)
+        assert told.claims == (Claimed.HELD, Claimed.FENCED)
+        other = SEAL.ask(Ask(claims=(Claim(LINE, 10, (LATER_LIFE,)),)))
+        world.gate.ask(Call(-1, 0, other.encode(), b"", b"", world.front))
+        await world.turn()
+        await world.advance(ASK_US)
+        assert answered(world.front.given[1][1], other).claims == (Claimed.OPEN,)
+        assert world.record.holder(LINE) == LATER_LIFE
+
+    play(test)
+
+
+def test_what_an_edge_tells_is_agreed_before_it_hears_so() -> None:
+    async def test(world: World) -> None:
+        tellings = (
+            Told(DOT, Fate.PARKED, LIFE), Told(Dot("edge-1", LIFE, 1), Fate.IN, LIFE, before=True),
+            Told(Dot("edge-1", LIFE, 9), Fate.GONE, LATER_LIFE),
+        )  # fmt: skip
+        sealed = SEAL.ask(Ask(told=tellings))
+        world.gate.ask(Call(-1, 0, sealed.encode(), b"", b"", world.front))
+        await world.turn()
+        assert len(world.sharer.asked) == 3 and world.told == []
+        await world.land()
+        await world.advance(ASK_US)
+        told = answered(world.front.given[0][1], sealed)
+        assert told.told == (True, True, False)  # the last is not its holder's word
+        assert world.fate() is Fate.PARKED and world.fate(Dot("edge-1", LIFE, 9)) is Fate.UNKNOWN
+
+    play(test)
+
+
+def test_a_word_that_it_never_ran_lets_it_run_once_more() -> None:
+    async def test(world: World) -> None:
+        await world.land(Begin(DOT, LIFE, 99))
+        sealed = SEAL.ask(Ask(told=(Told(DOT, Fate.UNKNOWN, LIFE, unbegin=True),)))
+        world.gate.ask(Call(-1, 0, sealed.encode(), b"", b"", world.front))
+        await world.turn()
+        await world.land()
+        assert answered(world.front.given[0][1], sealed).told == (True,)
+        await world.take()
+        await world.land()
+        assert len(world.sent) == 1
+
+    play(test)
+
+
+def test_an_ask_with_a_bad_seal_is_a_400_and_changes_nothing() -> None:
+    async def test(world: World) -> None:
+        for text in ("", "x", SEAL.replayed(Replayed(DOT, LIFE, True)), "\x80", "A" * 20_000):
+            assert (await world.ask(text)).status == 400
+        assert world.sharer.asked == [] and len(world.lines) == 1
+
+    play(test)
+
+
+def test_asks_at_a_time_have_a_bound() -> None:
+    async def test(world: World) -> None:
+        sealed = SEAL.ask(Ask(claims=(Claim(LINE, LATER_LIFE, (LIFE,)),)))
+        for _ in range(ASKS_MOST + 1):
+            world.gate.ask(Call(-1, 0, sealed.encode(), b"", b"", world.front))
+        await world.turn()
+        assert world.told == [(503, b"")] and world.gate.asking == ASKS_MOST
+        await world.land(world.sharer.asked[0])
+        assert [status for status, _ in world.told] == [503] + [200] * ASKS_MOST and world.gate.asking == 0
+
+    play(test)
+
+
+# --- An operator's word -----------------------------------------------------------------
+
+
+@pytest.mark.parametrize("incarnation", [0, LIFE])
+def test_an_edge_that_is_declared_lost_is_refused_from_then_on(incarnation: int) -> None:
+    async def test(world: World) -> None:
+        assert world.gate.lose("edge-1", incarnation)
+        await world.turn()
+        assert world.sharer.asked == [Lost("edge-1", incarnation)]
+        await world.land()
+        assert not world.gate.lose("edge-1", incarnation)
+        await world.take()
+        assert world.told == [(503, b"fenced")] and world.fate() is Fate.GONE
+        other = Dot("edge-1", LATER_LIFE, 1)
+        assert (world.fate(other) is Fate.GONE) == (not incarnation)
+        status: dict[str, Any] = world.gate.status()
+        assert status["ready"] and status["gate"]["fenced"] == 1 and "lines" in status
+
+    play(test)
--- a/woadyard/outbox/shared/gate.py
+++ b/woadyard/outbox/shared/gate.py
@@ -9,11 +9,11 @@
    one needs none: upstream tells its repeats apart.
 4. Before a served answer leaves, IN is agreed; otherwise the edge hears that it may have run.
 5. Of an ask that sent nothing and never will, UNBEGIN is agreed before its refusal leaves. Where it is not in
-   time, the refusal leaves all the same: it is true, as the call is over and nothing of it can be sent
-   any more. What stands in the record can only make the next ask hear that the write may have run, until the
-   UNBEGIN, which is told on, has come through. So no retry can run it twice.
-6. What was not agreed in time is told on for `LATER_US`, by `LATER_MOST` at a time. What is given up is on the
-   safe side: begun, and not in.
+   time, the refusal leaves all the same: it is true, as the call is over and nothing of it can be sent any
+   more. What stands in the record can only make the next ask hear that the write may have run, until UNBEGIN,
+   which is told on, has come through. So no retry can run it twice.
+6. What was not agreed in time is told on for `LATER_US`, by `LATER_MOST` at a time. What is given up then is
+   on the safe side: begun, and not in.
 7. A replay whose body is passed on while it comes is judged by its head, and sent as any other upload. Its
    answer is held whole, as that of all replays: one over the bound of held answers is told as one that may
    have run.
