--- a/tests/test_outbox_daemon.py
+++ b/tests/test_outbox_daemon.py
@@ -369,6 +369,8 @@
 deadline_ms = 1000
 """
 ON = '[outbox]\nstore_path = "/s/outbox"\nedge = "a"\n'
+SECRET = 'secret_file = "/s/secret"\n'
+ACCORD = '[accord]\npeers = ["127.0.0.1:7946"]\n'
 PUT = '[[outbox.classes]]\nname = "put"\nkeep = "keyed"\n'
 
 
@@ -399,6 +401,21 @@
             "outbox.classes: put: expected a class that [orders] does not record",
         ),
         (ON + PUT + "[workers]\nprocesses = 2\n", "workers: expected no [outbox]"),
+        (ON + SECRET + 'upstream = "copy"\n' + PUT, "outbox.upstream: expected one of servers, copies"),
+        (ON + 'upstream = "copies"\n' + PUT, "outbox.secret_file: expected the file of the edges'"),
+        (ON + SECRET + "shared = true\n" + PUT, "outbox.shared: expected the table [accord]"),
+        (
+            ON + SECRET + "shared = true\n" + PUT + ACCORD,
+            "accord.store_path: expected a folder where outbox.shared is on",
+        ),
+        (
+            ON + "shared = true\n" + PUT + ACCORD + 'store_path = "/a"\n',
+            "outbox.secret_file: expected the file of the edges' and copies' common secret, as outbox.shared",
+        ),
+        (
+            ON + SECRET + 'shared = true\nupstream = "copies"\n' + PUT + ACCORD + 'store_path = "/a"\n',
+            "outbox.shared: expected false where outbox.upstream is 'copies'",
+        ),
     ],
 )
 def test_bad_input_is_one_line_with_file_key_and_remedy(
