Keep bodies too large to be held: into the store as they come, out part by part

A write whose body is passed on while it comes was never kept. At an edge that is cut off, or behind a kept write, its parts now go into the store while they come, its record last, then the 202. Its client is held back past 192 KiB; eight such writes at a time. What breaks off leaves nothing. A replay of more than 256 KiB is read from the store a part at a time and passed on as an upload.

--- a/woadyard/engine/engine.py
+++ b/woadyard/engine/engine.py
@@ -200,7 +200,8 @@
         call.timer = self.clock.at(call.expires, self._expire, call)
         for attempt in call.attempts:
             attempt.until = min(attempt.until, call.expires)
-        self._tell(self._tell_whole, call, call)
+        if not call.with_keeper:
+            self._tell(self._tell_whole, call, call)
 
     def _tell_whole(self, now: int, call: Call) -> list[Action]:
         return self.decisions.whole(now, call.id, call.expires)
@@ -234,8 +235,8 @@
 
     def _keep(self, call: Call, answer: Answer | None) -> bool:
         """Whether a keeper has a call from here on. It is never asked about one that may have run, or
-        may yet."""
-        if self.keeper is None or call.recorded or call.upload is not None:
+        may yet, nor about an upload that an endpoint had the beginning of: that is not here any more."""
+        if self.keeper is None or call.recorded or (call.upload is not None and call.upload.begun):
             return False
         for attempt in call.attempts:
             if attempt.out or attempt.may_have_run:
--- /dev/null
+++ b/woadyard/outbox/bodies.py
@@ -0,0 +1,333 @@
+"""Bodies that are too large to be held: into the store as they come, and from there upstream.
+
+The rules:
+
+1. A write whose body is still coming has its number, its place and its bytes of the bounds from its first
+   part on: the declared length, and for chunks the most that one may have. Its record is written last.
+2. Until then nothing of it is kept: one that breaks off, is too large, or meets a full disk leaves nothing
+   behind. Its parts are deleted, after a crash as the store is opened. As nothing of it was sent, the client
+   is refused; what may be found by a later life all the same may have run.
+3. Of one write `HELD_EACH` are held, and what one read brings beyond that; at first what had come before it
+   was too large to be held. `TAKEN_MOST` are taken at a time, and none while `HELD_MOST` are held.
+4. A repeat of a key is read to its end and compared; nothing of it is stored.
+5. A replay of more than `WHOLE_MOST` is passed on as an upload, a part at a time. What an endpoint had the
+   beginning of is not tried again by the engine: the write goes out again, or is parked, as its class has it.
+   It ends within the window of its key.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from hashlib import blake2b
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from woadyard.engine.call import Answer, Call, Ending
+from woadyard.engine.flow import Flow
+from woadyard.engine.ports import Recorded
+from woadyard.orders.book import DIGEST_SIZE, another_body, digest_of
+from woadyard.outbox.dots import Dot
+from woadyard.outbox.errors import OutboxError
+from woadyard.outbox.journal import KeptWrite
+from woadyard.outbox.options import CHUNK
+from woadyard.outbox.outbox import RETRY_US, Ticket
+from woadyard.outbox.store import FailedToKeepError
+from woadyard.store import StoreError
+
+if TYPE_CHECKING:
+    from woadyard.outbox.driver import OutboxDriver, Replay
+
+# Parts of one write that are on their way to the disk at a time.
+PUT_MOST: Final = 2
+# Past `HELD_EACH` a write's client is held back, until it is `HELD_LOW` again.
+HELD_EACH: Final = (PUT_MOST + 1) * CHUNK
+HELD_LOW: Final = 2 * CHUNK
+HELD_MOST: Final = 2 << 20
+TAKEN_MOST: Final = 8
+# Up to this a body is read whole for its replay.
+WHOLE_MOST: Final = 256 * 1024
+# A replay's provisional time, as that of a caller's upload: it counts from the last byte, once that is out.
+PASSING_MOST_US: Final = 600_000_000
+# What could not be deleted is tried again after this.
+AGAIN_S: Final = 1.0
+
+
+class Body:
+    """One that is coming: the taker of its flow. `stores`: else it is only compared."""
+
+    def __init__(self, bodies: Bodies, call: Call, upload: Flow, stores: bool) -> None:
+        self.bodies = bodies
+        self.call = call
+        self.upload = upload
+        self.stores = stores
+        self.came = 0
+        self.held = 0
+        self.first = b""  # stands behind the record, which is written last
+        self.rest = bytearray()
+        self.next = 1  # the part that is written next
+        self.over = self.whole = self.paused = False
+        self.kept: bool | None = None
+        self.certain = True
+        self.news = asyncio.Event()
+        self._digest = blake2b(call.start + b"\n", digest_size=DIGEST_SIZE)
+
+    @property
+    def digest(self) -> bytes:
+        """As `digest_of` of a call that has its body."""
+        return self._digest.digest()
+
+    @property
+    def fits(self) -> bool:
+        return self.came <= self.bodies.most
+
+    def begin(self) -> None:
+        self.upload.attach(self)
+        if not self.paused:
+            self.upload.resume()
+
+    def flow(self, data: bytes) -> None:
+        if self.over:
+            return
+        self.came += len(data)
+        if not self.fits:
+            self.end(False)
+            return
+        self._digest.update(data)
+        if not self.stores:
+            return
+        self.rest += data
+        self._hold(len(data))
+        if not self.first and len(self.rest) >= CHUNK:
+            self._take_first()
+        if self.held >= HELD_EACH and not self.paused:
+            self.paused = True
+            self.upload.pause()
+        self.news.set()
+
+    def flowed(self, whole: bool) -> None:
+        self.end(whole)
+
+    def end(self, whole: bool) -> None:
+        """It is whole, or nothing more of it is wanted."""
+        if not self.over:
+            self.over, self.whole = True, whole
+            if whole and not self.first:
+                self._take_first()
+            self.news.set()
+
+    def _take_first(self) -> None:
+        self.first = bytes(self.rest[:CHUNK])
+        del self.rest[:CHUNK]
+
+    def _hold(self, more: int) -> None:
+        self.held += more
+        self.bodies.held += more
+
+    def _take(self) -> list[bytes]:
+        """The parts that are written next; none until there are more."""
+        found: list[bytes] = []
+        while (
+            self.first and len(found) < PUT_MOST and (len(self.rest) >= CHUNK or (self.whole and self.rest))
+        ):
+            found.append(bytes(self.rest[:CHUNK]))
+            del self.rest[:CHUNK]
+        return found
+
+    async def store(self, dot: Dot) -> bool:
+        """All of it but the first part; False if it is not whole. `FailedToKeepError`."""
+        while True:
+            if self.over and not self.whole:
+                return False
+            if parts := self._take():
+                await self.bodies.driver.store.put_parts(dot, self.next, parts)
+                self.next += len(parts)
+                self._hold(-sum(map(len, parts)))
+                if self.paused and self.held <= HELD_LOW:
+                    self.paused = False
+                    self.upload.resume()
+            elif self.over:
+                return True
+            else:
+                self.news.clear()
+                await self.news.wait()
+
+    async def ended(self) -> None:
+        while not self.over:
+            self.news.clear()
+            await self.news.wait()
+
+    def close(self) -> None:
+        """Nothing of it is held any more."""
+        self.over = True
+        self.rest = bytearray()
+        self.first = b""
+        self._hold(-self.held)
+
+
+class Bodies:
+    """The large bodies of one driver."""
+
+    def __init__(self, driver: OutboxDriver) -> None:
+        self.driver = driver
+        self.most = driver.settings.body_bytes
+        self.held = 0
+        self.coming: dict[Call, Body] = {}
+        self.stored: dict[Dot, Body] = {}  # those that are coming and are no repeats
+        self.digests: dict[Call, bytes] = {}  # of repeats that came whole
+
+    # --- Keeping ----------------------------------------------------------------------
+
+    def size(self, call: Call) -> int:
+        """Of its body; of one that comes in chunks, the most that it may have."""
+        if call.upload is None:
+            return len(call.body)
+        return call.upload.length if call.upload.length >= 0 else self.most
+
+    def has_room(self, call: Call) -> bool:
+        if call.upload is None or not self.coming:
+            return True
+        waiting = sum(map(len, call.upload.parts))
+        return len(self.coming) < TAKEN_MOST and self.held + waiting <= HELD_MOST
+
+    def digest(self, call: Call) -> bytes:
+        """Asked once for each."""
+        return self.digests.pop(call, None) or digest_of(call)
+
+    def take(self, call: Call, upload: Flow, ticket: Ticket, answer: Answer | None, engine: Recorded) -> None:
+        """A write that has a number, while its body comes."""
+        body = self.coming[call] = Body(self, call, upload, ticket.write is not None)
+        if ticket.write is not None:
+            self.stored[ticket.dot] = body
+            self.driver.storing[ticket.dot] = [call]
+            self.driver._spawn(self._store(body, ticket.write, answer, engine))
+        else:
+            self.driver._spawn(self._compare(body, ticket.dot, answer, engine))
+        body.begin()
+
+    def left(self, call: Call) -> None:
+        """It is not open any more."""
+        if (body := self.coming.get(call)) is not None:
+            body.end(False)
+
+    async def _store(self, body: Body, write: KeptWrite, answer: Answer | None, engine: Recorded) -> None:
+        driver, dot = self.driver, write.dot
+        kept = False
+        try:
+            if await body.store(dot):
+                write = msgspec.structs.replace(write, size=body.came, digest=body.digest)
+                driver.outbox.sized(dot, body.came)
+                await driver.store.put_head(write, body.first)
+                kept = any(one.open for one in driver.storing[dot]) or not await driver.store.forget(
+                    dot, body.came
+                )
+            elif not body.fits:
+                driver.log(f"outbox: not kept: a body of more than {self.most} bytes")
+        except StoreError as error:
+            driver.log(f"outbox: not kept: {error}")
+            body.certain = isinstance(error, FailedToKeepError) and error.certain
+        finally:
+            came = body.next * CHUNK  # the parts that may be there
+            self._close(body)
+            del self.stored[dot]
+        body.kept = kept
+        self.digests[body.call] = write.digest
+        driver._stored(write, kept, body.certain, answer, engine)
+        if not kept:
+            await self._clear(dot, came + PUT_MOST * CHUNK)
+
+    def _close(self, body: Body) -> None:
+        del self.coming[body.call]
+        body.close()
+
+    async def _clear(self, dot: Dot, size: int) -> None:
+        """Its parts. On a disk that fails, once that writes again; at the latest as the store is opened."""
+        while not await self.driver.store.forget(dot, size) and not self.driver.closing:
+            await asyncio.sleep(AGAIN_S)
+
+    async def _compare(self, body: Body, dot: Dot, answer: Answer | None, engine: Recorded) -> None:
+        first = self.stored.get(dot)
+        try:
+            await body.ended()
+        finally:
+            self._close(body)
+        call = body.call
+        if not body.fits:
+            engine.settle(call, another_body())
+        elif not body.whole or not call.open:
+            return
+        elif first is not None and first.kept is False:
+            self.driver._not_kept(call, answer, first.certain, engine)
+        else:
+            self.digests[call] = body.digest
+            self.driver._repeat(call, dot, engine)
+
+    def refused(self, call: Call) -> Answer | None:
+        """Of one that is not kept, and of which nothing was sent; None if it can still be."""
+        if call.upload is None or not call.upload.begun:
+            return None
+        return Answer(Ending.REFUSED, 503, retry_after_us=RETRY_US)
+
+    # --- Replay -----------------------------------------------------------------------
+
+    async def call(self, dot: Dot, replay: Replay) -> Call | None:
+        """A kept write as the engine's call; None if it can't be read."""
+        store = self.driver.store
+        try:
+            found = await store.head(dot)
+            if found is None:
+                return None
+            write, first = found
+            if write.size <= WHOLE_MOST:
+                parts = [first, *[await store.part(dot, at) for at in range(1, -(-write.size // CHUNK))]]
+                return self.driver._call(write, b"".join(parts), replay)
+        except (StoreError, OutboxError) as error:
+            self.driver.log(f"outbox: {dot}: can't be read: {error}")
+            return None
+        call = self.driver._call(write, b"", replay)
+        now = self.driver._now()
+        call.span = call.expires - now
+        call.expires = now + min(PASSING_MOST_US + call.span, self.driver.outbox.left(dot, now))
+        call.upload = Flow(Playback(self, call, write, first), write.size)
+        return call
+
+
+class Playback:
+    """The source of a body that is read from the store. It begins once its flow has a taker."""
+
+    def __init__(self, bodies: Bodies, call: Call, write: KeptWrite, first: bytes) -> None:
+        self.bodies = bodies
+        self.call = call
+        self.write = write
+        self.first = first
+        self.task: asyncio.Task[None] | None = None
+        self.free = asyncio.Event()
+
+    def hold(self) -> None:
+        self.free.clear()
+
+    def go_on(self) -> None:
+        self.free.set()
+        if self.task is None:
+            self.task = asyncio.get_running_loop().create_task(self._play())
+
+    def unwanted(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+
+    async def _play(self) -> None:
+        upload, dot = self.call.upload, self.write.dot
+        assert upload is not None
+        try:
+            for at in range(-(-self.write.size // CHUNK)):
+                part = await self.bodies.driver.store.part(dot, at) if at else self.first
+                await self.free.wait()
+                upload.feed(part)
+        except StoreError as error:
+            self.bodies.driver.log(f"outbox: {dot}: can't be read: {error}")
+            upload.end(False)
+            return
+        upload.end(True)
+        engine = self.bodies.driver.engine
+        if engine is not None:
+            engine.whole(self.call)
--- a/woadyard/outbox/driver.py
+++ b/woadyard/outbox/driver.py
@@ -29,7 +29,8 @@
 from woadyard.interface import ERROR, FULL, NO_CONNECT, OK, RESET, TIMEOUT
 from woadyard.net.message import lines as lines_of
 from woadyard.net.request import hint, key_of
-from woadyard.orders.book import another_body, digest_of, may_have_run
+from woadyard.orders.book import another_body, may_have_run
+from woadyard.outbox.bodies import Bodies
 from woadyard.outbox.causes import Cause, Causes, Fate, Tokens
 from woadyard.outbox.cutoff import CutOff, CutOffRule
 from woadyard.outbox.dots import Dot, Line, read_dot
@@ -119,6 +120,7 @@
         rule = CutOffRule(cut_us=settings.cut_us, back_us=settings.back_us)
         self.cutoff = CutOff(rule, 0, self._now())
         self.engine: Engine | None = None
+        self.bodies = Bodies(self)
         self.storing: dict[Dot, list[Call]] = {}  # requests that wait for a write to be durable
         self.out: dict[Dot, Replay] = {}
         self.again: set[Dot] = set()  # sent before, without a known end
@@ -262,7 +264,7 @@
             self.outbox.live_refused(now)
         if call.cls not in self.classes or self.closing or now >= call.expires:
             return False
-        if len(call.body) > self.settings.body_bytes:
+        if self.bodies.size(call) > self.settings.body_bytes or not self.bodies.has_room(call):
             return self._overtakes(call, answer, engine)
         try:
             ticket = self.outbox.offer(self._offer(call), now, _wall())
@@ -293,8 +295,8 @@
             cls=self.classes[call.cls],
             start=call.start,
             headers=headers,
-            size=len(call.body),
-            digest=digest_of(call),
+            size=self.bodies.size(call),
+            digest=b"" if call.upload is not None else self.bodies.digest(call),
             key=dict(headers).get(b"idempotency-key", b""),
             session=_session(call),
             obj=_object(call),
@@ -304,31 +306,39 @@
 
     def _take(self, call: Call, ticket: Ticket, answer: Answer | None, engine: Recorded) -> None:
         dot = ticket.dot
-        if ticket.write is not None:
+        if call.upload is not None:
+            self.bodies.take(call, call.upload, ticket, answer, engine)
+        elif ticket.write is not None:
             self.storing[dot] = [call]
             self._spawn(self._store(call, ticket.write, answer, engine))
-        elif dot in self.storing:
+        else:
+            self._repeat(call, dot, engine)
+
+    def _repeat(self, call: Call, dot: Dot, engine: Recorded) -> None:
+        if dot in self.storing:
             # Compared with the first try, once both are told.
             self.storing[dot].append(call)
         else:
-            self._spawn(self._known(call, dot, answer, engine))
+            self._spawn(self._known(call, dot, engine))
 
-    async def _known(self, call: Call, dot: Dot, answer: Answer | None, engine: Recorded) -> None:
+    async def _known(self, call: Call, dot: Dot, engine: Recorded) -> None:
         """A key that a write has already: the same request gets the same receipt."""
+        digest = self.bodies.digest(call)
         try:
-            found = await self.store.read(dot)
+            found = await self.store.head(dot)
         except (StoreError, OutboxError) as error:
             self.log(f"outbox: {dot}: can't be read: {error}")
             found = None
         if found is None:
             engine.settle(call, may_have_run())
-        elif found[0].digest != digest_of(call):
+        elif found[0].digest != digest:
             engine.settle(call, another_body())
         else:
             engine.settle(call, self._kept(dot))
 
     def left(self, call: Call) -> None:
-        """Found by its being closed, once the store is through."""
+        """Found by its being closed, once the store is through; of a body that is coming no more is taken."""
+        self.bodies.left(call)
 
     async def _store(self, call: Call, write: KeptWrite, answer: Answer | None, engine: Recorded) -> None:
         dot = write.dot
@@ -340,6 +350,13 @@
         except StoreError as error:
             self.log(f"outbox: not kept: {error}")
             kept, certain = False, isinstance(error, FailedToKeepError) and error.certain
+        self._stored(write, kept, certain, answer, engine)
+
+    def _stored(
+        self, write: KeptWrite, kept: bool, certain: bool, answer: Answer | None, engine: Recorded
+    ) -> None:
+        """All that wait for it are told."""
+        dot = write.dot
         waiting = self.storing.pop(dot)
         if kept:
             self.outbox.stored(dot, self._now())
@@ -348,9 +365,10 @@
         else:
             self.outbox.unstored(dot, self._now())
         for one in waiting:
+            digest = self.bodies.digest(one)
             if not kept:
                 self._not_kept(one, answer, certain, engine)
-            elif digest_of(one) != write.digest:
+            elif digest != write.digest:
                 engine.settle(one, another_body())
             else:
                 engine.settle(one, self._kept(dot))
@@ -362,6 +380,8 @@
             engine.settle(call, may_have_run())
         elif answer is not None:
             engine.settle(call, answer)
+        elif (refused := self.bodies.refused(call)) is not None:
+            engine.settle(call, refused)
         elif not self._overtakes(call, None, engine):
             engine.admit(call)
 
@@ -425,24 +445,20 @@
 
     async def _send(self, dot: Dot) -> None:
         """Upstream with it, and its end written down."""
-        try:
-            found = await self.store.read(dot)
-        except (StoreError, OutboxError) as error:
-            self.log(f"outbox: {dot}: can't be read: {error}")
-            found = None
-        if found is None:
+        replay = Replay(self, dot)
+        call = await self.bodies.call(dot, replay)
+        if call is None:
             await self._end(dot, End.NOT_RUN, Answer(Ending.FAILED, 502))
             return
-        replay = Replay(self, dot)
         self.out[dot] = replay
         try:
-            call = self._call(*found, replay)
-            del found
             assert self.engine is not None
             self.engine.take(call)
             answer = await replay.over
         finally:
             del self.out[dot]
+            if call.upload is not None:
+                call.upload.leave()
         if answer.ending is Ending.SERVED:
             end = End.ANSWERED
         elif answer.ending is Ending.REFUSED or replay.never_ran:
--- a/woadyard/outbox/outbox.py
+++ b/woadyard/outbox/outbox.py
@@ -195,6 +195,14 @@
         self._unsure.pop(row, None)
         self._wake(row)
 
+    def sized(self, dot: Dot, size: int) -> None:
+        """What its body has, of which only the most was known when it was offered."""
+        row = self._must_row(dot)
+        less = self._rows.size[row] - size
+        self._rows.size[row] = size
+        self._usage[self._rows.tenant[row]][1] -= less
+        self.size -= less
+
     def unstored(self, dot: Dot, now: int) -> None:
         """Its record could not be made durable: as if it had not been offered."""
         row = self._must_row(dot)
@@ -261,6 +269,14 @@
             return Reason.MAY_HAVE_RUN if self._rows.has(row, SENT) else Reason.WINDOW
         return Reason.AGE if age > self.bounds.age_us else Reason.NONE
 
+    def left(self, dot: Dot, now: int) -> int:
+        """How much of its window is left; an unsafe one has none, and so all the time there is."""
+        row = self._must_row(dot)
+        cls = self.classes.get(self._names[self._rows.cls[row]])
+        if cls is None or not cls.keyed:
+            return self.bounds.age_us
+        return self._rows.since[row] + cls.window_us - now
+
     def _can_go(self, row: int) -> bool:
         """Ready still: a place in the queue may be older than the row's use."""
         return self._rows.state[row] == State.READY and not self._rows.flags[row] & (BUSY | CLOSED)
--- a/woadyard/outbox/store.py
+++ b/woadyard/outbox/store.py
@@ -17,7 +17,7 @@
 import asyncio
 import contextlib
 import secrets
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -174,6 +174,24 @@
         results = await asyncio.gather(*(self.store.delete(key) for key in keys), return_exceptions=True)
         return not any(isinstance(one, BaseException) for one in results)
 
+    async def put_parts(self, dot: Dot, at: int, parts: Sequence[bytes]) -> None:
+        """Parts behind the first of a body that is still coming, from number `at` on: all of `CHUNK` bytes
+        but the last of the body. `FailedToKeepError`; no life finds a write without its head."""
+        puts = [self.store.put(part_key(dot, number), part) for number, part in enumerate(parts, start=at)]
+        results = await asyncio.gather(*puts, return_exceptions=True)
+        error = next((one for one in results if isinstance(one, BaseException)), None)
+        if error is not None:
+            raise FailedToKeepError(str(error), True) from None
+
+    async def put_head(self, write: KeptWrite, first: bytes) -> None:
+        """The head, with the first part of the body, of a write whose other parts are durable: it is kept.
+        `FailedToKeepError`; its parts are for the caller to `forget`."""
+        record = encode(write)
+        try:
+            await self.store.put(key_of(KEPT, write.dot), len(record).to_bytes(4, "big") + record + first)
+        except StoreError as error:
+            raise FailedToKeepError(str(error), self.store.failed is None) from None
+
     async def forget(self, dot: Dot, size: int) -> bool:
         """All of a write. False if that can't be written."""
         moved = key_of(MOVED, dot)
@@ -218,6 +236,18 @@
             parts.append(part)
         return write, b"".join(parts)
 
+    async def head(self, dot: Dot) -> tuple[KeptWrite, bytes] | None:
+        """A write with the first part of its body; None if there is none. `StoreError`, `KeptRecordError`."""
+        value = await self.store.get(key_of(KEPT, dot))
+        return None if value is None else _split(value)
+
+    async def part(self, dot: Dot, at: int) -> bytes:
+        """One behind the first. `StoreError` if it can't be read."""
+        part = await self.store.get(part_key(dot, at))
+        if part is None:
+            raise StoreError(f"a part of the body of {dot} is missing")
+        return part
+
     async def moved(self, dot: Dot) -> Moved | None:
         value = await self.store.get(key_of(MOVED, dot))
         return None if value is None else decode_moved(value)
--- a/woadyard/testing/contracts/outbox.py
+++ b/woadyard/testing/contracts/outbox.py
@@ -4,12 +4,13 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from contextlib import AbstractAsyncContextManager
 from typing import Final, Protocol
 
 from woadyard.outbox.dots import Dot, Line
 from woadyard.outbox.journal import KeptWrite, Moved, State
+from woadyard.outbox.options import CHUNK
 from woadyard.outbox.store import Loaded
 from woadyard.store.disk import StoreError
 from woadyard.testing.contracts.base import Contract, raises, turns
@@ -26,8 +27,12 @@
 
     async def load(self) -> Loaded: ...
     async def keep(self, write: KeptWrite, body: bytes) -> None: ...
+    async def put_parts(self, dot: Dot, at: int, parts: Sequence[bytes]) -> None: ...
+    async def put_head(self, write: KeptWrite, first: bytes) -> None: ...
     async def move(self, moved: Moved) -> None: ...
     async def read(self, dot: Dot) -> tuple[KeptWrite, bytes] | None: ...
+    async def head(self, dot: Dot) -> tuple[KeptWrite, bytes] | None: ...
+    async def part(self, dot: Dot, at: int) -> bytes: ...
     async def moved(self, dot: Dot) -> Moved | None: ...
     async def forget(self, dot: Dot, size: int) -> bool: ...
     async def put_lines(self, lines: Mapping[Line, int]) -> None: ...
@@ -68,6 +73,19 @@
     return write_of(number, size), body_of(number, size)[:size]
 
 
+def parts_of(body: bytes) -> list[bytes]:
+    """All of a body, its first part too."""
+    return [body[at : at + CHUNK] for at in range(0, len(body), CHUNK)]
+
+
+async def keep_in_parts(store: WriteStore, write: KeptWrite, body: bytes) -> None:
+    """As a body that is still coming is kept: two parts at a time, the head last."""
+    parts = parts_of(body)
+    for at in range(1, len(parts), 2):
+        await store.put_parts(write.dot, at, parts[at : at + 2])
+    await store.put_head(write, parts[0])
+
+
 class WriteStoreContract(Contract, ABC):
     """The rules:
 
@@ -76,6 +94,8 @@
     3. The last state that was written holds. A final one ends the body; the head and the state stay.
     4. What was forgotten is gone.
     5. Nothing is kept on a disk that fails, and what was kept before can still be read.
+    6. A body may be kept part by part: with its head the write is as any; without it no life finds it, and
+       what there is of it can be forgotten.
     """
 
     @abstractmethod
@@ -172,3 +192,78 @@
                 assert found in ([1], [1, 2])
 
         self.run(main())
+
+    def test_a_body_kept_part_by_part_is_found_with_its_head(self) -> None:
+        async def main() -> None:
+            async with self.lives() as lives:
+                await lives.store.load()
+                write, body = made(1, 400_000)
+                parts = parts_of(body)
+                for at in range(1, len(parts), 2):
+                    await lives.store.put_parts(write.dot, at, parts[at : at + 2])
+                    assert await lives.store.read(write.dot) is None
+                await lives.store.put_head(write, parts[0])
+                for restart in (lives.restart, lives.crash):
+                    assert await lives.store.head(write.dot) == (write, parts[0])
+                    found = [await lives.store.part(write.dot, at) for at in range(1, len(parts))]
+                    assert found == parts[1:]
+                    assert await lives.store.read(write.dot) == (write, body)
+                    await restart()
+                    assert [one for one, _ in (await lives.store.load()).writes] == [write]
+
+        self.run(main())
+
+    def test_parts_without_a_head_are_nothing(self) -> None:
+        async def main() -> None:
+            async with self.lives() as lives:
+                await lives.store.load()
+                write, body = made(1, 400_000)
+                await lives.store.put_parts(write.dot, 1, parts_of(body)[1:])
+                assert await lives.store.head(write.dot) is None
+                await lives.crash()
+                assert (await lives.store.load()).writes == []
+                with raises(StoreError, "a part of a write that was never kept"):
+                    await lives.store.part(write.dot, 1)
+                await lives.store.put_parts(write.dot, 1, parts_of(body)[1:3])
+                assert await lives.store.forget(write.dot, len(body))
+                with raises(StoreError, "a part that was forgotten"):
+                    await lives.store.part(write.dot, 1)
+
+        self.run(main())
+
+    def test_a_crash_in_a_body_kept_part_by_part_leaves_all_or_nothing(self) -> None:
+        async def main() -> None:
+            for crash in CRASHES:
+                async with self.lives() as lives:
+                    await lives.store.load()
+                    write, body = made(1, 400_000)
+                    keeping = asyncio.create_task(keep_in_parts(lives.store, write, body))
+                    await turns(crash)
+                    told = keeping.done() and keeping.exception() is None
+                    await lives.crash()
+                    keeping.cancel()
+                    await asyncio.gather(keeping, return_exceptions=True)
+                    found = [one for one, _ in (await lives.store.load()).writes]
+                    assert found in ([], [write]) and (not told or found), f"{found} after {crash}"
+                    assert await lives.store.read(write.dot) == ((write, body) if found else None)
+
+        self.run(main())
+
+    def test_no_part_and_no_head_is_kept_on_a_disk_that_fails(self) -> None:
+        async def main() -> None:
+            async with self.lives() as lives:
+                await lives.store.load()
+                write, body = made(1, 100_000)
+                parts = parts_of(body)
+                await lives.store.put_parts(write.dot, 1, parts[1:])
+                lives.break_()
+                with raises(StoreError, "a part on a disk that fails"):
+                    await lives.store.put_parts(write.dot, 2, [b"x"])
+                with raises(StoreError, "a head on a disk that fails"):
+                    await lives.store.put_head(write, parts[0])
+                assert await lives.store.read(write.dot) is None
+                await lives.restart()
+                found = [one for one, _ in (await lives.store.load()).writes]
+                assert found in ([], [write])
+
+        self.run(main())
