--- a/woadyard/outbox/outbox.py
+++ b/woadyard/outbox/outbox.py
@@ -61,7 +61,7 @@
 __all__ = ["Bounds", "Change", "End", "KeptClass", "Offer", "Outbox", "Ticket"]
 
 
-# Rows that one call of `due` looks at, and changes of one kind that it gives: guards the loop's time.
+# Changes of one kind that one call of `due` gives: guards the loop's time.
 SWEEP: Final = 256
 # When a client should come again to an outbox that is full.
 RETRY_US: Final = 30_000_000
@@ -124,6 +124,8 @@
             self._life,
         )
         row = self._enter(write, 0, key, session, obj, now)
+        if write.cls:
+            self._ages.add(self._rows.cls[row], row)
         self._unsure[row] = causes
         self._link(row, causes)
         return Ticket(dot, write)
@@ -208,7 +210,7 @@
 
     def due(self, now: int) -> list[Change]:
         """What is to be done next, `SEND` among it: apply, then send. Asked after events and each second."""
-        return [*self._due_orphans(), *self._due_joins(), *self._due_sweep(now), *self._due_sends(now)]
+        return [*self._due_orphans(), *self._due_joins(), *self._due_late(now), *self._due_sends(now)]
 
     def _change(self, row: int, event: Event, reason: Reason = Reason.NONE) -> Change:
         """A step of this row, as a record without an answer. The row is busy from here."""
@@ -240,18 +242,23 @@
         rows = [self._joins.popleft() for _ in range(count)]
         return [self._change(row, Event.JOINED) for row in rows if self._can_go(row)]
 
-    def _due_sweep(self, now: int) -> list[Change]:
-        """Part of all rows, in turn: which are too old, or past their window."""
+    def _due_late(self, now: int) -> list[Change]:
+        """What is too old, or past its window. One that is busy or out is looked at again."""
+        for cls in range(len(self._names)):
+            while len(self._late) < SWEEP and (row := self._ages.first(cls)) >= 0 and self._expired(row, now):
+                self._ages.drop(cls, row)
+                self._late.append(row)
         found: list[Change] = []
-        rows, total = self._rows, len(self._rows)
-        for _ in range(min(SWEEP, total)):
-            self._swept = (self._swept + 1) % total
-            row = self._swept
-            flags = rows.flags[row]
-            if flags & (FOREIGN | BARRIER | JOIN | CLOSED | BUSY | ORPHAN) or not flags & DURABLE:
-                continue
-            if rows.state[row] in (State.KEPT, State.READY) and (reason := self._expired(row, now)):
-                found.append(self._change(row, Event.EXPIRED, reason))
+        rows = self._rows
+        for _ in range(len(self._late)):
+            row = self._late.popleft()
+            flags, state = rows.flags[row], rows.state[row]
+            if flags & (FOREIGN | BARRIER | JOIN | CLOSED | ORPHAN) or not self._expired(row, now):
+                continue  # over, used again, or to be parked as an orphan
+            if state in (State.KEPT, State.READY) and flags & (BUSY | DURABLE) == DURABLE:
+                found.append(self._change(row, Event.EXPIRED, self._expired(row, now)))
+            if state != State.PARKED:
+                self._late.append(row)
         return found
 
     def _expired(self, row: int, now: int) -> Reason:
@@ -333,6 +340,7 @@
         if moved.judged:
             self._judged[self._pack(change.dot)] = (moved.judged, Verdict(moved.verdict), moved.judged_at)
         if state is State.PARKED:
+            self._ages.drop(rows.cls[row], row)
             self._graph.halt(row)
         elif state in FINAL:
             self._close(row, now)
@@ -341,6 +349,8 @@
         elif event is Event.NEVER_RAN:
             rows.since[row] = now
             rows.set(row, SENT, False)
+            if not rows.has(row, JOIN):
+                self._ages.add(rows.cls[row], row)
             if moved.reason is Reason.ORPHANED:
                 self._excused.add(row)
             self._graph.resume(row)
@@ -374,6 +384,7 @@
 
     def _retire(self, row: int) -> None:
         self._uncount(row)
+        self._ages.drop(self._rows.cls[row], row)
         self._rows.set(row, CLOSED)
         self._graph.resume(row)
         if self._graph.free(row):
@@ -582,6 +593,9 @@
                     for follower in self._graph.followers(row):
                         self._orphan(follower)
                 self._retire(row)
+        for row in sorted(entered, key=self._rows.since.__getitem__):
+            if self._rows.state[row] != State.PARKED and not self._rows.flags[row] & (JOIN | CLOSED):
+                self._ages.add(self._rows.cls[row], row)
         for row in entered:
             if clock_back and self._rows.has(row, SENT) and self._rows.state[row] == State.KEPT:
                 changes.append(self._change(row, Event.EXPIRED, Reason.MAY_HAVE_RUN))
--- a/woadyard/outbox/waiting.py
+++ b/woadyard/outbox/waiting.py
@@ -12,6 +12,7 @@
 from collections.abc import Mapping
 from typing import Final
 
+from woadyard.outbox.ages import Ages
 from woadyard.outbox.causes import Cause, Causes, Fate, Frontier, Tokens, merge
 from woadyard.outbox.dots import Dot, Line
 from woadyard.outbox.errors import (
@@ -59,6 +60,8 @@
         self._graph = Graph()
         self._rows = Rows()
         self._turns = Turns()
+        self._ages = Ages(len(self._names))
+        self._late: deque[int] = deque()  # over their time, and not parked yet: no more than can be told soon
         self._open = Places()  # row of an own dot
         self._keys = Places(True)  # own dot of a key
         self._sessions = Places()  # row of the last write
@@ -81,7 +84,6 @@
         self._tenant_names: dict[int, str] = {}
         self._usage: dict[int, list[int]] = {}  # by tenant's place: count, bytes
         self._tenant_next = 0
-        self._swept = 0
         self._life = 0
         self.count = 0
         self.size = 0
