Keep the kept writes' index in pages and load them with few reads

Cause: the store's index took some 127 bytes a key, and loading hopped to a thread for each. Change: numbers in pages, about 12 bytes a key, the format on disk as it was; neighbours are read together.

--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -10,7 +10,9 @@
 import random
 import subprocess
 import sys
+import tracemalloc
 from collections.abc import AsyncIterator, Iterator
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -33,6 +35,7 @@
     segment_head,
 )
 from woadyard.store.manifest import MANIFEST, encode_manifest, segment_name
+from woadyard.store.numbered import Numbered
 from woadyard.store.recovery import look, read_all, recover
 from woadyard.store.tool import main as tool
 from woadyard.testing.disk import Op, SimulatedDisk
@@ -708,3 +711,67 @@
 
 TestAgainstDict = AgainstDict.TestCase
 TestAgainstDict.settings = settings(max_examples=40, stateful_step_count=25, deadline=None)
+
+
+# --- Numbered keys -------------------------------------------------------------------------
+
+
+def test_numbered_keys_are_found_as_in_a_dictionary() -> None:
+    draw, index, model = random.Random(7), Numbered(b"km"), dict[bytes, int]()
+    for step in range(20_000):
+        key = draw.choice((b"k", b"m", b"x", b"kk")) + draw.randrange(400).to_bytes(3, "big")
+        if draw.random() < 0.6:
+            index[key] = model[key] = step + 1
+        else:
+            assert index.pop(key, None) == model.pop(key, None)
+        assert len(index) == len(model) and (key in index) == (key in model)
+    assert dict(index.items()) == model
+    for key in model:
+        del index[key]
+    assert not index and not index._pages
+
+
+def test_a_numbered_key_takes_less_than_20_bytes() -> None:
+    index, count = Numbered(b"k"), 10_000
+    tracemalloc.start()
+    try:
+        for number in range(1, count + 1):
+            index[b"k" + number.to_bytes(16, "big")] = number << 32
+        size = tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+    assert size / count < 20
+
+
+def test_each_key_is_read_once_in_the_order_of_the_log() -> None:
+    async def main() -> None:
+        disk, options = SimulatedDisk(), replace(SMALL, numbered=b"a")
+        async with opened(disk, options) as store:
+            for number in range(300):
+                key = b"ab"[number % 2 : number % 2 + 1] + number.to_bytes(2, "big")
+                await store.put(key, bytes(number * 7))
+            await store.put(b"a" + bytes(2), b"again")
+            await store.put(b"a" + bytes((0, 2)), b"", 1)
+        async with opened(disk, options) as store:
+            found = [one async for one in store.each(b"a")]
+        numbers = [int.from_bytes(key[1:], "big") for key, _ in found]
+        assert numbers == [*range(4, 300, 2), 0] and found[-1][1] == b"again"
+        assert all(
+            value == bytes(number * 7) for number, (_, value) in zip(numbers, found[:-1], strict=False)
+        )
+
+    run(main())
+
+
+def test_a_damaged_record_is_told_where_many_are_read() -> None:
+    async def main() -> None:
+        disk = SimulatedDisk()
+        async with opened(disk) as store:
+            for number in range(3):
+                await store.put(b"a%d" % number, b"value")
+            segment, offset = place_of(store.index.where[b"a1"])
+            disk.write(segment_name(segment), offset + 30, b"?")
+            with pytest.raises(StoreError):
+                _ = [one async for one in store.each(b"a")]
+
+    run(main())
--- a/woadyard/outbox/store.py
+++ b/woadyard/outbox/store.py
@@ -21,6 +21,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from msgspec.structs import replace
+
 from woadyard.outbox.dots import Dot, Line
 from woadyard.outbox.errors import KeptRecordError
 from woadyard.outbox.journal import FINAL, KeptWrite, Moved, decode_kept, decode_moved, encode
@@ -49,7 +51,8 @@
 
 @dataclass
 class Loaded:
-    """What earlier lives left: the writes with their newest states, and the highest number of each line."""
+    """What earlier lives left: the writes with their newest states, but for the answers in these, and the
+    highest number of each line."""
 
     writes: list[tuple[KeptWrite, Moved | None]] = field(default_factory=list)
     lines: dict[Line, int] = field(default_factory=dict)
@@ -95,7 +98,7 @@
         in use, damaged or can't be read."""
         disk: Disk = FolderDisk(place) if isinstance(place, str) else place
         segment = min(SEGMENT_MOST, max(SEGMENT_LEAST, max_bytes // 8))
-        options = Options(max_bytes=2 * max_bytes + SPARE_BYTES, segment_bytes=segment)
+        options = Options(max_bytes=2 * max_bytes + SPARE_BYTES, segment_bytes=segment, numbered=KEPT + MOVED)
         if wall_ms is None:
             return cls(await Store.open(disk, options, log))
         return cls(await Store.open(disk, options, log, wall=wall_ms))
@@ -115,18 +118,15 @@
         found = Loaded()
         kept: dict[bytes, KeptWrite] = {}
         moved: dict[bytes, Moved] = {}
-        for key in sorted(self.store.index.where):
-            value = await self.store.get(key) if key[:1] in (KEPT, MOVED, LINE) else None
-            if value is None:
-                continue
+        async for key, value in self.store.each(KEPT + MOVED + LINE):
             if key[:1] == KEPT:
                 kept[key[1:]] = _split(value)[0]
             elif key[:1] == MOVED:
-                moved[key[1:]] = decode_moved(value)
+                moved[key[1:]] = replace(decode_moved(value), headers=(), body=b"")
             else:
                 found.lines[_line_of(key)] = int.from_bytes(value, "big")
         stale = self._orphans(kept, moved)
-        found.writes = [(one, moved.get(at)) for at, one in kept.items() if KEPT + at not in stale]
+        found.writes = [(one, moved.get(at)) for at, one in sorted(kept.items()) if KEPT + at not in stale]
         for write, _ in found.writes:
             found.lines[write.dot.line] = max(found.lines.get(write.dot.line, 0), write.dot.number)
         if stale:
--- a/woadyard/store/index.py
+++ b/woadyard/store/index.py
@@ -1,13 +1,16 @@
 """What is where: the index in memory, and what compaction should do and keep. No I/O.
 
 A key costs its dictionary slot, its bytes and one integer: some 110 bytes and the key's own
-length beyond 16. A location is a segment's number and an offset in it."""
+length beyond 16; far less where its user says that it is numbered (`numbered`). A location is a segment's
+number and an offset in it."""
 
 from __future__ import annotations
 
+from collections.abc import MutableMapping
 from dataclasses import dataclass
 
 from woadyard.store.log import DELETE
+from woadyard.store.numbered import Numbered
 
 _OFFSET_BITS = 32
 _OFFSET_MASK = (1 << _OFFSET_BITS) - 1
@@ -36,10 +39,11 @@
 
 
 class Index:
-    """Keys to locations, with the use that each segment still is."""
+    """Keys to locations, with the use that each segment still is. `numbered`: the first bytes of keys that
+    end with a number given out one by one."""
 
-    def __init__(self) -> None:
-        self.where: dict[bytes, int] = {}
+    def __init__(self, numbered: bytes = b"") -> None:
+        self.where: MutableMapping[bytes, int] = Numbered(numbered) if numbered else {}
         self.usage: dict[int, Usage] = {}
         self.highest = 0  # sequence number
 
--- a/woadyard/store/recovery.py
+++ b/woadyard/store/recovery.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from woadyard.store.disk import Disk
@@ -34,6 +34,8 @@
     segment_name,
 )
 
+# Read with a record's beginning: most are whole by that.
+NEAR = RECORD_HEAD.size + 512
 # Told how many segments of how many have been read.
 Progress = Callable[[int, int], None]
 
@@ -94,9 +96,11 @@
         index.highest = max(index.highest, frame.highest)
 
 
-def read_all(disk: Disk, manifest: Manifest, progress: Progress | None = None) -> Opened:
-    """All segments read; nothing is written."""
-    opened = Opened(manifest, Index(), 0)
+def read_all(
+    disk: Disk, manifest: Manifest, progress: Progress | None = None, numbered: bytes = b""
+) -> Opened:
+    """All segments read; nothing is written. `numbered`: as an `Index`'s."""
+    opened = Opened(manifest, Index(numbered), 0)
     for at, segment in enumerate(manifest.segments):
         data, salt, found = read_segment(disk, segment)
         fill(opened.index, segment.number, data, found)
@@ -117,7 +121,7 @@
     """The record at a location of the index; `LogError` if it is damaged."""
     segment, offset = place_of(where)
     name, place = segment_name(segment), f"segment {segment}, byte {offset}"
-    data = disk.read(name, offset, RECORD_HEAD.size + 512)
+    data = disk.read(name, offset, NEAR)
     if len(data) >= RECORD_HEAD.size:
         *_, key_size, value_size = RECORD_HEAD.unpack_from(data)
         size = RECORD_HEAD.size + key_size + value_size
@@ -126,7 +130,25 @@
     return read_record(data, place)
 
 
-def recover(disk: Disk, salt: int, progress: Progress | None = None) -> Opened:
+def records_at(disk: Disk, wheres: Sequence[int]) -> list[Record]:
+    """The records at neighbouring locations of one segment, read at once; `LogError` if one is damaged."""
+    segment, first = place_of(wheres[0])
+    data = disk.read(segment_name(segment), first, place_of(wheres[-1])[1] - first + NEAR)
+    found = []
+    for where in wheres:
+        at = place_of(where)[1] - first
+        size = RECORD_HEAD.size
+        if at + size <= len(data):
+            *_, key_size, value_size = RECORD_HEAD.unpack_from(data, at)
+            size += key_size + value_size
+        if at + size <= len(data):
+            found.append(read_record(data[at : at + size], f"segment {segment}, byte {first + at}"))
+        else:
+            found.append(record_at(disk, where))
+    return found
+
+
+def recover(disk: Disk, salt: int, progress: Progress | None = None, numbered: bytes = b"") -> Opened:
     """The store as it was last reported, made durable and ready to be written to.
 
     `LogError` for what is damaged, OSError as the disk tells; then nothing was changed
@@ -138,7 +160,7 @@
         write_manifest(disk, Manifest(1, (Segment(1),), 2))
         found = look(disk)
         assert found.manifest is not None
-    opened = read_all(disk, found.manifest, progress)
+    opened = read_all(disk, found.manifest, progress, numbered)
     for name in found.leftover:
         disk.delete(name)
     last = segment_name(found.manifest.segments[-1].number)
--- a/woadyard/store/store.py
+++ b/woadyard/store/store.py
@@ -19,7 +19,7 @@
 import time
 from array import array
 from collections import deque
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from types import TracebackType
@@ -40,7 +40,15 @@
     records_of,
 )
 from woadyard.store.manifest import Manifest, Segment, segment_name
-from woadyard.store.recovery import Opened, Progress, create_segment, record_at, recover, write_manifest
+from woadyard.store.recovery import (
+    Opened,
+    Progress,
+    create_segment,
+    record_at,
+    records_at,
+    recover,
+    write_manifest,
+)
 
 T = TypeVar("T")
 Log = Callable[[str], None]
@@ -48,6 +56,8 @@
 # Compaction copies into frames of this size, and gives the loop its turn after this time.
 COPY_FRAME = 256 * 1024
 SLICE_S = 0.001
+# Read at once of many records.
+READ_RECORDS, READ_BYTES = 64, 128 * 1024
 BACKOFF_S, BACKOFF_MOST_S = 1.0, 30.0
 
 
@@ -63,7 +73,8 @@
     """Bounds. A writer waits for the batch under way and for its own: no timer adds to that.
 
     `ahead_bytes` of zeros are written ahead of the log's end at a time: a sync that need not
-    lengthen the file as well takes half the time.
+    lengthen the file as well takes half the time. `numbered`: the first bytes of keys that end with
+    a number given out one by one: they take little memory.
     """
 
     batch_records: int = 1024
@@ -71,6 +82,7 @@
     segment_bytes: int = 64 << 20
     max_bytes: int = 4 << 30
     ahead_bytes: int = 1 << 20
+    numbered: bytes = b""
 
 
 # One write that waits for its batch: kind, key, value, expiry, and who waits.
@@ -147,11 +159,12 @@
         """The store as it was last reported. `StoreError` if it is in use, damaged, of another
         format or can't be read."""
         thread = ThreadPoolExecutor(1, "laurelstep-store")
+        options = options or Options()
         loop = asyncio.get_running_loop()
 
         def work() -> Opened:
             disk.lock()
-            return recover(disk, secrets.randbits(32), progress)
+            return recover(disk, secrets.randbits(32), progress, options.numbered)
 
         try:
             opened = await loop.run_in_executor(thread, work)
@@ -163,7 +176,7 @@
             raise
         if opened.torn:
             log(f"store: cut off {opened.torn} bytes of a batch that was never reported as written")
-        return cls(disk, opened, thread, options or Options(), log, clock, wall)
+        return cls(disk, opened, thread, options, log, clock, wall)
 
     async def _on_thread(self, work: Callable[..., T], *args: Any) -> T:
         return await self.loop.run_in_executor(self.thread, work, *args)
@@ -219,6 +232,21 @@
                 raise StoreError(f"segment {segment}: another key at byte {offset}")
             return None if record.expires and record.expires <= self.wall() else record.value
 
+    async def each(self, first: bytes) -> AsyncIterator[tuple[bytes, bytes]]:
+        """Every key that begins with one of these bytes, and its value, in the log's order; as `get`,
+        but many are read at once. Only before anything is written: compaction moves records."""
+        where = self.index.where
+        wheres = array("Q", sorted(where[key] for key in where if key[0] in first))
+        for some in _neighbours(wheres):
+            try:
+                records = await self._on_thread(records_at, self.disk, some)
+            except (LogError, OSError) as error:
+                raise StoreError(f"can't be read: {error}") from None
+            now_ms = self.wall()
+            for at, record in zip(some, records, strict=True):
+                if where.get(record.key) == at and not 0 < record.expires <= now_ms:
+                    yield record.key, record.value
+
     def stats(self) -> Stats:
         return Stats(
             keys=len(self.index),
@@ -497,6 +525,15 @@
         self.compactions += 1
 
 
+def _neighbours(wheres: array[int]) -> Iterator[array[int]]:
+    """So many of these sorted locations at a time as one read may bring."""
+    begin = 0
+    for at in range(1, len(wheres) + 1):
+        if at == len(wheres) or at - begin == READ_RECORDS or wheres[at] - wheres[begin] > READ_BYTES:
+            yield wheres[begin:at]
+            begin = at
+
+
 class Slices:
     """Gives the loop its turn when a slice is used up."""
 
