--- a/woadyard/outbox/causes.py
+++ b/woadyard/outbox/causes.py
@@ -63,7 +63,10 @@
     """One set that says what all of them say, by rule 2, sorted."""
     exact: dict[Line, set[int]] = {}
     before: dict[Line, int] = {}
-    for cause in (cause for one in sets for cause in one):
+    causes = {cause for one in sets for cause in one}
+    if len(causes) < 2:  # as most are
+        return tuple(causes)
+    for cause in causes:
         if cause.before:
             before[cause.line] = max(before.get(cause.line, 0), cause.number)
         else:
--- a/woadyard/outbox/driver.py
+++ b/woadyard/outbox/driver.py
@@ -334,7 +334,10 @@
         dot = write.dot
         certain = kept = True
         try:
-            await self.store.keep(write, call.body)
+            keeping = self.store.keep(write, call.body)
+            await asyncio.sleep(0)  # what follows is done while the disk works
+            told = self._kept(dot)
+            await keeping
             if not any(one.open for one in self.storing[dot]):
                 kept = not await self.store.forget(dot, write.size)
         except StoreError as error:
@@ -350,10 +353,10 @@
         for one in waiting:
             if not kept:
                 self._not_kept(one, answer, certain, engine)
-            elif digest_of(one) != write.digest:
+            elif one is not call and digest_of(one) != write.digest:
                 engine.settle(one, another_body())
             else:
-                engine.settle(one, self._kept(dot))
+                engine.settle(one, told if one is call else self._kept(dot))
 
     def _not_kept(self, call: Call, answer: Answer | None, certain: bool, engine: Recorded) -> None:
         if not call.open:
--- a/woadyard/outbox/rows.py
+++ b/woadyard/outbox/rows.py
@@ -2,7 +2,9 @@
 
 1. A row has the number of its node in the graph.
 2. `Places` is a hash table with open addressing and linear probing (Knuth, TAOCP 3, 6.4, algorithms L and R):
-   12 or 16 bytes a place, at most three quarters of them used, and in growth no fewer than three fifths.
+   12 or 16 bytes a place, at most three quarters of them used, and in growth no fewer than three fifths. It
+   grows part by part, so that no call takes long.
+3. `Numbers` is for names given out one by one: 4 bytes a name, and a page for each 64 neighbours.
 """
 
 from __future__ import annotations
@@ -22,6 +24,7 @@
     "JOIN",
     "ORPHAN",
     "SENT",
+    "Numbers",
     "Places",
     "Rows",
     "short",
@@ -37,7 +40,10 @@
 CLOSED: Final = 128  # final, but its followers still wait for its causes
 
 _EMPTY: Final = 0
-_SMALLEST: Final = 16
+_SMALLEST: Final = 8
+PARTS: Final = 61  # prime: the names need not be spread
+PAGE_BITS: Final = 6
+PAGE_MASK: Final = (1 << PAGE_BITS) - 1
 _MIX: Final = 0x9E3779B97F4A7C15
 _WORD: Final = (1 << 64) - 1
 
@@ -51,12 +57,12 @@
     return int.from_bytes(digest, "little") >> 1 or 1
 
 
-class Places:
-    """From positive integers to integers; with `wide`, to those of 64 bits. No place has 0."""
+class _Part:
+    """One of the tables that a `Places` is made of."""
 
-    def __init__(self, wide: bool = False) -> None:
+    def __init__(self, kind: str) -> None:
         self._used = 0
-        self._kind = "q" if wide else "i"
+        self._kind = kind
         self._keys = array("q", [_EMPTY]) * _SMALLEST
         self._values = array(self._kind, [0]) * _SMALLEST
 
@@ -111,6 +117,57 @@
                 self._keys[at], self._values[at] = key, value
 
 
+class Places:
+    """From positive integers to integers; with `wide`, to those of 64 bits. No place has 0."""
+
+    def __init__(self, wide: bool = False) -> None:
+        self._parts = [_Part("q" if wide else "i") for _ in range(PARTS)]
+
+    def __len__(self) -> int:
+        return sum(map(len, self._parts))
+
+    def get(self, key: int, default: int = -1) -> int:
+        return self._parts[key % PARTS].get(key, default)
+
+    def put(self, key: int, value: int) -> None:
+        self._parts[key % PARTS].put(key, value)
+
+    def drop(self, key: int) -> None:
+        self._parts[key % PARTS].drop(key)
+
+
+class Numbers:
+    """From integers that are given out one by one to integers that are not negative."""
+
+    def __init__(self) -> None:
+        # By all of a name but its last bits: the values (-1 for none), and how many there are.
+        self._pages: dict[int, array[int]] = {}
+
+    def get(self, name: int) -> int:
+        """-1 if there is none."""
+        page = self._pages.get(name >> PAGE_BITS)
+        return -1 if page is None else page[name & PAGE_MASK]
+
+    def put(self, name: int, value: int) -> None:
+        page = self._pages.get(name >> PAGE_BITS)
+        if page is None:
+            page = self._pages[name >> PAGE_BITS] = array("i", [-1]) * (PAGE_MASK + 2)
+            page[-1] = 0
+        place = name & PAGE_MASK
+        page[-1] += page[place] < 0
+        page[place] = value
+
+    def drop(self, name: int) -> None:
+        """It may have gone already."""
+        page = self._pages.get(name >> PAGE_BITS)
+        if page is None or page[name & PAGE_MASK] < 0:
+            return
+        page[name & PAGE_MASK] = -1
+        page[-1] -= 1
+        if not page[-1]:
+            del self._pages[name >> PAGE_BITS]
+
+
 class Rows:
     """The columns. `since`: when its age and window began; `line`: its place in the outbox's list."""
 
--- a/woadyard/outbox/store.py
+++ b/woadyard/outbox/store.py
@@ -17,9 +17,9 @@
 import asyncio
 import contextlib
 import secrets
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Any, Final
 
 from msgspec.structs import replace
 
@@ -150,8 +150,8 @@
 
     # --- Writing ----------------------------------------------------------------------
 
-    async def keep(self, write: KeptWrite, body: bytes) -> None:
-        """`FailedToKeepError`, with nothing of it left where that is certain."""
+    def keep(self, write: KeptWrite, body: bytes) -> Coroutine[Any, Any, None]:
+        """Begun by the call itself. `FailedToKeepError`, with nothing of it left where that is certain."""
         record = encode(write)
         first = len(record).to_bytes(4, "big") + record + body[:CHUNK]
         keys = part_keys(write.dot, len(body))
@@ -160,12 +160,15 @@
             self.store.put(key, body[at * CHUNK : (at + 1) * CHUNK]) for at, key in enumerate(keys, start=1)
         ]
         puts.append(self.store.put(key_of(KEPT, write.dot), first))
+        return self._kept(write, len(body), puts)
+
+    async def _kept(self, write: KeptWrite, size: int, puts: list[asyncio.Future[None]]) -> None:
         results = await asyncio.gather(*puts, return_exceptions=True)
         error = next((one for one in results if isinstance(one, BaseException)), None)
         if error is None:
             return
         # Told by a store that refuses before it writes: it is full, or was failing already.
-        certain = await self._take_back(write.dot, len(body)) and self.store.failed is None
+        certain = await self._take_back(write.dot, size) and self.store.failed is None
         raise FailedToKeepError(str(error), certain) from None
 
     async def _take_back(self, dot: Dot, size: int) -> bool:
--- a/woadyard/outbox/waiting.py
+++ b/woadyard/outbox/waiting.py
@@ -29,6 +29,7 @@
     FOREIGN,
     JOIN,
     ORPHAN,
+    Numbers,
     Places,
     Rows,
 )
@@ -62,7 +63,7 @@
         self._turns = Turns()
         self._ages = Ages(len(self._names))
         self._late: deque[int] = deque()  # over their time, and not parked yet: no more than can be told soon
-        self._open = Places()  # row of an own dot
+        self._open = Numbers()  # row of an own dot
         self._keys = Places(True)  # own dot of a key
         self._sessions = Places()  # row of the last write
         self._objects = Places()
--- a/woadyard/store/store.py
+++ b/woadyard/store/store.py
@@ -179,7 +179,23 @@
         return cls(disk, opened, thread, options, log, clock, wall)
 
     async def _on_thread(self, work: Callable[..., T], *args: Any) -> T:
-        return await self.loop.run_in_executor(self.thread, work, *args)
+        """As `run_in_executor`, at half of what that costs the loop."""
+        done: asyncio.Future[T] = self.loop.create_future()
+        self.thread.submit(self._work, done, work, args)
+        return await done
+
+    def _work(self, done: asyncio.Future[T], work: Callable[..., T], args: tuple[Any, ...]) -> None:
+        """On the thread."""
+        error: BaseException | None = None
+        try:
+            result = work(*args)
+        except BaseException as raised:
+            error = raised
+        with contextlib.suppress(RuntimeError):  # the loop is closed: nobody waits
+            if error is None:
+                self.loop.call_soon_threadsafe(_set_result, done, result)
+            else:
+                self.loop.call_soon_threadsafe(_set_error, done, error)
 
     async def __aenter__(self) -> Self:
         return self
@@ -525,6 +541,16 @@
         self.compactions += 1
 
 
+def _set_result(done: asyncio.Future[T], result: T) -> None:
+    if not done.done():  # its waiter was cancelled
+        done.set_result(result)
+
+
+def _set_error(done: asyncio.Future[Any], error: BaseException) -> None:
+    if not done.done():
+        done.set_exception(error)
+
+
 def _neighbours(wheres: array[int]) -> Iterator[array[int]]:
     """So many of these sorted locations at a time as one read may bring."""
     begin = 0
