End the bodies of what is final in the background, many at once

Cause: each replay read its body back and synced once more to end it, before the next was sent. Change: that is done a second later, in batches; one forgotten meanwhile does not come back.

--- a/woadyard/outbox/store.py
+++ b/woadyard/outbox/store.py
@@ -4,8 +4,8 @@
 
 1. A write is one record: its head, and the first part of its body behind it. Further parts of at most
    `CHUNK` bytes have records of their own, written before it; one that is told as kept has all of them.
-2. A state since is a second record; the newest counts. With a final one the body goes, and the head stays
-   until it is forgotten.
+2. A state since is a second record; the newest counts. Soon after a final one the body goes, and the head
+   stays until it is forgotten.
 3. What is written is durable when the call returns. A write that failed may be found by a later life all the
    same, unless `FailedToKeep.certain`.
 4. What a crash left of a write that was never told as kept is deleted as the store is opened.
@@ -17,6 +17,7 @@
 import asyncio
 import contextlib
 import secrets
+from collections import deque
 from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass, field
 from typing import Any, Final
@@ -35,6 +36,9 @@
 # The store may have this beside twice what is kept: states and deletions must find room when no more
 # writes are let in, and what is of no more use waits there for compaction.
 SPARE_BYTES: Final = 64 << 20
+# The bodies of what is final go after so long, so many at a time.
+END_S: Final = 1.0
+ENDED_MOST: Final = 16
 SEGMENT_LEAST, SEGMENT_MOST = 4 << 20, 64 << 20
 
 
@@ -85,6 +89,9 @@
     def __init__(self, store: Store) -> None:
         self.store = store
         self.incarnation = secrets.randbits(64)
+        self._ended: deque[Dot] = deque()  # final, and their bodies are still there
+        self._ending: asyncio.Task[None] | None = None
+        self._forgetting: set[Dot] = set()
 
     @classmethod
     async def open(
@@ -118,9 +125,12 @@
         found = Loaded()
         kept: dict[bytes, KeptWrite] = {}
         moved: dict[bytes, Moved] = {}
+        whole = set[bytes]()
         async for key, value in self.store.each(KEPT + MOVED + LINE):
             if key[:1] == KEPT:
-                kept[key[1:]] = _split(value)[0]
+                kept[key[1:]], first = _split(value)
+                if first:
+                    whole.add(key[1:])
             elif key[:1] == MOVED:
                 moved[key[1:]] = replace(decode_moved(value), headers=(), body=b"")
             else:
@@ -129,6 +139,9 @@
         found.writes = [(one, moved.get(at)) for at, one in sorted(kept.items()) if KEPT + at not in stale]
         for write, _ in found.writes:
             found.lines[write.dot.line] = max(found.lines.get(write.dot.line, 0), write.dot.number)
+        for write, state in found.writes:
+            if state is not None and state.state in FINAL and key_of(KEPT, write.dot)[1:] in whole:
+                self._end(write.dot)
         if stale:
             await asyncio.gather(*(self.store.delete(key) for key in stale))
         return found
@@ -180,24 +193,48 @@
     async def forget(self, dot: Dot, size: int) -> bool:
         """All of a write. False if that can't be written."""
         moved = key_of(MOVED, dot)
-        if moved in self.store:
-            self.store.delete(moved).add_done_callback(lambda one: one.exception())
-        return await self._take_back(dot, size)
+        self._forgetting.add(dot)
+        try:
+            if moved in self.store:
+                self.store.delete(moved).add_done_callback(lambda one: one.exception())
+            return await self._take_back(dot, size)
+        finally:
+            self._forgetting.discard(dot)
 
     async def move(self, moved: Moved) -> None:
         """Its state from now on. `StoreError` if it is not written."""
         await self.store.put(key_of(MOVED, moved.dot), encode(moved))
-        if moved.state not in FINAL:
-            return
-        # Nothing more is sent of it. What this fails to delete goes as the store is opened.
-        with contextlib.suppress(StoreError, KeptRecordError):
-            value = await self.store.get(key_of(KEPT, moved.dot))
-            if value is not None:
-                write, first = _split(value)
-                if first:
-                    await self.store.put(key_of(KEPT, moved.dot), value[: len(value) - len(first)])
-                keys = part_keys(moved.dot, write.size)
-                await asyncio.gather(*(self.store.delete(key) for key in keys if key in self.store))
+        if moved.state in FINAL:
+            self._end(moved.dot)
+
+    def _end(self, dot: Dot) -> None:
+        self._ended.append(dot)
+        if self._ending is None:
+            self._ending = asyncio.get_running_loop().create_task(self._end_bodies())
+
+    async def _end_bodies(self) -> None:
+        """Nothing more is sent of these. Nobody waits for it: many are read and written at once."""
+        try:
+            while self._ended:
+                await asyncio.sleep(END_S)
+                for _ in range(-(-len(self._ended) // ENDED_MOST)):
+                    some = [self._ended.popleft() for _ in range(min(ENDED_MOST, len(self._ended)))]
+                    with contextlib.suppress(StoreError, KeptRecordError):
+                        async for key, value in self.store.some([key_of(KEPT, dot) for dot in some]):
+                            self._end_body(key, value)
+        finally:
+            self._ending = None
+
+    def _end_body(self, key: bytes, value: bytes) -> None:
+        """What this fails to write is done as the store is opened."""
+        write, first = _split(value)
+        if write.dot in self._forgetting:
+            return  # a record of it must not come back
+        begun = [self.store.delete(key) for key in part_keys(write.dot, write.size) if key in self.store]
+        if first:
+            begun.append(self.store.put(key, value[: len(value) - len(first)]))
+        for one in begun:
+            one.add_done_callback(lambda done: done.cancelled() or done.exception())
 
     async def put_lines(self, lines: Mapping[Line, int]) -> None:
         """The highest number that each own line gave out. `StoreError` if it is not written."""
@@ -232,6 +269,8 @@
 
     async def close(self) -> None:
         """What waits is written first."""
+        if self._ending is not None:
+            self._ending.cancel()
         await self.store.close()
 
 
--- a/woadyard/store/store.py
+++ b/woadyard/store/store.py
@@ -19,7 +19,7 @@
 import time
 from array import array
 from collections import deque
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from types import TracebackType
@@ -248,11 +248,15 @@
                 raise StoreError(f"segment {segment}: another key at byte {offset}")
             return None if record.expires and record.expires <= self.wall() else record.value
 
-    async def each(self, first: bytes) -> AsyncIterator[tuple[bytes, bytes]]:
-        """Every key that begins with one of these bytes, and its value, in the log's order; as `get`,
-        but many are read at once. Only before anything is written: compaction moves records."""
+    def each(self, first: bytes) -> AsyncIterator[tuple[bytes, bytes]]:
+        """As `some`, of every key that begins with one of these bytes."""
+        return self.some(key for key in self.index.where if key[0] in first)
+
+    async def some(self, keys: Iterable[bytes]) -> AsyncIterator[tuple[bytes, bytes]]:
+        """Keys that are there, and their values, in the log's order. Many are read at once; what is
+        changed before its turn may be missing. `StoreError` as from `get`, and if compaction moved them."""
         where = self.index.where
-        wheres = array("Q", sorted(where[key] for key in where if key[0] in first))
+        wheres = array("Q", sorted(at for key in keys if (at := where.get(key)) is not None))
         for some in _neighbours(wheres):
             try:
                 records = await self._on_thread(records_at, self.disk, some)
