--- a/woadyard/outbox/driver.py
+++ b/woadyard/outbox/driver.py
@@ -349,7 +349,10 @@
         dot = write.dot
         certain = kept = True
         try:
-            await self.store.keep(write, call.body)
+            keeping = self.store.keep(write, call.body)
+            await asyncio.sleep(0)  # what follows is done while the disk works
+            told = self._kept(dot)
+            await keeping
             if not any(one.open for one in self.storing[dot]):
                 kept = not await self.store.forget(dot, write.size)
         except StoreError as error:
@@ -373,10 +376,10 @@
             digest = self.bodies.digest(one)
             if not kept:
                 self._not_kept(one, answer, certain, engine)
-            elif digest != write.digest:
+            elif one is not call and digest != write.digest:
                 engine.settle(one, another_body())
             else:
-                engine.settle(one, self._kept(dot))
+                engine.settle(one, told if one is call else self._kept(dot))
 
     def _not_kept(self, call: Call, answer: Answer | None, certain: bool, engine: Recorded) -> None:
         if not call.open:
--- a/woadyard/store/store.py
+++ b/woadyard/store/store.py
@@ -19,7 +19,7 @@
 import time
 from array import array
 from collections import deque
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from types import TracebackType
@@ -40,7 +40,15 @@
     records_of,
 )
 from woadyard.store.manifest import Manifest, Segment, segment_name
-from woadyard.store.recovery import Opened, Progress, create_segment, record_at, recover, write_manifest
+from woadyard.store.recovery import (
+    Opened,
+    Progress,
+    create_segment,
+    record_at,
+    records_at,
+    recover,
+    write_manifest,
+)
 
 T = TypeVar("T")
 Log = Callable[[str], None]
@@ -48,6 +56,8 @@
 # Compaction copies into frames of this size, and gives the loop its turn after this time.
 COPY_FRAME = 256 * 1024
 SLICE_S = 0.001
+# Read at once of many records.
+READ_RECORDS, READ_BYTES = 64, 128 * 1024
 BACKOFF_S, BACKOFF_MOST_S = 1.0, 30.0
 
 
@@ -63,7 +73,8 @@
     """Bounds. A writer waits for the batch under way and for its own: no timer adds to that.
 
     `ahead_bytes` of zeros are written ahead of the log's end at a time: a sync that need not
-    lengthen the file as well takes half the time.
+    lengthen the file as well takes half the time. `numbered`: the first bytes of keys that end with
+    a number given out one by one: they take little memory.
     """
 
     batch_records: int = 1024
@@ -71,6 +82,7 @@
     segment_bytes: int = 64 << 20
     max_bytes: int = 4 << 30
     ahead_bytes: int = 1 << 20
+    numbered: bytes = b""
 
 
 # One write that waits for its batch: kind, key, value, expiry, and who waits.
@@ -147,11 +159,12 @@
         """The store as it was last reported. `StoreError` if it is in use, damaged, of another
         format or can't be read."""
         thread = ThreadPoolExecutor(1, "laurelstep-store")
+        options = options or Options()
         loop = asyncio.get_running_loop()
 
         def work() -> Opened:
             disk.lock()
-            return recover(disk, secrets.randbits(32), progress)
+            return recover(disk, secrets.randbits(32), progress, options.numbered)
 
         try:
             opened = await loop.run_in_executor(thread, work)
@@ -163,10 +176,26 @@
             raise
         if opened.torn:
             log(f"store: cut off {opened.torn} bytes of a batch that was never reported as written")
-        return cls(disk, opened, thread, options or Options(), log, clock, wall)
+        return cls(disk, opened, thread, options, log, clock, wall)
 
     async def _on_thread(self, work: Callable[..., T], *args: Any) -> T:
-        return await self.loop.run_in_executor(self.thread, work, *args)
+        """As `run_in_executor`, at half of what that costs the loop."""
+        done: asyncio.Future[T] = self.loop.create_future()
+        self.thread.submit(self._work, done, work, args)
+        return await done
+
+    def _work(self, done: asyncio.Future[T], work: Callable[..., T], args: tuple[Any, ...]) -> None:
+        """On the thread."""
+        error: BaseException | None = None
+        try:
+            result = work(*args)
+        except BaseException as raised:
+            error = raised
+        with contextlib.suppress(RuntimeError):  # the loop is closed: nobody waits
+            if error is None:
+                self.loop.call_soon_threadsafe(_set_result, done, result)
+            else:
+                self.loop.call_soon_threadsafe(_set_error, done, error)
 
     async def __aenter__(self) -> Self:
         return self
@@ -219,6 +248,25 @@
                 raise StoreError(f"segment {segment}: another key at byte {offset}")
             return None if record.expires and record.expires <= self.wall() else record.value
 
+    def each(self, first: bytes) -> AsyncIterator[tuple[bytes, bytes]]:
+        """As `some`, of every key that begins with one of these bytes."""
+        return self.some(key for key in self.index.where if key[0] in first)
+
+    async def some(self, keys: Iterable[bytes]) -> AsyncIterator[tuple[bytes, bytes]]:
+        """Keys that are there, and their values, in the log's order. Many are read at once; what is
+        changed before its turn may be missing. `StoreError` as from `get`, and if compaction moved them."""
+        where = self.index.where
+        wheres = array("Q", sorted(at for key in keys if (at := where.get(key)) is not None))
+        for some in _neighbours(wheres):
+            try:
+                records = await self._on_thread(records_at, self.disk, some)
+            except (LogError, OSError) as error:
+                raise StoreError(f"can't be read: {error}") from None
+            now_ms = self.wall()
+            for at, record in zip(some, records, strict=True):
+                if where.get(record.key) == at and not 0 < record.expires <= now_ms:
+                    yield record.key, record.value
+
     def stats(self) -> Stats:
         return Stats(
             keys=len(self.index),
@@ -497,6 +545,25 @@
         self.compactions += 1
 
 
+def _set_result(done: asyncio.Future[T], result: T) -> None:
+    if not done.done():  # its waiter was cancelled
+        done.set_result(result)
+
+
+def _set_error(done: asyncio.Future[Any], error: BaseException) -> None:
+    if not done.done():
+        done.set_exception(error)
+
+
+def _neighbours(wheres: array[int]) -> Iterator[array[int]]:
+    """So many of these sorted locations at a time as one read may bring."""
+    begin = 0
+    for at in range(1, len(wheres) + 1):
+        if at == len(wheres) or at - begin == READ_RECORDS or wheres[at] - wheres[begin] > READ_BYTES:
+            yield wheres[begin:at]
+            begin = at
+
+
 class Slices:
     """Gives the loop its turn when a slice is used up."""
 
