Play the shared record under made schedules, and let a checker follow each agreed entry

Need: proof that no schedule lets an unsafe write run twice, or tells in what is not. Change: gates, edges and record in one seeded world with loss, doubling, deaths and copied disks.

--- /dev/null
+++ b/tests/test_shared_schedules.py
@@ -0,0 +1,1006 @@
+"""The agreed record of kept writes under made schedules, one seed one schedule, and that the checker can fail.
+
+Edges replay through gates that ask the record; what is told is lost, doubled, late and out of order. Gates die
+between BEGIN, send, effect and IN, copies begin anew from a snapshot or from nothing, disks are copied and started
+twice, operators judge, force and declare lost. The checker knows the effects, and follows each agreed entry.
+
+Invariants: once (an unsafe write takes effect at most once, a keyed one under its key alone), told (what is said
+to be in has taken effect, and is agreed), order (a cause before its effects), fenced (who does not hold a line
+gets no BEGIN and no line), final (in and gone are never taken back), bounds, step (copies at the same place are
+the same), progress (at the end each write is in, parked, or waits for one that is)."""
+
+from __future__ import annotations
+
+import copy
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import pytest
+
+from woadyard.outbox.causes import Cause, Fate
+from woadyard.outbox.dots import Dot, Line
+from woadyard.outbox.shared import record as records
+from woadyard.outbox.shared.entries import Begin, Entry, Hold, In, Lost, Unbegin, pack, unpack
+from woadyard.outbox.shared.record import Record
+from woadyard.outbox.shared.terms import Ask, Begun, Claim, Claimed, Replayed, Told
+
+STEPS = 110
+ROUNDS = 40
+OVER = (Fate.IN, Fate.GONE)
+
+
+class BrokenError(AssertionError):
+    """An invariant of the shared record, by name."""
+
+    def __init__(self, name: str, text: str) -> None:
+        super().__init__(f"{name}: {text}")
+        self.name = name
+
+
+@dataclass(eq=False)
+class Kept:
+    """A write on one disk. `state`: ready, out, parked, clearing, done, gone."""
+
+    dot: Dot
+    unsafe: bool
+    causes: tuple[Cause, ...]
+    state: str = "ready"
+    said: bool = True  # the record was told of this state
+    attempt: int = 0
+
+
+@dataclass(eq=False)
+class Disk:
+    lives: list[int] = field(default_factory=list)
+    kept: dict[Dot, Kept] = field(default_factory=dict)
+
+
+@dataclass(eq=False)
+class Call:
+    """A replay at a gate. `stage`: begin, sent, in, undo; `answer` is what is said once undone."""
+
+    copy: Copy
+    edge: Edge
+    attempt: int
+    replayed: Replayed
+    key: str
+    ask: int
+    stage: str = "begin"
+    answer: str = ""
+
+
+class Copy:
+    """One copy upstream: its record, and the gate's rule."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.record = world.make()
+        self.place = 0  # how many entries it has applied
+        self.known_at = 0
+        self.in_touch = True
+
+    @property
+    def ready(self) -> bool:
+        return self.place >= self.known_at and self.in_touch
+
+    def follow(self, count: int) -> None:
+        log = self.world.log
+        for data in log[self.place : self.place + count]:
+            self.place += 1
+            self.record.apply(self.place, data)
+
+    def restart(self) -> None:
+        """Its calls are gone, what it sent is not. It begins from its own snapshot, another's, or nothing."""
+        world = self.world
+        for send in world.sends:
+            if send.call is not None and send.call.copy is self:
+                send.call = None
+        world.calls = [call for call in world.calls if call.copy is not self]
+        luck = world.draw.random()
+        source = self if luck < 0.6 else world.draw.choice(world.copies)
+        new = world.make()
+        if luck < 0.9:
+            raw = source.record.dump()
+            new.load(raw)
+            world.check_same(source.record, new)
+            self.place = source.place
+        else:
+            self.place = 0
+        self.record = new
+        self.known_at = len(world.log)
+
+    # --- The gate ---------------------------------------------------------------------
+
+    def replay(self, edge: Edge, attempt: int, replayed: Replayed, key: str) -> None:
+        world, dot = self.world, replayed.dot
+        call = Call(self, edge, attempt, replayed, key, world.draw.getrandbits(63) or 1)
+        if not self.ready:
+            self.reply(call, "not run")
+        elif self.record.fate(Cause(*dot)) is Fate.IN:
+            self.reply(call, "in")
+        elif self.record.holder(dot.line) != replayed.life or self.record.fate(Cause(*dot)) is Fate.GONE:
+            self.reply(call, "fenced")
+        else:
+            world.calls.append(call)
+            if replayed.unsafe:
+                self.work(call)
+            else:
+                self.send(call)
+
+    def send(self, call: Call) -> None:
+        call.stage = "sent"
+        self.world.sends.append(Send(call.replayed.dot, call.key, call))
+
+    def work(self, call: Call) -> None:
+        match call.stage:
+            case "begin":
+                self.begin(call)
+            case "in":
+                self.bring_in(call)
+            case "undo":
+                self.undo(call)
+
+    def begin(self, call: Call) -> None:
+        replayed, world = call.replayed, self.world
+        match self.record.begun(replayed.dot, replayed.life, call.ask):
+            case Begun.MINE:
+                self.send(call)
+            case Begun.OTHERS:
+                self.reply(call, "begun")
+            case Begun.IN:
+                self.reply(call, "in")
+            case Begun.FENCED:
+                self.take_back(call, "fenced")
+            case _ if world.draw.random() < world.impatience:
+                self.take_back(call, "not run")
+            case _:
+                world.word(Begin(replayed.dot, replayed.life, call.ask))
+
+    def take_back(self, call: Call, answer: str) -> None:
+        call.stage, call.answer = "undo", answer
+        self.undo(call)
+
+    def undo(self, call: Call) -> None:
+        if self.record.undone(call.ask) or self.world.draw.random() < self.world.impatience:
+            self.reply(call, call.answer)
+        else:
+            self.world.word(Unbegin(call.replayed.dot, call.ask))
+
+    def served(self, call: Call) -> None:
+        call.stage = "in"
+        self.bring_in(call)
+
+    def bring_in(self, call: Call) -> None:
+        fate = self.record.fate(Cause(*call.replayed.dot))
+        if fate is Fate.IN:
+            self.reply(call, "in")
+        elif fate is Fate.GONE or self.world.draw.random() < self.world.impatience:
+            self.reply(call, "may")
+        else:
+            self.world.word(In(call.replayed.dot))
+
+    def unsent(self, call: Call) -> None:
+        """Refused before a byte of it left."""
+        if call.replayed.unsafe:
+            self.take_back(call, "not run")
+        else:
+            self.reply(call, "not run")
+
+    def reply(self, call: Call, answer: str) -> None:
+        world = self.world
+        if call in world.calls:
+            world.calls.remove(call)
+        if answer == "in":
+            world.check_in(Cause(*call.replayed.dot), "a replay")
+        world.mail.append(lambda: call.edge.answered(call.replayed.dot, call.attempt, answer))
+
+    def asked(self, edge: Edge, ask: Ask) -> None:
+        if not self.ready:
+            return
+        record, world = self.record, self.world
+        fates = tuple(record.fate(cause) for cause in ask.fates)
+        for cause, fate in zip(ask.fates, fates, strict=True):
+            if fate is Fate.IN:
+                world.check_in(cause, "an ask")
+        for entry in (
+            *(record.claim_entry(claim) for claim in ask.claims),
+            *(record.said_entry(told) for told in ask.told),
+        ):
+            if entry is not None:
+                world.word(entry)
+        claims = tuple(record.claimed(claim) for claim in ask.claims)
+        told = tuple(record.says(told) for told in ask.told)
+        world.mail.append(lambda: edge.heard(ask, fates, claims, told))
+
+
+class Edge:
+    """One process on one disk, from one start on."""
+
+    def __init__(self, world: World, name: str, disk: Disk) -> None:
+        self.world = world
+        self.name = name
+        self.disk = disk
+        self.alive = True
+        self.life = world.draw.getrandbits(63) or 1
+        self.known = tuple(disk.lives)
+        world.knowns[self.life] = frozenset(disk.lives)
+        disk.lives.append(self.life)  # durable before it asks
+        self.line = Line(name, self.life)
+        self.count = 0
+        self.claims: dict[Line, Claimed] = {self.line: Claimed.HELD}
+        self.fates: dict[Cause, Fate] = {}
+        for one in disk.kept.values():
+            self.claims.setdefault(one.dot.line, Claimed.OPEN)
+            one.attempt = 0
+            if one.state == "out":
+                self.found_out(one)
+
+    def found_out(self, one: Kept) -> None:
+        """It may have run."""
+        one.state, one.said = ("parked", False) if one.unsafe else ("ready", True)
+
+    def keep(self, unsafe: bool, causes: tuple[Cause, ...]) -> Dot:
+        self.count += 1
+        dot = Dot(*self.line, self.count)
+        self.disk.kept[dot] = Kept(dot, unsafe, causes)
+        return dot
+
+    # --- What it does -----------------------------------------------------------------
+
+    def is_in(self, cause: Cause) -> bool:
+        own = None if cause.before else self.disk.kept.get(cause.dot)
+        return (own is not None and own.state == "done") or self.fates.get(cause) is Fate.IN
+
+    def may_send(self, one: Kept) -> bool:
+        held = self.claims[one.dot.line] is Claimed.HELD
+        return held and one.state == "ready" and all(self.is_in(cause) for cause in one.causes)
+
+    def work(self) -> None:
+        due = [one for one in self.disk.kept.values() if self.may_send(one)]
+        if due and self.world.draw.random() < 0.8:
+            self.send(self.world.draw.choice(due))
+        else:
+            self.ask()
+
+    def send(self, one: Kept) -> None:
+        world = self.world
+        one.state = "out"  # durable, then sent
+        world.attempts += 1
+        one.attempt = world.attempts
+        replayed, attempt, key = Replayed(one.dot, self.life, one.unsafe), one.attempt, self.key(one)
+
+        def arrive() -> None:
+            world.draw.choice(world.copies).replay(self, attempt, replayed, key)
+
+        world.replays[arrive] = one.dot
+        world.mail.append(arrive)
+
+    def key(self, one: Kept) -> str:
+        return str(one.dot)
+
+    def ask(self) -> None:
+        world = self.world
+        fates = {
+            cause
+            for one in self.disk.kept.values()
+            if one.state == "ready"
+            for cause in one.causes
+            if not self.is_in(cause)
+        }
+        claims = tuple(
+            Claim(line, self.life, self.known, (line, self.life) in world.forced)
+            for line, claimed in self.claims.items()
+            if claimed is Claimed.OPEN
+        )
+        told = [said for one in self.disk.kept.values() if (said := self.to_say(one)) is not None]
+        told += [
+            low for line, claimed in self.claims.items() if claimed is Claimed.HELD if (low := self.low(line))
+        ]
+        if world.draw.random() < 0.5:
+            told = told[:1]
+        ask = Ask(tuple(sorted(fates)), claims, tuple(told))
+        if ask != Ask():
+            world.mail.append(lambda: world.draw.choice(world.copies).asked(self, ask))
+
+    def to_say(self, one: Kept) -> Told | None:
+        if one.said or self.claims[one.dot.line] is not Claimed.HELD:
+            return None
+        fates = {"parked": Fate.PARKED, "done": Fate.IN, "gone": Fate.GONE}
+        fate = fates.get(one.state, Fate.UNKNOWN)
+        return Told(one.dot, fate, self.life, False, one.state == "clearing")
+
+    def low(self, line: Line) -> Told | None:
+        number = 0
+        while (one := self.disk.kept.get(Dot(*line, number + 1))) is not None and self.is_over(one):
+            number += 1
+        return Told(Dot(*line, number), Fate.IN, self.life, True) if number else None
+
+    def is_over(self, one: Kept) -> bool:
+        return one.state == "done" or (one.state == "gone" and one.said)
+
+    # --- What it hears ----------------------------------------------------------------
+
+    def answered(self, dot: Dot, attempt: int, answer: str) -> None:
+        one = self.disk.kept[dot]
+        if not self.alive or one.state != "out" or one.attempt != attempt:
+            return
+        match answer:
+            case "in":
+                one.state = "done"
+            case "not run":
+                one.state = "ready"
+            case "fenced":
+                one.state = "ready"
+                self.claims[dot.line] = Claimed.FENCED
+            case _:
+                self.found_out(one)
+
+    def heard(
+        self, ask: Ask, fates: tuple[Fate, ...], claims: tuple[Claimed, ...], told: tuple[bool, ...]
+    ) -> None:
+        if not self.alive:
+            return
+        for cause, fate in zip(ask.fates, fates, strict=True):
+            if self.fates.get(cause) not in OVER:
+                self.fates[cause] = fate
+        for claim, claimed in zip(ask.claims, claims, strict=True):
+            if self.claims[claim.line] is Claimed.OPEN:
+                self.claims[claim.line] = claimed
+        for one, says in zip(ask.told, told, strict=True):
+            kept = self.disk.kept[one.dot]
+            if says and not one.before and not kept.said and self.to_say(kept) == one:
+                kept.said = True
+                if kept.state == "clearing":
+                    kept.state = "ready"
+
+
+@dataclass(eq=False)
+class Send:
+    """One attempt between a gate and a server. `call` is None once its gate died."""
+
+    dot: Dot
+    key: str
+    call: Call | None
+
+
+class World:
+    """One seed's world; a fault is put in by other classes."""
+
+    def __init__(
+        self,
+        seed: int,
+        make: Callable[[], Record] = Record,
+        copy_type: type[Copy] = Copy,
+        edge_type: type[Edge] = Edge,
+    ) -> None:
+        self.draw = random.Random(seed)
+        self.make = make
+        self.edge_type = edge_type
+        self.calm = False
+        self.impatience = self.draw.choice((0.05, 0.15, 0.4))
+        self.loss = self.draw.choice((0.0, 0.1, 0.25))
+        self.double = self.draw.choice((0.1, 0.3, 0.5))
+        self.writes_most = self.draw.choice((1, 3, 12))
+        self.log: list[bytes] = []
+        self.truth = make()
+        self.mail: list[Callable[[], None]] = []
+        self.replays: dict[Callable[[], None], Dot] = {}  # of the mail
+        self.calls: list[Call] = []
+        self.sends: list[Send] = []
+        self.attempts = 0
+        self.knowns: dict[int, frozenset[int]] = {}
+        self.forced: set[tuple[Line, int]] = set()
+        # What the checker knows.
+        self.writes: dict[Dot, Kept] = {}  # as they were kept
+        self.lines: dict[Line, list[Dot]] = {}
+        self.effects: dict[Dot, set[str]] = {}
+        self.given_up: set[Dot] = set()
+        self.finals: dict[Line, dict[Cause, Fate]] = {}
+        self.holders: dict[Line, int] = {}
+        self.lost: set[str | Line] = set()
+        self.copies = [copy_type(self) for _ in range(self.draw.randint(2, 3))]
+        self.edges = [edge_type(self, name, Disk()) for name in ("ash", "birch")[: self.draw.randint(1, 2)]]
+
+    def play(self) -> None:
+        deeds: tuple[tuple[Callable[[], None], int], ...] = (
+            (self.keep, 5), (self.work, 14), (self.deliver, 30), (self.gates, 12), (self.follow, 14),
+            (self.serve, 10), (self.judge, 5), (self.give_in, 3), (self.touch, 2), (self.restart_copy, 2),
+            (self.restart_edge, 2), (self.copy_disk, 1), (self.force, 1), (self.declare, 1),
+        )  # fmt: skip
+        # Each seed has its own share of each deed: some have much of one and little of another.
+        weights = [weight * self.draw.choice((0.2, 1, 1, 3)) for _, weight in deeds]
+        for deed, _ in self.draw.choices(deeds, weights, k=STEPS):
+            deed()
+        self.heal()
+
+    # --- What befalls it ----------------------------------------------------------------
+
+    def living(self) -> list[Edge]:
+        return [edge for edge in self.edges if edge.alive]
+
+    def keep(self) -> None:
+        edge, draw = self.draw.choice(self.living()), self.draw
+        if len(self.writes) >= self.writes_most:
+            return
+        dots = list(self.writes)
+        named = draw.sample(dots, min(len(dots), draw.choice((0, 0, 1, 1, 2))))
+        causes = tuple(Cause(*dot, draw.random() < 0.25) for dot in named)
+        dot = edge.keep(draw.random() < 0.7, causes)
+        self.writes[dot] = Kept(dot, edge.disk.kept[dot].unsafe, causes)
+        self.lines.setdefault(dot.line, []).append(dot)
+
+    def work(self) -> None:
+        self.draw.choice(self.living()).work()
+
+    def deliver(self) -> None:
+        """Out of order; lost, or one that comes again."""
+        if self.mail:
+            place = self.draw.randrange(len(self.mail))
+            luck = 1.0 if self.calm else self.draw.random()
+            again = self.loss <= luck < self.loss + self.double
+            act = self.mail[place] if again else self.mail.pop(place)
+            if luck >= self.loss:
+                act()
+
+    def word(self, entry: Entry) -> None:
+        data = pack(entry)[1:]
+        self.mail.append(lambda: self.agree(data))
+
+    def gates(self) -> None:
+        waiting = [call for call in self.calls if call.stage != "sent"]
+        if waiting:
+            call = self.draw.choice(waiting)
+            call.copy.work(call)
+
+    def follow(self) -> None:
+        self.draw.choice(self.copies).follow(self.draw.choice((1, 1, 3, 100)))
+
+    def serve(self) -> None:
+        if not self.sends:
+            return
+        send = self.sends.pop(self.draw.randrange(len(self.sends)))
+        call, luck = send.call, 1.0 if self.calm else self.draw.random()
+        if luck < 0.15:
+            if call is not None:
+                call.copy.unsent(call)
+            return
+        if luck >= 0.25:
+            self.effect(send)
+        if call is not None:
+            if luck < 0.4:
+                call.copy.reply(call, "may")  # lost on its way there, or back
+            else:
+                call.copy.served(call)
+
+    def judge(self) -> None:
+        """Operators are right. That it never ran they say where the line is held, once all tries are over: one
+        that is on its way could still run."""
+        edge = self.draw.choice(self.living())
+        parked = [one for one in edge.disk.kept.values() if one.state == "parked"]
+        if not parked:
+            return
+        one = self.draw.choice(parked)
+        if self.draw.random() < 0.3:
+            one.state, one.said = "gone", False
+            self.given_up.add(one.dot)
+        elif one.dot in self.effects:
+            one.state, one.said = "done", False
+        elif edge.claims[one.dot.line] is Claimed.HELD and not self.is_tried(one.dot):
+            one.state, one.said = "clearing", False
+
+    def is_tried(self, dot: Dot) -> bool:
+        if any(one.dot == dot for one in self.sends) or any(one.replayed.dot == dot for one in self.calls):
+            return True
+        return any(self.replays.get(act) == dot for act in self.mail)
+
+    def give_in(self) -> None:
+        """An edge's attempt has no more time."""
+        edge = self.draw.choice(self.living())
+        out = [one for one in edge.disk.kept.values() if one.state == "out"]
+        if out:
+            edge.found_out(self.draw.choice(out))
+
+    def touch(self) -> None:
+        one = self.draw.choice(self.copies)
+        one.in_touch = not one.in_touch
+
+    def restart_copy(self) -> None:
+        self.draw.choice(self.copies).restart()
+
+    def restart_edge(self) -> None:
+        edge = self.draw.choice(self.living())
+        edge.alive = False
+        self.edges.append(self.edge_type(self, edge.name, edge.disk))
+
+    def copy_disk(self) -> None:
+        if len(self.living()) < 4:
+            edge = self.draw.choice(self.living())
+            self.edges.append(self.edge_type(self, edge.name, copy.deepcopy(edge.disk)))
+
+    def force(self) -> None:
+        edge = self.draw.choice(self.living())
+        fenced = [line for line, claimed in edge.claims.items() if claimed is Claimed.FENCED]
+        if fenced:
+            line = self.draw.choice(fenced)
+            self.forced.add((line, edge.life))
+            edge.claims[line] = Claimed.OPEN
+
+    def declare(self) -> None:
+        if self.lines and self.draw.random() < 0.3:
+            line = self.draw.choice(list(self.lines))
+            self.word(Lost(line.edge, line.incarnation if self.draw.random() < 0.6 else 0))
+
+    # --- The checker --------------------------------------------------------------------
+
+    def effect(self, send: Send) -> None:
+        kept, keys = self.writes[send.dot], self.effects.get(send.dot, set())
+        if keys and (kept.unsafe or send.key not in keys):
+            raise BrokenError("once", f"{send.dot} took effect twice")
+        if keys:
+            return  # the server knows the key
+        for cause in kept.causes:
+            for dot in self.meant(cause):
+                if not self.has_run(dot) and not (cause.before and self.is_given_up(dot)):
+                    raise BrokenError("order", f"{send.dot} took effect before {dot}")
+        self.effects.setdefault(send.dot, set()).add(send.key)
+
+    def meant(self, cause: Cause) -> list[Dot]:
+        if not cause.before:
+            return [cause.dot]
+        return [dot for dot in self.lines[cause.line] if dot.number <= cause.number]
+
+    def has_run(self, dot: Dot) -> bool:
+        return dot in self.effects
+
+    def is_given_up(self, dot: Dot) -> bool:
+        return dot in self.given_up
+
+    def check_in(self, cause: Cause, where: str) -> None:
+        """Somebody is told that this is in."""
+        if self.truth.fate(cause) is not Fate.IN:
+            raise BrokenError("told", f"{where} says that {cause} is in, that is not agreed")
+        for dot in self.meant(cause):
+            if not self.has_run(dot) and not (cause.before and self.is_given_up(dot)):
+                raise BrokenError("told", f"{where} says that {cause} is in, {dot} is not")
+
+    def agree(self, data: bytes) -> None:
+        """The next entry in order."""
+        self.log.append(data)
+        entry = unpack(data)
+        assert entry is not None
+        begun = self.truth._row(entry.dot.line).begun if isinstance(entry, Begin) else ()
+        try:
+            self.truth.apply(len(self.log), data)
+        except Exception as error:
+            raise BrokenError("step", f"{entry}: {error!r}") from error
+        if isinstance(entry, Begin):
+            self.check_begun(entry, begun)
+        if isinstance(entry, Lost):
+            self.lost.add(Line(entry.edge, entry.incarnation) if entry.incarnation else entry.edge)
+        touched = [line for line in self.lines if line.edge == edge_of(entry)]
+        self.check_holders(entry, touched)
+        self.check_finals(touched)
+        self.check_bounds()
+
+    def check_begun(self, entry: Begin, before: tuple[tuple[int, int], ...]) -> None:
+        grant = (entry.dot.number, entry.ask)
+        if grant in before or grant not in self.truth._row(entry.dot.line).begun:
+            return
+        line = entry.dot.line
+        if entry.life != self.holder(line) or line in self.lost or line.edge in self.lost:
+            raise BrokenError("fenced", f"{entry} was granted, {line} is another's")
+
+    def holder(self, line: Line) -> int:
+        return self.holders.get(line, line.incarnation)
+
+    def check_holders(self, entry: Entry, touched: list[Line]) -> None:
+        for line in touched:
+            holder, before = self.truth.holder(line), self.holder(line)
+            if holder == before:
+                continue
+            if holder:
+                asked = isinstance(entry, Hold) and entry.line == line and entry.life == holder
+                known = before in self.knowns[holder] or (line, holder) in self.forced
+                if not asked or not known or before == 0:
+                    raise BrokenError("fenced", f"{line} went from {before} to {holder} by {entry}")
+            elif line not in self.lost and line.edge not in self.lost:
+                raise BrokenError("fenced", f"{line} is nobody's by {entry}")
+            self.holders[line] = holder
+
+    def check_finals(self, touched: list[Line]) -> None:
+        for line in touched:
+            now, before = self.final_in(self.truth, line), self.finals.get(line, {})
+            if not before.items() <= now.items():
+                raise BrokenError("final", f"{before} are {now}")
+            self.finals[line] = now
+
+    def final_in(self, record: Record, line: Line) -> dict[Cause, Fate]:
+        asked = [Cause(*dot, before) for dot in self.lines[line] for before in (False, True)]
+        asked.append(Cause(line.edge, 1 << 63, 1))  # of a life to come
+        return {cause: fate for cause in asked if (fate := record.fate(cause)) in OVER}
+
+    def check_bounds(self) -> None:
+        rows = self.truth._rows
+        spans = sum(row.spans for row in rows.values())
+        begun = [(line, number) for line, row in rows.items() for number, _ in row.begun]
+        for name, found, most in (
+            ("lines", len(rows), records.LINES_MOST),
+            (
+                "ranges",
+                max((len(row.ins) + len(row.gone) for row in rows.values()), default=0),
+                records.RANGES_MOST,
+            ),
+            ("parked", max((len(row.parked) for row in rows.values()), default=0), records.PARKED_MOST),
+            ("spans", spans, records.SPANS_MOST),
+            ("begun", len(begun), records.BEGUN_MOST),
+            ("undone", len(self.truth._undone), records.UNDONE_MOST),
+            ("lost", len(self.truth._lost), records.LOST_MOST),
+        ):
+            if found > most:
+                raise BrokenError("bounds", f"{found} {name}, {most} at most")
+        if (spans, len(begun)) != (self.truth._spans, self.truth._begun):
+            raise BrokenError("bounds", "what is counted is not what there is")
+        for line, number in begun:
+            if self.truth.fate(Cause(*line, number)) in OVER:
+                raise BrokenError("bounds", f"{number} of {line} is over and still begun")
+
+    def check_same(self, old: Record, new: Record) -> None:
+        for line in self.lines:
+            if not self.final_in(old, line).items() <= self.final_in(new, line).items():
+                raise BrokenError("final", "a snapshot forgot what was in or gone")
+        if old.dump() != new.dump():
+            raise BrokenError("step", "a snapshot does not give back what it was made of")
+
+    # --- The end ------------------------------------------------------------------------
+
+    def heal(self) -> None:
+        self.calm, self.impatience = True, 0.0
+        for one in self.copies:
+            one.in_touch = True
+        self.all_follow()
+        for _ in range(ROUNDS):
+            if not self.round():
+                break
+        for one in self.copies:
+            one.follow(len(self.log))
+            if one.record.dump() != self.truth.dump():
+                raise BrokenError("step", "copies at the same place are not the same")
+        self.check_progress()
+
+    def round(self) -> bool:
+        """All that there is to do is done once. Whether anything but asking was done."""
+        before = self.state()
+        idle = not self.mail and not self.calls and not self.sends
+        for edge in self.living():
+            for one in list(edge.disk.kept.values()):
+                if one.state == "out" and idle:
+                    edge.found_out(one)  # its answer was lost
+                if edge.may_send(one):
+                    edge.send(one)
+            edge.ask()
+        while self.mail or self.sends:
+            while self.mail:
+                self.deliver()
+            self.all_follow()
+            while self.sends:
+                self.serve()
+        for call in list(self.calls):
+            call.copy.work(call)
+        while self.mail:
+            self.deliver()
+        self.all_follow()
+        return not idle or self.state() != before
+
+    def all_follow(self) -> None:
+        for one in self.copies:
+            one.follow(len(self.log))
+
+    def state(self) -> list[object]:
+        found: list[object] = [len(self.log)]
+        for edge in self.living():
+            found += [(one.dot, one.state, one.said) for one in edge.disk.kept.values()]
+            found += [dict(edge.claims), dict(edge.fates)]
+        return found
+
+    def check_progress(self) -> None:
+        if sum(self.truth.refused.values()):
+            return  # what does not fit waits for an operator
+        for edge in self.living():
+            for one in edge.disk.kept.values():
+                if self.truth.holder(one.dot.line) != edge.life or one.state in ("done", "gone", "parked"):
+                    continue
+                if all(self.truth.fate(cause) is Fate.IN for cause in one.causes):
+                    if edge.claims[one.dot.line] is not Claimed.FENCED:
+                        raise BrokenError("progress", f"{one.dot} is {one.state} at the end")
+
+
+def edge_of(entry: Entry) -> str:
+    match entry:
+        case Hold():
+            return entry.line.edge
+        case Lost():
+            return entry.edge
+        case _:
+            return entry.dot.edge
+
+
+def play(first: int, last: int, **types: Any) -> None:
+    for seed in range(first, last):
+        try:
+            World(seed, **types).play()
+        except BrokenError as error:
+            error.add_note(f"seed {seed}")
+            raise
+
+
+def tighten(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name, most in (("LINES", 3), ("RANGES", 2), ("PARKED", 1), ("SPANS", 4), ("BEGUN", 2), ("UNDONE", 2)):
+        monkeypatch.setattr(records, f"{name}_MOST", most)
+
+
+@pytest.mark.parametrize("first", range(0, 10_000, 2_500))
+def test_no_schedule_breaks_an_invariant(first: int) -> None:
+    play(first, first + 2_500)
+
+
+def test_none_does_where_bounds_are_reached(monkeypatch: pytest.MonkeyPatch) -> None:
+    tighten(monkeypatch)
+    play(0, 1_500)
+
+
+# --- That the checker can fail ------------------------------------------------------------
+
+
+class BegunTwice(Record):
+    """A BEGIN is granted whoever began before."""
+
+    def _begin(self, entry: Begin) -> None:
+        row, number = self._row(entry.dot.line), entry.dot.number
+        if row.holder == entry.life and row.fate(number) not in OVER:
+            self._put(entry.dot.line, row.without_begun(number, number).with_begun(number, entry.ask))
+
+
+class UnbegunByAny(Record):
+    """An UNBEGIN takes back whoever's BEGIN there is."""
+
+    def _unbegin(self, entry: Unbegin) -> None:
+        number = entry.dot.number
+        self._put(entry.dot.line, self._row(entry.dot.line).without_begun(number, number))
+        self._undo(entry.ask)
+
+
+class HolderUnchecked(Record):
+    """Whoever asks gets a BEGIN."""
+
+    def _begin(self, entry: Begin) -> None:
+        super()._begin(msgspec.structs.replace(entry, life=self.holder(entry.dot.line)))
+
+
+class ClaimedUnknown(Record):
+    """A claim need not name the holder."""
+
+    def claimed(self, claim: Claim) -> Claimed:
+        return super().claimed(msgspec.structs.replace(claim, force=True))
+
+
+class HeldByTheLast(Record):
+    """A claim holds whatever became of the line since it was asked."""
+
+    def _hold(self, entry: Hold) -> None:
+        row = self._row(entry.line)
+        super()._hold(msgspec.structs.replace(entry, turn=row.turn, of=row.holder))
+
+
+class HeldWhenLost(Record):
+    """A line that is lost can be claimed."""
+
+    def _hold(self, entry: Hold) -> None:
+        row = self._row(entry.line)
+        if row.holder == 0:
+            self._rows[entry.line] = msgspec.structs.replace(row, holder=entry.life)
+        else:
+            super()._hold(entry)
+
+    def claimed(self, claim: Claim) -> Claimed:
+        return Claimed.OPEN if self.holder(claim.line) == 0 else super().claimed(claim)
+
+
+class LostForgotten(Record):
+    """A snapshot does not say which edges are lost."""
+
+    def dump(self) -> bytes:
+        lost, self._lost = self._lost, set()
+        raw = super().dump()
+        self._lost = lost
+        return raw
+
+
+class BegunForgotten(Record):
+    """A snapshot does not say what was begun."""
+
+    def load(self, raw: bytes) -> None:
+        super().load(raw)
+        for line, row in self._rows.items():
+            self._rows[line] = msgspec.structs.replace(row, begun=())
+        self._begun = 0
+
+
+class GoneTakenBack(Record):
+    """What runs after all is gone no more."""
+
+    def _change(self, dot: Dot, first: int, fate: Fate) -> None:
+        row = self._row(dot.line)
+        if fate is Fate.IN and row.holder:
+            self._spans -= row.spans
+            row = msgspec.structs.replace(row, gone=records.cut(row.gone, first, dot.number))
+            self._spans += row.spans
+            self._rows[dot.line] = row
+        super()._change(dot, first, fate)
+
+
+class InTakenBack(Record):
+    """What is parked is not in, whatever was said before."""
+
+    def _change(self, dot: Dot, first: int, fate: Fate) -> None:
+        row = self._row(dot.line)
+        if fate is Fate.GONE and row.holder and row.low >= dot.number:
+            self._rows[dot.line] = msgspec.structs.replace(row, low=dot.number - 1)
+        super()._change(dot, first, fate)
+
+
+class BegunKept(Record):
+    """What is over stays begun."""
+
+    def _change(self, dot: Dot, first: int, fate: Fate) -> None:
+        begun = self._row(dot.line).begun
+        super()._change(dot, first, fate)
+        row = self._row(dot.line)
+        if row.begun != begun:
+            self._rows[dot.line] = msgspec.structs.replace(row, begun=begun)
+            self._begun += len(begun) - len(row.begun)
+
+
+class BegunClearedEarly(Record):
+    """A write that is parked counts as not begun."""
+
+    def _change(self, dot: Dot, first: int, fate: Fate) -> None:
+        if fate is Fate.PARKED:
+            self._put(dot.line, self._row(dot.line).without_begun(first, dot.number))
+        super()._change(dot, first, fate)
+
+
+class LowOverGaps(Record):
+    """One that is in means that all before it are over."""
+
+    def _change(self, dot: Dot, first: int, fate: Fate) -> None:
+        super()._change(dot, 1 if fate is Fate.IN else first, fate)
+
+
+class BoundIgnored(Record):
+    """Whatever comes is kept."""
+
+    def _bound(self, *args: Any) -> None:
+        return None
+
+
+class ForgetsForRoom(Record):
+    """Where a line has no more room for ranges, the first of them goes."""
+
+    def _put(self, line: Line, row: Any) -> None:
+        if len(row.ins) + len(row.gone) > records.RANGES_MOST and row.ins:
+            row = msgspec.structs.replace(row, ins=row.ins[1:])
+        super()._put(line, row)
+
+
+class LostRaises(Record):
+    """What it does not expect, it raises at."""
+
+    def _lose(self, entry: Lost) -> None:
+        if entry.incarnation:
+            self._rows[Line(entry.edge, entry.incarnation)]
+        super()._lose(entry)
+
+
+class LateBegun(Record):
+    """An ask that was taken back can begin again."""
+
+    def _undo(self, ask: int) -> None:
+        self._undone.pop(ask, None)
+
+
+class TellsEarly(Copy):
+    """IN is told before it is agreed."""
+
+    def served(self, call: Call) -> None:
+        self.world.word(In(call.replayed.dot))
+        self.reply(call, "in")
+
+
+class SendsEarly(Copy):
+    """An unsafe write is sent before its BEGIN is agreed."""
+
+    def begin(self, call: Call) -> None:
+        replayed = call.replayed
+        if self.record.begun(replayed.dot, replayed.life, call.ask) is Begun.OPEN:
+            self.world.word(Begin(replayed.dot, replayed.life, call.ask))
+            self.send(call)
+        else:
+            super().begin(call)
+
+
+class UnbeginsSent(Copy):
+    """A call whose answer is lost is taken back as if it had not been sent."""
+
+    def reply(self, call: Call, answer: str) -> None:
+        if answer == "may" and call.replayed.unsafe:
+            self.world.word(Unbegin(call.replayed.dot, call.ask))
+            answer = "not run"
+        super().reply(call, answer)
+
+
+class SendsBefore(Edge):
+    """A write does not wait for what it follows."""
+
+    def is_in(self, cause: Cause) -> bool:
+        return True
+
+
+class NewKeys(Edge):
+    """Each try has a key of its own."""
+
+    def key(self, one: Kept) -> str:
+        return f"{one.dot} {one.attempt}"
+
+
+class LowOverParked(Edge):
+    """What is parked counts as over."""
+
+    def is_over(self, one: Kept) -> bool:
+        return one.state == "parked" or super().is_over(one)
+
+
+FAULTS: list[tuple[type[Record] | type[Copy] | type[Edge], set[str]]] = [
+    (BegunTwice, {"once"}),
+    (UnbegunByAny, {"once"}),
+    (HolderUnchecked, {"fenced"}),
+    (ClaimedUnknown, {"fenced"}),
+    (HeldByTheLast, {"fenced"}),
+    (HeldWhenLost, {"fenced", "final"}),
+    (LostForgotten, {"final"}),
+    (BegunForgotten, {"step"}),
+    (GoneTakenBack, {"final"}),
+    (InTakenBack, {"final"}),
+    (BegunKept, {"bounds"}),
+    (BegunClearedEarly, {"once"}),
+    (LowOverGaps, {"told"}),
+    (LostRaises, {"step"}),
+    (TellsEarly, {"told"}),
+    (SendsEarly, {"once"}),
+    (UnbeginsSent, {"once"}),
+    (SendsBefore, {"order"}),
+    (NewKeys, {"once"}),
+    (LowOverParked, {"told"}),
+]
+
+
+def types_of(fault: type[Any]) -> dict[str, Any]:
+    names = {Record: "make", Copy: "copy_type", Edge: "edge_type"}
+    return next({name: fault} for base, name in names.items() if issubclass(fault, base))
+
+
+@pytest.mark.parametrize(("fault", "names"), FAULTS, ids=lambda one: getattr(one, "__name__", ""))
+def test_a_fault_is_found_by_its_invariant(fault: type[Any], names: set[str]) -> None:
+    with pytest.raises(BrokenError) as found:
+        play(0, 2_000, **types_of(fault))
+    assert found.value.name in names
+
+
+@pytest.mark.parametrize(("fault", "name"), [(BoundIgnored, "bounds"), (ForgetsForRoom, "final")])
+def test_a_fault_at_a_bound_is_found(fault: type[Any], name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    tighten(monkeypatch)
+    with pytest.raises(BrokenError) as found:
+        play(0, 2_000, **types_of(fault))
+    assert found.value.name == name
