Test the shared record: its rules by number, its bounds, its sharer

Need: each rule at the head of the record had to have a test that fails without it. Change: unit tests, drawn entries that come twice and in another order, real nodes over a made link with loss, a leader's death and a cut.

--- /dev/null
+++ b/tests/test_shared_record.py
@@ -0,0 +1,1035 @@
+"""The agreed record of kept writes: its entries, its rules, its bounds, and what brings entries to agreement."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.fakes import ManualClock
+from tests.test_node import Blank
+from woadyard.accord.core import Core
+from woadyard.accord.errors import BusyError, EntryError, KeptError, NotLeadingError
+from woadyard.accord.links.memory import Faulty, MemoryNetwork
+from woadyard.accord.machines import Machines
+from woadyard.accord.node import Node
+from woadyard.accord.parts import Parts
+from woadyard.accord.ports import Store
+from woadyard.accord.snapshots import SNAPSHOT_MOST
+from woadyard.accord.stores.none import NoStore
+from woadyard.accord.terms import ENTRY_MOST, WORD_MOST, Timing
+from woadyard.outbox.causes import Cause, Fate
+from woadyard.outbox.dots import EDGE_MOST, Dot, Line
+from woadyard.outbox.shared import record as records
+from woadyard.outbox.shared import spans
+from woadyard.outbox.shared.entries import (
+    ID_END,
+    KIND,
+    NUMBER_END,
+    Begin,
+    Entry,
+    Hold,
+    In,
+    Lost,
+    Said,
+    Unbegin,
+    pack,
+    unpack,
+    unpack_word,
+)
+from woadyard.outbox.shared.record import Record
+from woadyard.outbox.shared.sharer import AGAIN_MOST_US, AGAIN_US, FLIGHT_US, WAITS_MOST, Sharer
+from woadyard.outbox.shared.terms import Begun, Claim, Claimed, Told
+
+ASH = Line("ash", 7)
+OTHER = Line("ash", 8)
+MS = 1_000
+
+
+def dot(number: int, line: Line = ASH) -> Dot:
+    return Dot(*line, number)
+
+
+def apply(record: Record, *entries: Entry) -> Record:
+    for entry in entries:
+        record.apply(1, pack(entry)[1:])
+    return record
+
+
+def after(*entries: Entry) -> Record:
+    return apply(Record(), *entries)
+
+
+def fate(record: Record, number: int, line: Line = ASH) -> Fate:
+    return record.fate(Cause(*line, number))
+
+
+def fate_up_to(record: Record, number: int, line: Line = ASH) -> Fate:
+    return record.fate(Cause(*line, number, True))
+
+
+# --- Entries ------------------------------------------------------------------------------
+
+LONG = Dot("e" * EDGE_MOST, ID_END - 1, NUMBER_END - 1)
+MOST = ID_END - 1
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [
+        Begin(LONG, MOST, MOST),
+        Unbegin(LONG, MOST),
+        In(LONG),
+        Hold(LONG.line, MOST, MOST, NUMBER_END - 1, True),
+        Said(LONG, Fate.GONE, MOST, True, MOST),
+        Lost(LONG.edge, MOST),
+    ],
+)
+def test_the_longest_entries_fit_and_are_read_back(entry: Entry) -> None:
+    data = pack(entry)
+    assert len(data) <= min(ENTRY_MOST, WORD_MOST) and data[:1] == KIND
+    assert unpack(data[1:]) == entry == unpack_word(data)
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [
+        In(Dot("Ash", 7, 1)),
+        In(Dot("e" * (EDGE_MOST + 1), 7, 1)),
+        In(dot(0)),
+        In(dot(NUMBER_END)),
+        In(Dot("ash", 0, 1)),
+        Begin(dot(1), 0, 1),
+        Begin(dot(1), 7, 0),
+        Unbegin(dot(1), ID_END),
+        Hold(ASH, 0, 7, 0),
+        Hold(ASH, 9, 7, -1),
+        Said(dot(1), Fate.IN, 0),
+        Said(dot(1), Fate.IN, 7, False, -1),
+        Lost("ash", -1),
+        Lost(""),
+    ],
+)
+def test_what_can_not_be_is_no_entry(entry: Entry) -> None:
+    with pytest.raises(EntryError):
+        pack(entry)
+    try:
+        data = msgspec.msgpack.encode(entry)
+    except (OverflowError, msgspec.MsgspecError):
+        return  # it has not even bytes
+    record = Record()
+    empty = record.dump()
+    record.apply(1, data)
+    assert unpack(data) is None and record.ignored == 1 and record.dump() == empty
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff",
+        b"\x91",
+        msgspec.msgpack.encode((7, ("ash", 7, 1))),  # of a later version
+        msgspec.msgpack.encode((3,)),
+        msgspec.msgpack.encode((3, ("ash", 7))),
+        msgspec.msgpack.encode((5, ("ash", 7, 1), 9, 7)),  # a fate that a later version has
+        msgspec.msgpack.encode((3, ("ash", 7, 1), "x" * ENTRY_MOST)),
+    ],
+)
+def test_what_can_not_be_read_is_counted_and_changes_nothing(data: bytes) -> None:
+    record = after(In(dot(1)))
+    before = record.dump()
+    record.apply(2, data)
+    assert record.dump() == before and record.ignored == 1 and record.status()["ignored"] == 1
+
+
+def test_a_later_version_may_add_fields() -> None:
+    assert unpack(msgspec.msgpack.encode((3, ("ash", 7, 1), "new"))) == In(dot(1))
+
+
+def test_a_word_of_another_part_is_none_of_these() -> None:
+    assert unpack_word(b"u" + pack(In(dot(1)))[1:]) is None and unpack_word(b"") is None
+
+
+@given(st.binary(max_size=200))
+def test_no_bytes_raise(data: bytes) -> None:
+    record = Record()
+    record.apply(1, data)
+    assert record.ignored + (unpack(data) is not None) == 1
+
+
+# --- Ranges -------------------------------------------------------------------------------
+
+
+@given(st.lists(st.tuples(st.booleans(), st.integers(1, 20), st.integers(0, 5)), max_size=20))
+def test_ranges_are_a_set_in_one_form(steps: list[tuple[bool, int, int]]) -> None:
+    found, naive = spans.NONE, set[int]()
+    for adds, first, more in steps:
+        numbers = range(first, first + more + 1)
+        gaps = [
+            number
+            for start, end in spans.missing(found, first, first + more)
+            for number in range(start, end + 1)
+        ]
+        assert gaps == [number for number in numbers if number not in naive]
+        found = spans.add(found, first, first + more) if adds else spans.cut(found, first, first + more)
+        naive = naive.union(numbers) if adds else naive.difference(numbers)
+        assert {number for number in range(30) if spans.has(found, number)} == naive
+        assert spans.well_formed(found, 30)
+        assert len(found) == sum(number - 1 not in naive for number in naive)
+
+
+# --- Fates --------------------------------------------------------------------------------
+
+
+def test_in_comes_in_any_order_and_all_up_to_a_number_once_there_is_no_gap() -> None:
+    record = after(In(dot(1)), In(dot(3)))
+    assert [fate(record, n) for n in (1, 2, 3)] == [Fate.IN, Fate.UNKNOWN, Fate.IN]
+    assert [fate_up_to(record, n) for n in (1, 2, 3)] == [Fate.IN, Fate.UNKNOWN, Fate.UNKNOWN]
+    apply(record, Said(dot(2), Fate.PARKED, 7))
+    assert (fate(record, 2), fate_up_to(record, 3), fate_up_to(record, 1)) == (
+        Fate.PARKED,
+        Fate.PARKED,
+        Fate.IN,
+    )
+    apply(record, Said(dot(2), Fate.GONE, 7))
+    assert (fate(record, 2), fate_up_to(record, 3)) == (Fate.GONE, Fate.IN)
+
+
+def test_parked_is_taken_back_by_its_holder_alone() -> None:
+    record = after(Said(dot(2), Fate.PARKED, 7), Said(dot(2), Fate.UNKNOWN, 9))
+    assert fate(record, 2) is Fate.PARKED
+    assert fate(apply(record, Said(dot(2), Fate.UNKNOWN, 7)), 2) is Fate.UNKNOWN
+    assert record.dump() == Record().dump()
+
+
+def test_what_is_over_stays_as_it_is() -> None:
+    record = after(In(dot(1)), Said(dot(2), Fate.GONE, 7))
+    before = record.dump()
+    for told in (Fate.UNKNOWN, Fate.PARKED, Fate.IN, Fate.GONE):
+        apply(record, Said(dot(1), told, 7), Said(dot(2), told, 7), Said(dot(2), told, 7, True))
+    apply(record, In(dot(2)), Begin(dot(1), 7, 5), Begin(dot(2), 7, 5))
+    assert record.dump() == before
+
+
+def test_all_up_to_a_number_is_the_holders_word_and_leaves_gone_ones_gone() -> None:
+    record = after(Said(dot(3), Fate.GONE, 7), Said(dot(4), Fate.PARKED, 7), Begin(dot(5), 7, 1))
+    apply(record, Said(dot(6), Fate.IN, 9, True))
+    assert fate_up_to(record, 6) is Fate.PARKED
+    apply(record, Said(dot(6), Fate.IN, 7, True))
+    assert fate_up_to(record, 6) is Fate.IN and fate_up_to(record, 7) is Fate.UNKNOWN
+    assert [fate(record, n) for n in range(1, 8)] == [Fate.IN] * 2 + [Fate.GONE] + [Fate.IN] * 3 + [
+        Fate.UNKNOWN
+    ]
+    assert record.status()["begun"] == 0
+
+
+def test_all_up_to_a_number_may_be_gone_or_parked_but_what_is_in() -> None:
+    record = after(In(dot(2)), Said(dot(3), Fate.PARKED, 7, True))
+    assert [fate(record, n) for n in (1, 2, 3)] == [Fate.PARKED, Fate.IN, Fate.PARKED]
+    apply(record, Said(dot(3), Fate.GONE, 7, True))
+    assert [fate(record, n) for n in (1, 2, 3)] == [Fate.GONE, Fate.IN, Fate.GONE]
+    assert fate_up_to(record, 3) is Fate.IN
+
+
+# --- Begun --------------------------------------------------------------------------------
+
+
+def test_one_ask_alone_gets_a_begin() -> None:
+    record = after(Begin(dot(1), 7, 5))
+    before = record.dump()
+    apply(record, Begin(dot(1), 7, 5), Begin(dot(1), 7, 6), Begin(dot(2), 9, 6))
+    assert record.dump() == before
+    assert record.begun(dot(1), 7, 5) is Begun.MINE and record.begun(dot(1), 7, 6) is Begun.OTHERS
+    assert record.begun(dot(2), 7, 6) is Begun.OPEN and record.begun(dot(2), 9, 6) is Begun.FENCED
+    apply(record, In(dot(1)), Said(dot(2), Fate.GONE, 7))
+    assert record.begun(dot(1), 9, 6) is Begun.IN and record.begun(dot(2), 7, 6) is Begun.FENCED
+    assert record.status()["begun"] == 0
+
+
+def test_a_begin_is_taken_back_by_its_ask_alone() -> None:
+    record = after(Begin(dot(1), 7, 5), Unbegin(dot(1), 6))
+    assert record.begun(dot(1), 7, 5) is Begun.MINE and record.undone(6) and not record.undone(5)
+    apply(record, Unbegin(dot(1), 5), Unbegin(dot(1), 5))
+    assert record.begun(dot(1), 7, 9) is Begun.OPEN and record.undone(5)
+
+
+def test_a_begin_that_comes_after_it_was_taken_back_is_not_granted() -> None:
+    record = after(Unbegin(dot(1), 5), Begin(dot(1), 7, 5))
+    assert record.begun(dot(1), 7, 5) is Begun.OPEN
+    apply(record, Begin(dot(1), 7, 6), Unbegin(dot(1), 6), Begin(dot(1), 7, 6), Begin(dot(1), 7, 8))
+    assert record.begun(dot(1), 7, 8) is Begun.MINE
+
+
+def test_that_it_never_ran_is_the_holders_word_of_the_ask_that_it_saw() -> None:
+    record = after(Begin(dot(1), 7, 5), Said(dot(1), Fate.PARKED, 7))
+    told = Told(dot(1), Fate.UNKNOWN, 7, False, True)
+    entry = record.said_entry(told)
+    assert entry == Said(dot(1), Fate.UNKNOWN, 7, False, 5) and not record.says(told)
+    apply(record, msgspec.structs.replace(entry, life=9))
+    assert record.begun(dot(1), 7, 5) is Begun.MINE
+    apply(record, entry)
+    assert record.says(told) and record.said_entry(told) is None
+    # It comes once more: another ask has begun since.
+    apply(record, Begin(dot(1), 7, 6), entry, Begin(dot(1), 7, 5))
+    assert record.begun(dot(1), 7, 6) is Begun.MINE
+
+
+def test_a_begin_means_that_it_is_parked_no_more() -> None:
+    record = after(Said(dot(1), Fate.PARKED, 7), Begin(dot(1), 7, 5))
+    assert fate(record, 1) is Fate.UNKNOWN
+    apply(record, Said(dot(1), Fate.PARKED, 7))
+    assert fate(record, 1) is Fate.PARKED and record.begun(dot(1), 7, 6) is Begun.OTHERS
+
+
+# --- Claims -------------------------------------------------------------------------------
+
+
+def claim(record: Record, *claims: Claim) -> list[Claimed]:
+    """Each is agreed, and asked for again."""
+    for one in claims:
+        entry = record.claim_entry(one)
+        if entry is not None:
+            apply(record, entry)
+    return [record.claimed(one) for one in claims]
+
+
+def test_a_line_is_its_own_lifes_until_one_claims_it_that_knows_the_holder() -> None:
+    record = Record()
+    assert record.holder(ASH) == 7 and record.claimed(Claim(ASH, 7, ())) is Claimed.HELD
+    assert record.claimed(Claim(ASH, 9, (7,))) is Claimed.OPEN
+    assert (
+        record.claimed(Claim(ASH, 9, (6,))) is Claimed.FENCED
+        and record.claim_entry(Claim(ASH, 9, (6,))) is None
+    )
+    assert claim(record, Claim(ASH, 9, (6, 7))) == [Claimed.HELD]
+    assert record.holder(ASH) == 9 and record.claimed(Claim(ASH, 7, ())) is Claimed.FENCED
+    apply(record, Begin(dot(1), 7, 5), Said(dot(1), Fate.PARKED, 7))
+    assert fate(record, 1) is Fate.UNKNOWN and record.begun(dot(1), 7, 5) is Begun.FENCED
+    assert record.begun(dot(1), 9, 5) is Begun.OPEN
+
+
+def test_of_two_copies_of_a_disk_one_holds_the_line_until_an_operator_says_otherwise() -> None:
+    record = Record()
+    one, two = Claim(ASH, 11, (7,)), Claim(ASH, 12, (7,))
+    assert claim(record, one, two) == [Claimed.HELD, Claimed.FENCED]
+    # The next life on each disk: it knows the lives of its own disk alone.
+    assert claim(record, Claim(ASH, 22, (7, 12))) == [Claimed.FENCED]
+    assert claim(record, Claim(ASH, 21, (7, 11))) == [Claimed.HELD]
+    forced = Claim(ASH, 23, (7, 12, 22), True)
+    assert claim(record, forced) == [Claimed.HELD]
+    assert record.claimed(Claim(ASH, 21, (7, 11))) is Claimed.FENCED
+    assert claim(record, Claim(ASH, 24, (7, 11, 21))) == [Claimed.FENCED]
+
+
+def test_a_claim_that_comes_late_or_twice_takes_nothing() -> None:
+    record = Record()
+    late, double = Hold(ASH, 11, 7, 0), Hold(ASH, 12, 7, 0)
+    forced = Hold(ASH, 7, 12, 1, True)
+    apply(record, double, forced)
+    assert record.holder(ASH) == 7
+    apply(record, late, double)  # the holder that they name, but it changed since
+    assert record.holder(ASH) == 7
+    apply(record, Hold(ASH, 13, 7, 2), forced)
+    assert record.holder(ASH) == 13
+
+
+def test_what_was_begun_stays_so_for_the_next_holder() -> None:
+    record = after(Begin(dot(1), 7, 5))
+    assert claim(record, Claim(ASH, 9, (7,))) == [Claimed.HELD]
+    assert record.begun(dot(1), 9, 6) is Begun.OTHERS and record.begun(dot(1), 7, 5) is Begun.FENCED
+    assert fate(apply(record, In(dot(1))), 1) is Fate.IN
+
+
+# --- Lost ---------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("lost", [Lost("ash"), Lost("ash", 7)])
+def test_what_is_in_of_a_lost_line_stays_in_and_all_else_is_gone(lost: Lost) -> None:
+    record = after(In(dot(1)), In(dot(3)), Begin(dot(4), 7, 5), Said(dot(5), Fate.PARKED, 7), lost)
+    assert [fate(record, n) for n in range(1, 7)] == [Fate.IN, Fate.GONE, Fate.IN] + [Fate.GONE] * 3
+    assert (fate_up_to(record, 1), fate_up_to(record, 3)) == (Fate.IN, Fate.GONE)
+    assert record.holder(ASH) == 0 and record.begun(dot(4), 7, 5) is Begun.FENCED
+    before = record.dump()
+    apply(
+        record, In(dot(4)), Begin(dot(6), 7, 1), Said(dot(6), Fate.IN, 7), Said(dot(6), Fate.IN, 7, True),
+        Hold(ASH, 9, 7, 0, True), Hold(ASH, 9, 0, 0), lost,
+    )  # fmt: skip
+    assert record.dump() == before and record.status()["begun"] == 0
+    assert record.claimed(Claim(ASH, 9, (7,), True)) is Claimed.FENCED
+    assert record.claimed(Claim(ASH, 0, ())) is Claimed.FENCED
+
+
+def test_a_lost_edge_is_so_with_lines_to_come_and_a_lost_line_alone() -> None:
+    record = after(Lost("ash", 7))
+    assert (fate(record, 1, OTHER), fate(record, 1)) == (Fate.UNKNOWN, Fate.GONE)
+    apply(record, Lost("ash"))
+    assert fate(record, 1, OTHER) is Fate.GONE and record.holder(OTHER) == 0
+    apply(record, In(dot(1, OTHER)), In(dot(1, Line("birch", 7))))
+    assert fate(record, 1, OTHER) is Fate.GONE and fate(record, 1, Line("birch", 7)) is Fate.IN
+    again = Record()
+    again.load(record.dump())
+    assert fate(again, 1, Line("ash", 99)) is Fate.GONE
+
+
+# --- What is told -------------------------------------------------------------------------
+
+
+def test_it_says_what_was_told_and_what_is_over_whatever_is_told() -> None:
+    record = after(In(dot(1)), Said(dot(2), Fate.GONE, 7))
+    for told in Fate:
+        assert record.says(Told(dot(1), told, 7)) and record.says(Told(dot(2), told, 7))
+        assert record.said_entry(Told(dot(2), told, 7, True)) is None
+    for told in (Fate.IN, Fate.PARKED, Fate.GONE):
+        one = Told(dot(3), told, 7)
+        entry = record.said_entry(one)
+        assert not record.says(one) and entry == Said(dot(3), told, 7)
+        assert apply(Record(), *[] if entry is None else [entry]).says(one)
+
+
+# --- Bounds -------------------------------------------------------------------------------
+
+
+def refused(record: Record, name: str, *entries: Entry) -> None:
+    """Each changes nothing, and is counted."""
+    before, count = record.dump(), record.refused[name]
+    apply(record, *entries)
+    assert record.dump() == before and record.refused[name] == count + len(entries)
+
+
+def test_ranges_of_a_line_have_a_bound_and_what_fills_a_gap_goes_in() -> None:
+    record = after(*(In(dot(2 * n)) for n in range(1, records.RANGES_MOST + 1)))
+    high = 2 * records.RANGES_MOST + 2
+    refused(record, "ranges", In(dot(high)), Said(dot(high), Fate.GONE, 7))
+    assert fate(record, high) is Fate.UNKNOWN and fate(record, high - 2) is Fate.IN
+    apply(record, In(dot(3)), In(dot(high)))
+    assert fate(record, high) is Fate.IN and fate(record, 2) is Fate.IN
+
+
+def test_parked_ranges_of_a_line_have_a_bound() -> None:
+    record = after(*(Said(dot(2 * n), Fate.PARKED, 7) for n in range(1, records.PARKED_MOST + 1)))
+    high = 2 * records.PARKED_MOST + 2
+    refused(record, "parked", Said(dot(high), Fate.PARKED, 7))
+    apply(record, Said(dot(2), Fate.UNKNOWN, 7), Said(dot(high), Fate.PARKED, 7))
+    assert fate(record, high) is Fate.PARKED
+
+
+def test_lines_have_a_bound() -> None:
+    record = after(*(In(Dot("ash", n, 1)) for n in range(1, records.LINES_MOST + 1)))
+    line = Line("birch", 1)
+    refused(
+        record, "lines", In(dot(1, line)), Begin(dot(1, line), 1, 5), Hold(line, 9, 1, 0), Lost("birch", 1),
+        Said(dot(1, line), Fate.PARKED, 1),
+    )  # fmt: skip
+    assert record.claimed(Claim(line, 9, (1,))) is Claimed.OPEN
+    apply(record, In(dot(2)), Lost("ash"))
+    assert fate(record, 2) is Fate.IN
+
+
+def test_begun_ones_have_a_bound_over_all_lines() -> None:
+    entries = [Begin(dot(n, Line("ash", 1 + n % 2)), 1 + n % 2, n) for n in range(1, records.BEGUN_MOST + 1)]
+    record = after(*entries)
+    refused(record, "begun", Begin(dot(1, Line("birch", 1)), 1, 5))
+    apply(record, In(entries[0].dot), Begin(dot(1, Line("birch", 1)), 1, 5))
+    assert record.begun(dot(1, Line("birch", 1)), 1, 5) is Begun.MINE
+
+
+def test_lost_edges_have_a_bound() -> None:
+    record = after(*(Lost(f"ash{n}") for n in range(records.LOST_MOST)))
+    refused(record, "lost", Lost("birch"))
+    assert record.holder(Line("birch", 3)) == 3
+
+
+def test_of_asks_that_were_taken_back_the_last_ones_are_kept() -> None:
+    record = after(*(Unbegin(dot(1), n) for n in range(1, records.UNDONE_MOST + 2)))
+    assert not record.undone(1) and record.undone(2) and record.undone(records.UNDONE_MOST + 1)
+
+
+def test_the_fullest_record_fits_in_a_snapshot_and_refuses_more_ranges(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    record, lines = Record(), [Line(f"{n:032d}", MOST - n) for n in range(records.LINES_MOST)]
+    high = NUMBER_END - 1_000_000
+    each = records.SPANS_MOST // records.LINES_MOST
+    for line in lines:
+        for n in range(each):
+            apply(record, In(dot(high + 2 * n, line)))
+        apply(record, Hold(line, MOST, line.incarnation, 0))
+    for n in range(records.BEGUN_MOST):
+        apply(record, Begin(dot(NUMBER_END - 1, lines[n]), MOST, MOST))
+    for n in range(records.LOST_MOST):
+        apply(record, Lost(f"x{n:031d}"))
+    for n in range(records.UNDONE_MOST):
+        apply(record, Unbegin(LONG, MOST - n))
+    assert len(record.dump()) < SNAPSHOT_MOST
+    refused(record, "spans", In(dot(high + 2 * each, lines[0])))
+    other = Record()
+    other.load(record.dump())
+    assert other.dump() == record.dump() and other.status()["spans"] == records.SPANS_MOST
+
+
+# --- Snapshots ----------------------------------------------------------------------------
+
+
+def test_nothing_is_a_new_record() -> None:
+    record = after(In(dot(1)), Lost("birch"), Unbegin(dot(2), 5))
+    record.load(b"")
+    assert record.dump() == Record().dump()
+
+
+def row(*fields: Any) -> bytes:
+    return msgspec.msgpack.encode([[["ash", 7, fields]], [], []])
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"\xff",
+        b"\xa3abc",
+        row(7, 0, -1),
+        row(-7),
+        row(7, 0, 0, [[3, 2]]),
+        row(7, 0, 0, [[1, 2], [3, 4]]),
+        row(7, 0, 0, [], [], [], [[2, 1], [1, 1]]),
+        row(7, 0, 0, [], [], [], [[1, 0]]),
+        msgspec.msgpack.encode([[["ash", 0, [1]]], [], []]),
+        msgspec.msgpack.encode([[["Ash", 7, [1]]], [], []]),
+        msgspec.msgpack.encode([[], ["Ash"], []]),
+        msgspec.msgpack.encode([[], [], [0]]),
+    ],
+)
+def test_a_snapshot_that_can_not_be_read_changes_nothing(raw: bytes) -> None:
+    record = after(In(dot(1)))
+    before = record.dump()
+    with pytest.raises(KeptError):
+        record.load(raw)
+    assert record.dump() == before
+
+
+# --- Any sequence -------------------------------------------------------------------------
+
+LINES = [Line("ash", 1), Line("ash", 2), Line("birch", 1)]
+lives, asks, numbers = st.integers(1, 3), st.integers(1, 4), st.integers(1, 6)
+dots = st.builds(dot, numbers, st.sampled_from(LINES))
+sequences = st.lists(
+    st.one_of(
+        st.builds(Begin, dots, lives, asks),
+        st.builds(Unbegin, dots, asks),
+        st.builds(In, dots),
+        st.builds(Hold, st.sampled_from(LINES), lives, lives, st.integers(0, 2), st.booleans()),
+        st.builds(Said, dots, st.sampled_from(Fate), lives, st.booleans(), st.integers(0, 4)),
+        st.builds(Lost, st.sampled_from(["ash", "birch"]), st.integers(0, 2)),
+    ),
+    max_size=24,
+)
+
+
+class Naive:
+    """The rules, number by number."""
+
+    def __init__(self) -> None:
+        self.fates: dict[Dot, Fate] = {}
+        self.begun: dict[Dot, int] = {}
+        self.holders: dict[Line, int] = {}
+        self.turns: dict[Line, int] = {}
+        self.lost: set[str | Line] = set()
+        self.undone: set[int] = set()
+
+    def is_lost(self, line: Line) -> bool:
+        return line in self.lost or line.edge in self.lost
+
+    def holder(self, line: Line) -> int:
+        return 0 if self.is_lost(line) else self.holders.get(line, line.incarnation)
+
+    def fate(self, one: Dot) -> Fate:
+        found = self.fates.get(one, Fate.UNKNOWN)
+        return Fate.GONE if self.is_lost(one.line) and found is not Fate.IN else found
+
+    def become(self, one: Dot, new: Fate) -> None:
+        if self.fate(one) not in (Fate.IN, Fate.GONE):
+            self.fates[one] = new
+            if new in (Fate.IN, Fate.GONE):
+                self.begun.pop(one, None)
+
+    def apply(self, entry: Entry) -> None:
+        match entry:
+            case Begin(dot=one):
+                free = self.fate(one) in (Fate.UNKNOWN, Fate.PARKED) and one not in self.begun
+                if free and self.holder(one.line) == entry.life and entry.ask not in self.undone:
+                    self.begun[one] = entry.ask
+                    self.fates[one] = Fate.UNKNOWN
+            case Unbegin(dot=one):
+                if self.begun.get(one) == entry.ask:
+                    del self.begun[one]
+                self.undone.add(entry.ask)
+            case In(dot=one):
+                self.become(one, Fate.IN)
+            case Hold(line=line):
+                if self.holder(line) in (0, entry.life) or self.turns.get(line, 0) != entry.turn:
+                    return
+                if entry.force or self.holder(line) == entry.of:
+                    self.holders[line], self.turns[line] = entry.life, entry.turn + 1
+            case Said(dot=one):
+                self.say(entry, one)
+            case Lost():
+                self.lost.add(Line(entry.edge, entry.incarnation) if entry.incarnation else entry.edge)
+
+    def say(self, entry: Said, one: Dot) -> None:
+        if self.holder(one.line) != entry.life:
+            return
+        if entry.ask and self.begun.get(one) == entry.ask:
+            del self.begun[one]
+            self.undone.add(entry.ask)
+        for number in range(1 if entry.before else one.number, one.number + 1):
+            self.become(dot(number, one.line), entry.fate)
+
+
+def same(record: Record, naive: Naive) -> None:
+    for line in (*LINES, Line("birch", 9)):
+        assert record.holder(line) == naive.holder(line)
+        fates = [naive.fate(dot(number, line)) for number in range(1, 8)]
+        assert [fate(record, number, line) for number in range(1, 8)] == fates
+        for number, found in enumerate(fates, 1):
+            over = all(one in (Fate.IN, Fate.GONE) for one in fates[:number])
+            if not naive.is_lost(line):
+                parked = Fate.PARKED if Fate.PARKED in fates[:number] else Fate.UNKNOWN
+                assert fate_up_to(record, number, line) is (Fate.IN if over else parked)
+            holder, by = naive.holder(line), naive.begun.get(dot(number, line), 0)
+            if holder and found not in (Fate.IN, Fate.GONE):
+                begun = record.begun(dot(number, line), holder, by or 9)
+                assert begun is (Begun.MINE if by else Begun.OPEN)
+
+
+@given(sequences)
+@settings(max_examples=300)
+def test_it_is_as_the_rules_are_number_by_number(entries: list[Entry]) -> None:
+    record, naive = Record(), Naive()
+    for entry in entries:
+        apply(record, entry)
+        naive.apply(entry)
+        same(record, naive)
+    assert not record.ignored
+
+
+@given(sequences, st.data())
+@settings(max_examples=200)
+def test_a_snapshot_anywhere_makes_no_difference(entries: list[Entry], data: st.DataObject) -> None:
+    cut = data.draw(st.integers(0, len(entries)))
+    whole, first, second = after(*entries), after(*entries[:cut]), Record()
+    second.load(first.dump())
+    assert second.dump() == first.dump()
+    assert apply(second, *entries[cut:]).dump() == whole.dump() == apply(first, *entries[cut:]).dump()
+    assert {**second.status(), **dict.fromkeys(("ignored",), 0)} == whole.status()
+
+
+@given(sequences)
+@settings(max_examples=200)
+def test_an_entry_that_comes_twice_says_the_same(entries: list[Entry]) -> None:
+    assert after(*entries).dump() == after(*(one for entry in entries for one in (entry, entry))).dump()
+
+
+@given(sequences, sequences, st.data())
+@settings(max_examples=200)
+def test_what_is_over_stays_so_whatever_comes_again(
+    first: list[Entry], more: list[Entry], data: st.DataObject
+) -> None:
+    record = after(*first)
+    causes = [
+        Cause(*line, number, before) for line in LINES for number in range(1, 8) for before in (True, False)
+    ]
+    over = {cause: found for cause in causes if (found := record.fate(cause)) in (Fate.IN, Fate.GONE)}
+    apply(record, *data.draw(st.permutations([*first, *more])))
+    assert {cause: record.fate(cause) for cause in over} == over
+
+
+@given(st.lists(st.one_of(st.builds(In, dots), st.builds(Unbegin, dots, st.just(1))), max_size=12), st.data())
+def test_the_order_of_ins_makes_no_difference(entries: list[Entry], data: st.DataObject) -> None:
+    assert after(*entries).dump() == after(*data.draw(st.permutations(entries))).dump()
+
+
+# --- The sharer ---------------------------------------------------------------------------
+
+
+class PlayedAccord:
+    """One copy's: proposals and words wait for the test."""
+
+    def __init__(self, leading: bool = True) -> None:
+        self.heard: Callable[[int, int, bytes], None] = lambda peer, incarnation, data: None
+        self.on_change: Callable[[], None] = lambda: None
+        self.me, self.peers, self.incarnation, self.era = 0, 3, 1, "era"
+        self.leading, self.leader = leading, 0 if leading else 1
+        self.known = self.in_touch = True
+        self.proposed: list[bytes] = []
+        self.words: list[bytes] = []
+        self.error: Exception | None = None
+
+    def propose(self, data: bytes) -> None:
+        if self.error is not None:
+            raise self.error
+        if not self.leading:
+            raise NotLeadingError(self.leader)
+        self.proposed.append(data)
+
+    def word(self, data: bytes) -> None:
+        if self.error is not None:
+            raise self.error
+        self.words.append(data)
+
+    def status(self) -> dict[str, Any]:
+        return {}
+
+
+class Desk:
+    """A sharer on a played accord."""
+
+    def __init__(self, leading: bool = True) -> None:
+        self.clock = ManualClock()
+        self.accord = PlayedAccord(leading)
+        self.record = Record()
+        self.sharer = Sharer(self.accord, self.record, self.clock)
+
+    def agree(self, entry: Entry, within: int = 3_000 * MS) -> asyncio.Future[bool]:
+        return self.sharer.agree(entry, self.said(entry), self.clock.now() + within)
+
+    def said(self, entry: Entry) -> Callable[[], bool]:
+        assert isinstance(entry, In)
+        return lambda: self.record.fate(Cause(*entry.dot)) is Fate.IN
+
+    def land(self, entry: Entry) -> None:
+        apply(self.record, entry)
+        self.accord.on_change()
+
+
+ONE = In(dot(1))
+
+
+def test_who_leads_proposes_and_it_is_agreed_once_the_record_says_so() -> None:
+    async def main() -> None:
+        desk = Desk()
+        future = desk.agree(ONE)
+        assert desk.accord.proposed == [pack(ONE)] and not desk.accord.words
+        desk.accord.on_change()
+        assert not future.done()
+        desk.land(ONE)
+        assert await future
+        assert await desk.agree(ONE) and desk.accord.proposed == [pack(ONE)]
+        desk.clock.advance(10 * AGAIN_MOST_US)
+        assert desk.accord.proposed == [pack(ONE)] and not desk.clock.due
+
+    asyncio.run(main())
+
+
+def test_who_does_not_lead_tells_it_again_ever_more_slowly_until_its_time_is_over() -> None:
+    async def main() -> None:
+        desk = Desk(leading=False)
+        future = desk.agree(ONE, 4_000 * MS)
+        told = [len(desk.accord.words)]
+        for _ in range(40):
+            desk.clock.advance(AGAIN_US)
+            told.append(len(desk.accord.words))
+        # 0, then after 100, 200, 400 and 800 ms each.
+        assert [told.index(count) for count in range(1, 9)] == [0, 1, 3, 7, 15, 23, 31, 39]
+        assert future.done() and not await future and set(desk.accord.words) == {pack(ONE)}
+        assert desk.sharer.counters["late"] == 1
+        desk.clock.advance(4_000 * MS)
+        assert len(desk.accord.words) == 8 and not desk.accord.proposed
+
+    asyncio.run(main())
+
+
+def test_several_that_wait_for_one_entry_tell_it_once_and_each_has_its_time() -> None:
+    async def main() -> None:
+        desk = Desk(leading=False)
+        short, long = desk.agree(ONE, 150 * MS), desk.agree(ONE, 1_000 * MS)
+        assert len(desk.accord.words) == 1
+        desk.clock.advance(150 * MS)
+        assert short.done() and not short.result() and not long.done()
+        desk.land(ONE)
+        assert await long
+
+    asyncio.run(main())
+
+
+def test_what_became_true_in_the_last_moment_is_true() -> None:
+    async def main() -> None:
+        desk = Desk()
+        future = desk.agree(ONE, 150 * MS)
+        apply(desk.record, ONE)  # and nobody was told of a change
+        desk.clock.advance(150 * MS)
+        assert await future
+        late = desk.agree(In(dot(2)), 0)
+        assert late.done() and not late.result()
+
+    asyncio.run(main())
+
+
+def test_an_entry_on_its_way_is_not_proposed_again_but_under_another_reign_or_after_a_time() -> None:
+    async def main() -> None:
+        desk = Desk()
+        desk.agree(ONE, 60_000 * MS)
+        for _ in range(3):
+            desk.accord.heard(2, 5, pack(ONE))
+        desk.clock.advance(FLIGHT_US - 1)
+        assert len(desk.accord.proposed) == 1
+        desk.clock.advance(AGAIN_MOST_US)
+        assert len(desk.accord.proposed) == 2
+        desk.accord.leading = False
+        desk.accord.on_change()
+        desk.accord.leading = True
+        desk.accord.heard(2, 5, pack(ONE))
+        assert len(desk.accord.proposed) == 3
+        desk.land(ONE)
+        desk.accord.heard(2, 5, pack(ONE))  # a late word: it says the same again
+        assert len(desk.accord.proposed) == 4
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("error", [BusyError("full"), NotLeadingError(2)])
+def test_a_proposal_that_is_not_taken_is_made_again(error: Exception) -> None:
+    async def main() -> None:
+        desk = Desk()
+        desk.accord.error = error
+        future = desk.agree(ONE)
+        desk.accord.error = None
+        assert not desk.accord.proposed
+        desk.clock.advance(AGAIN_US)
+        assert desk.accord.proposed == [pack(ONE)]
+        desk.land(ONE)
+        assert await future
+
+    asyncio.run(main())
+
+
+def test_a_word_that_is_not_taken_is_told_again() -> None:
+    async def main() -> None:
+        desk = Desk(leading=False)
+        desk.accord.error = BusyError("full")
+        desk.agree(ONE)
+        desk.accord.error = None
+        desk.clock.advance(AGAIN_US)
+        assert desk.accord.words == [pack(ONE)]
+
+    asyncio.run(main())
+
+
+def test_words_that_are_no_entries_are_not_proposed() -> None:
+    desk = Desk()
+    for data in (b"", KIND, b"u" + pack(ONE)[1:], KIND + b"\xff"):
+        desk.accord.heard(2, 5, data)
+    assert not desk.accord.proposed and desk.sharer.counters["unread"] == 4
+
+
+def test_one_more_than_may_wait_hears_no_at_once_and_one_that_is_called_off_makes_room() -> None:
+    async def main() -> None:
+        desk = Desk(leading=False)
+        waiting = [desk.agree(In(dot(n))) for n in range(1, WAITS_MOST + 1)]
+        full = desk.agree(In(dot(WAITS_MOST + 1)))
+        assert full.done() and not full.result() and desk.sharer.counters["full"] == 1
+        waiting[0].cancel()
+        await asyncio.sleep(0)
+        assert not desk.agree(In(dot(WAITS_MOST + 1))).done()
+        count = len(desk.accord.words)
+        desk.clock.advance(AGAIN_US)
+        assert len(desk.accord.words) == count + WAITS_MOST and desk.accord.words.count(pack(ONE)) == 1
+
+    asyncio.run(main())
+
+
+def test_closing_ends_all_waits_and_nothing_is_told_after() -> None:
+    async def main() -> None:
+        desk = Desk()
+        futures = [desk.agree(In(dot(n))) for n in (1, 1, 2)]
+        desk.sharer.close()
+        assert [await future for future in futures] == [False] * 3
+        assert not await desk.agree(In(dot(3))) and not desk.sharer.ready
+        desk.accord.heard(2, 5, pack(ONE))
+        desk.clock.advance(10 * AGAIN_MOST_US)
+        assert len(desk.accord.proposed) == 2 and not desk.clock.due
+
+    asyncio.run(main())
+
+
+def test_it_is_ready_where_the_record_is_known_and_a_leader_is_heard() -> None:
+    desk = Desk()
+    changes: list[bool] = []
+    desk.sharer.on_change = lambda: changes.append(desk.sharer.ready)
+    for known, in_touch in ((True, True), (False, True), (True, False)):
+        desk.accord.known, desk.accord.in_touch = known, in_touch
+        desk.accord.on_change()
+    assert changes == [True, False, False]
+
+
+# --- Several parts on one node ------------------------------------------------------------
+
+
+def test_each_part_gets_its_own_words_and_all_hear_of_changes() -> None:
+    accord = PlayedAccord()
+    parts = Parts(accord)
+    heard: list[object] = []
+    for kind in (b"o", b"u"):
+        part = parts.part(kind)
+        assert part is parts.part(kind)
+        part.heard = lambda peer, incarnation, data, kind=kind: heard.append((kind, peer, data))  # type: ignore[misc]
+        part.on_change = lambda kind=kind: heard.append(kind)  # type: ignore[misc]
+    for data in (b"o1", b"u2", b"x3", b""):
+        accord.heard(2, 5, data)
+    accord.on_change()
+    assert heard == [(b"o", 2, b"o1"), (b"u", 2, b"u2"), b"o", b"u"] and parts.ignored == 2
+    parts.part(b"o").propose(b"o4")
+    parts.part(b"o").word(b"o5")
+    assert accord.proposed == [b"o4"] and accord.words == [b"o5"]
+    one = parts.part(b"u")
+    assert (one.me, one.peers, one.incarnation, one.era, one.leading, one.leader) == (0, 3, 1, "era", True, 0)
+    assert one.known and one.in_touch and one.status() == {}
+
+
+class Tier:
+    """Nodes over a memory link on a clock of their own; on each, kept writes and another part."""
+
+    def __init__(self, seed: int, count: int = 4, seats: int = 3) -> None:
+        self.clock = ManualClock()
+        self.draw = random.Random(seed)
+        self.faults = Faulty(self.draw)
+        self.network = MemoryNetwork(self.clock, count, self.faults)
+        self.count, self.seats = count, seats
+        self.nodes: dict[int, Node] = {}
+        self.records: dict[int, Record] = {}
+        self.sharers: dict[int, Sharer] = {}
+        self.others: dict[int, list[bytes]] = {}
+        self.blanks: dict[int, Blank] = {}
+        self.lines: list[str] = []
+
+    async def start(self, me: int) -> None:
+        record, blank = Record(), Blank()
+        machines = Machines({KIND[0]: record, ord("u"): blank})
+
+        def make_core(incarnation: int, kept: Mapping[bytes, bytes]) -> Core:
+            draw = random.Random(self.draw.getrandbits(32))
+            return Core(me, self.count, self.seats, incarnation, machines, Timing(), draw, kept)
+
+        async def store() -> Store:
+            return NoStore()
+
+        node = Node(
+            make_core, lambda: self.network.link(me), store, machines, self.clock, self.lines.append, me
+        )
+        parts = Parts(node)
+        self.sharers[me] = Sharer(parts.part(KIND), record, self.clock)
+        self.others[me] = []
+        parts.part(b"u").heard = lambda peer, incarnation, data: self.others[me].append(data)
+        self.nodes[me], self.records[me], self.blanks[me] = node, record, blank
+        await node.start()
+
+    async def until(self, done: Callable[[], bool]) -> None:
+        for _ in range(6_000):
+            if done():
+                return
+            self.clock.advance(10 * MS)
+            await asyncio.sleep(0)
+        raise AssertionError("not in a minute of its clock")
+
+    def leader(self) -> int | None:
+        return next((me for me, node in self.nodes.items() if node.leading and node.known), None)
+
+    async def settle(self) -> int:
+        await self.until(
+            lambda: self.leader() is not None and all(one.ready for one in self.sharers.values())
+        )
+        found = self.leader()
+        assert found is not None
+        return found
+
+    def agree(self, me: int, entry: In, within: int = 20_000 * MS) -> asyncio.Future[bool]:
+        record = self.records[me]
+        return self.sharers[me].agree(
+            entry, lambda: record.fate(Cause(*entry.dot)) is Fate.IN, self.clock.now() + within
+        )
+
+    async def close(self) -> None:
+        for me, node in self.nodes.items():
+            self.sharers[me].close()
+            await node.close()
+
+
+def test_real_nodes_agree_from_whichever_copy_beside_another_part() -> None:
+    async def main() -> None:
+        tier = Tier(1)
+        for me in range(4):
+            await tier.start(me)
+        await tier.settle()
+        futures = [tier.agree(me, In(dot(1 + me))) for me in range(4)]
+        await tier.until(lambda: all(one.done() for one in futures))
+        assert all(one.result() for one in futures)
+        await tier.until(lambda: all(fate_up_to(one, 4) is Fate.IN for one in tier.records.values()))
+        assert len({one.dump() for one in tier.records.values()}) == 1
+        # What each proposed, once in the record each; the other part hears its own words alone.
+        assert sum(one.counters["proposed"] for one in tier.sharers.values()) == 4
+        leader = await tier.settle()
+        tier.nodes[3].word(b"u word")
+        tier.nodes[leader].propose(b"u entry")
+        await tier.until(lambda: tier.others[leader] == [b"u word"])
+        await tier.until(lambda: all(one.applied == [b" entry"] for one in tier.blanks.values()))
+        assert len({one.dump() for one in tier.records.values()}) == 1
+        await tier.close()
+        assert not tier.lines
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_real_nodes_agree_through_loss_doubling_and_the_leaders_death(seed: int) -> None:
+    async def main() -> None:
+        tier = Tier(seed)
+        for me in range(4):
+            await tier.start(me)
+        leader = await tier.settle()
+        tier.faults.loss, tier.faults.double, tier.faults.delay_us = 0.2, 0.2, (500, 40_000)
+        others = [me for me in range(4) if me != leader]
+        futures = [tier.agree(me, In(dot(1 + n, Line("ash", 1 + me)))) for n in range(5) for me in others]
+        tier.sharers[leader].close()
+        await tier.nodes[leader].close()
+        del tier.nodes[leader], tier.records[leader], tier.sharers[leader]
+        await tier.until(lambda: all(one.done() for one in futures))
+        assert all(one.result() for one in futures)
+        tier.faults.loss = 0.0
+        await tier.until(lambda: all(one.status()["lines"] == 3 for one in tier.records.values()))
+        await tier.until(lambda: len({one.dump() for one in tier.records.values()}) == 1)
+        await tier.close()
+
+    asyncio.run(main())
+
+
+def test_a_copy_that_is_cut_off_is_not_ready_and_hears_no_in_time() -> None:
+    async def main() -> None:
+        tier = Tier(5)
+        for me in range(4):
+            await tier.start(me)
+        leader = await tier.settle()
+        lone = next(me for me in range(4) if me != leader)
+        tier.faults.part([lone], [me for me in range(4) if me != lone])
+        await tier.until(lambda: not tier.sharers[lone].ready)
+        future = tier.agree(lone, ONE, 2_000 * MS)
+        await tier.until(future.done)
+        assert not future.result() and fate(tier.records[leader], 1) is Fate.UNKNOWN
+        tier.faults.heal()
+        await tier.until(lambda: tier.sharers[lone].ready)
+        again = tier.agree(lone, ONE)
+        await tier.until(again.done)
+        assert again.result()
+        # From nothing: it knows what was agreed before it is ready.
+        tier.sharers[lone].close()
+        await tier.nodes[lone].close()
+        await tier.start(lone)
+        assert not tier.sharers[lone].ready
+        await tier.until(lambda: tier.sharers[lone].ready)
+        assert fate(tier.records[lone], 1) is Fate.IN
+        await tier.close()
+
+    asyncio.run(main())
--- a/tests/test_shared_schedules.py
+++ b/tests/test_shared_schedules.py
@@ -383,7 +383,10 @@
         self.impatience = self.draw.choice((0.05, 0.15, 0.4))
         self.loss = self.draw.choice((0.0, 0.1, 0.25))
         self.double = self.draw.choice((0.1, 0.3, 0.5))
-        self.writes_most = self.draw.choice((1, 3, 12))
+        self.narrow = self.draw.random() < 0.4  # one unsafe write at a time
+        if self.narrow:
+            self.loss, self.double = self.draw.choice((0.0, 0.05)), self.draw.choice((0.4, 0.6))
+        self.writes_most = self.draw.choice((3, 12))
         self.log: list[bytes] = []
         self.truth = make()
         self.mail: list[Callable[[], None]] = []
@@ -401,8 +404,9 @@
         self.finals: dict[Line, dict[Cause, Fate]] = {}
         self.holders: dict[Line, int] = {}
         self.lost: set[str | Line] = set()
+        names = ("ash",) if self.narrow or self.draw.random() < 0.3 else ("ash", "birch")
         self.copies = [copy_type(self) for _ in range(self.draw.randint(2, 3))]
-        self.edges = [edge_type(self, name, Disk()) for name in ("ash", "birch")[: self.draw.randint(1, 2)]]
+        self.edges = [edge_type(self, name, Disk()) for name in names]
 
     def play(self) -> None:
         deeds: tuple[tuple[Callable[[], None], int], ...] = (
@@ -412,6 +416,8 @@
         )  # fmt: skip
         # Each seed has its own share of each deed: some have much of one and little of another.
         weights = [weight * self.draw.choice((0.2, 1, 1, 3)) for _, weight in deeds]
+        if self.narrow:
+            weights[-5:] = [weight * self.draw.choice((0, 0, 1)) for weight in weights[-5:]]
         for deed, _ in self.draw.choices(deeds, weights, k=STEPS):
             deed()
         self.heal()
@@ -423,12 +429,16 @@
 
     def keep(self) -> None:
         edge, draw = self.draw.choice(self.living()), self.draw
-        if len(self.writes) >= self.writes_most:
+        if self.narrow:
+            room = all(one.state in ("done", "gone") for one in edge.disk.kept.values())
+        else:
+            room = len(self.writes) < self.writes_most
+        if not room:
             return
         dots = list(self.writes)
         named = draw.sample(dots, min(len(dots), draw.choice((0, 0, 1, 1, 2))))
         causes = tuple(Cause(*dot, draw.random() < 0.25) for dot in named)
-        dot = edge.keep(draw.random() < 0.7, causes)
+        dot = edge.keep(self.narrow or draw.random() < 0.7, causes)
         self.writes[dot] = Kept(dot, edge.disk.kept[dot].unsafe, causes)
         self.lines.setdefault(dot.line, []).append(dot)
 
@@ -444,6 +454,8 @@
             act = self.mail[place] if again else self.mail.pop(place)
             if luck >= self.loss:
                 act()
+                if again and self.narrow:
+                    act()  # both at once, at two gates maybe
 
     def word(self, entry: Entry) -> None:
         data = pack(entry)[1:]
@@ -962,27 +974,28 @@
         return one.state == "parked" or super().is_over(one)
 
 
-FAULTS: list[tuple[type[Record] | type[Copy] | type[Edge], set[str]]] = [
-    (BegunTwice, {"once"}),
-    (UnbegunByAny, {"once"}),
-    (HolderUnchecked, {"fenced"}),
-    (ClaimedUnknown, {"fenced"}),
-    (HeldByTheLast, {"fenced"}),
-    (HeldWhenLost, {"fenced", "final"}),
-    (LostForgotten, {"final"}),
-    (BegunForgotten, {"step"}),
-    (GoneTakenBack, {"final"}),
-    (InTakenBack, {"final"}),
-    (BegunKept, {"bounds"}),
-    (BegunClearedEarly, {"once"}),
-    (LowOverGaps, {"told"}),
-    (LostRaises, {"step"}),
-    (TellsEarly, {"told"}),
-    (SendsEarly, {"once"}),
-    (UnbeginsSent, {"once"}),
-    (SendsBefore, {"order"}),
-    (NewKeys, {"once"}),
-    (LowOverParked, {"told"}),
+FAULTS: list[tuple[type[Any], str]] = [
+    (BegunTwice, "once"),
+    (UnbegunByAny, "once"),
+    (HolderUnchecked, "fenced"),
+    (ClaimedUnknown, "fenced"),
+    (HeldByTheLast, "fenced"),
+    (HeldWhenLost, "fenced"),
+    (LostForgotten, "final"),
+    (BegunForgotten, "step"),
+    (GoneTakenBack, "final"),
+    (InTakenBack, "final"),
+    (BegunKept, "bounds"),
+    (BegunClearedEarly, "once"),
+    (LowOverGaps, "told"),
+    (LostRaises, "step"),
+    (TellsEarly, "told"),
+    (SendsEarly, "once"),
+    (UnbeginsSent, "once"),
+    (SendsBefore, "order"),
+    (NewKeys, "once"),
+    (LowOverParked, "told"),
+    (LateBegun, "progress"),
 ]
 
 
@@ -991,16 +1004,23 @@
     return next({name: fault} for base, name in names.items() if issubclass(fault, base))
 
 
-@pytest.mark.parametrize(("fault", "names"), FAULTS, ids=lambda one: getattr(one, "__name__", ""))
-def test_a_fault_is_found_by_its_invariant(fault: type[Any], names: set[str]) -> None:
-    with pytest.raises(BrokenError) as found:
-        play(0, 2_000, **types_of(fault))
-    assert found.value.name in names
+def found_by(name: str, fault: type[Any], seeds: int = 3_000) -> bool:
+    """Whether the invariant of this name finds it."""
+    for seed in range(seeds):
+        try:
+            World(seed, **types_of(fault)).play()
+        except BrokenError as error:
+            if error.name == name:
+                return True
+    return False
+
+
+@pytest.mark.parametrize(("fault", "name"), FAULTS, ids=lambda one: getattr(one, "__name__", one))
+def test_a_fault_is_found_by_its_invariant(fault: type[Any], name: str) -> None:
+    assert found_by(name, fault)
 
 
 @pytest.mark.parametrize(("fault", "name"), [(BoundIgnored, "bounds"), (ForgetsForRoom, "final")])
 def test_a_fault_at_a_bound_is_found(fault: type[Any], name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     tighten(monkeypatch)
-    with pytest.raises(BrokenError) as found:
-        play(0, 2_000, **types_of(fault))
-    assert found.value.name == name
+    assert found_by(name, fault)
