Judge each parking of a write once: a word that it never ran names the parking

The made schedules found it: the word comes late through another copy, after the write was sent anew, and clears what began since. So Told and Said carry the parking that was judged, and the record remembers the last one.

--- a/tests/test_shared_record.py
+++ b/tests/test_shared_record.py
@@ -1,4 +1,4 @@
-"""The agreed record of kept writes: its entries, its rules, its bounds, and what brings entries to agreement."""
+"""The agreed record of kept writes: its entries, its rules, its bounds, and what brings entries to it."""
 
 from __future__ import annotations
 
@@ -87,7 +87,7 @@
         Unbegin(LONG, MOST),
         In(LONG),
         Hold(LONG.line, MOST, MOST, NUMBER_END - 1, True),
-        Said(LONG, Fate.GONE, MOST, True, MOST),
+        Said(LONG, Fate.GONE, MOST, True, MOST, NUMBER_END - 1),
         Lost(LONG.edge, MOST),
     ],
 )
@@ -112,6 +112,7 @@
         Hold(ASH, 9, 7, -1),
         Said(dot(1), Fate.IN, 0),
         Said(dot(1), Fate.IN, 7, False, -1),
+        Said(dot(1), Fate.IN, 7, False, 0, -1),
         Lost("ash", -1),
         Lost(""),
     ],
@@ -281,6 +282,29 @@
     assert record.begun(dot(1), 7, 6) is Begun.MINE
 
 
+def test_each_parking_is_judged_once() -> None:
+    record = after(Begin(dot(1), 7, 5), Said(dot(1), Fate.PARKED, 7))
+    first, second = (Told(dot(1), Fate.UNKNOWN, 7, False, True, parking) for parking in (1, 2))
+    entry = record.said_entry(first)
+    assert entry == Said(dot(1), Fate.UNKNOWN, 7, False, 5, 1)
+    apply(record, entry, Begin(dot(1), 7, 6), Said(dot(1), Fate.PARKED, 7))
+    # The first word comes late, at a gate that makes an entry of it by what it knows now, or did before.
+    assert record.says(first) and record.said_entry(first) is None and not record.says(second)
+    apply(record, entry, Said(dot(1), Fate.UNKNOWN, 7, False, 6, 1))
+    assert record.begun(dot(1), 7, 6) is Begun.MINE and fate(record, 1) is Fate.PARKED
+    again = record.said_entry(second)
+    assert again is not None
+    apply(record, again)
+    assert (
+        record.begun(dot(1), 7, 9) is Begun.OPEN and fate(record, 1) is Fate.UNKNOWN and record.says(second)
+    )
+    # Judged before anything of it began here: that counts too.
+    apply(record, Said(dot(2), Fate.UNKNOWN, 7, False, 0, 1), Begin(dot(2), 7, 8), Unbegin(dot(2), 8))
+    assert record.says(Told(dot(2), Fate.UNKNOWN, 7, False, True, 1)) and record.status()["begun"] == 2
+    apply(record, In(dot(1)), In(dot(2)))
+    assert record.status()["begun"] == 0
+
+
 def test_a_begin_means_that_it_is_parked_no_more() -> None:
     record = after(Said(dot(1), Fate.PARKED, 7), Begin(dot(1), 7, 5))
     assert fate(record, 1) is Fate.UNKNOWN
@@ -496,8 +520,9 @@
         row(-7),
         row(7, 0, 0, [[3, 2]]),
         row(7, 0, 0, [[1, 2], [3, 4]]),
-        row(7, 0, 0, [], [], [], [[2, 1], [1, 1]]),
-        row(7, 0, 0, [], [], [], [[1, 0]]),
+        row(7, 0, 0, [], [], [], [[2, 1, 0], [1, 1, 0]]),
+        row(7, 0, 0, [], [], [], [[1, 0, 0]]),
+        row(7, 0, 0, [], [], [], [[1, 5]]),
         msgspec.msgpack.encode([[["ash", 0, [1]]], [], []]),
         msgspec.msgpack.encode([[["Ash", 7, [1]]], [], []]),
         msgspec.msgpack.encode([[], ["Ash"], []]),
@@ -523,7 +548,9 @@
         st.builds(Unbegin, dots, asks),
         st.builds(In, dots),
         st.builds(Hold, st.sampled_from(LINES), lives, lives, st.integers(0, 2), st.booleans()),
-        st.builds(Said, dots, st.sampled_from(Fate), lives, st.booleans(), st.integers(0, 4)),
+        st.builds(
+            Said, dots, st.sampled_from(Fate), lives, st.booleans(), st.integers(0, 4), st.integers(0, 2)
+        ),
         st.builds(Lost, st.sampled_from(["ash", "birch"]), st.integers(0, 2)),
     ),
     max_size=24,
@@ -540,6 +567,7 @@
         self.turns: dict[Line, int] = {}
         self.lost: set[str | Line] = set()
         self.undone: set[int] = set()
+        self.judged: dict[Dot, int] = {}
 
     def is_lost(self, line: Line) -> bool:
         return line in self.lost or line.edge in self.lost
@@ -556,6 +584,7 @@
             self.fates[one] = new
             if new in (Fate.IN, Fate.GONE):
                 self.begun.pop(one, None)
+                self.judged.pop(one, None)
 
     def apply(self, entry: Entry) -> None:
         match entry:
@@ -583,9 +612,13 @@
     def say(self, entry: Said, one: Dot) -> None:
         if self.holder(one.line) != entry.life:
             return
-        if entry.ask and self.begun.get(one) == entry.ask:
-            del self.begun[one]
-            self.undone.add(entry.ask)
+        if entry.ask or entry.parking:
+            if self.begun.get(one, 0) != entry.ask or 0 < entry.parking <= self.judged.get(one, 0):
+                return
+            if self.fate(one) not in (Fate.IN, Fate.GONE):
+                self.begun.pop(one, None)
+                self.judged[one] = max(entry.parking, self.judged.get(one, 0))
+                self.undone.update({entry.ask} - {0})
         for number in range(1 if entry.before else one.number, one.number + 1):
             self.become(dot(number, one.line), entry.fate)
 
--- a/tests/test_shared_schedules.py
+++ b/tests/test_shared_schedules.py
@@ -1,13 +1,15 @@
-"""The agreed record of kept writes under made schedules, one seed one schedule, and that the checker can fail.
+"""The agreed record of kept writes under made schedules, one seed one schedule, and that the checker can
+fail.
 
-Edges replay through gates that ask the record; what is told is lost, doubled, late and out of order. Gates die
-between BEGIN, send, effect and IN, copies begin anew from a snapshot or from nothing, disks are copied and started
-twice, operators judge, force and declare lost. The checker knows the effects, and follows each agreed entry.
+Edges replay through gates that ask the record; what is told is lost, doubled, late and out of order. Gates
+die between BEGIN, send, effect and IN, copies begin anew from a snapshot or from nothing, disks are copied
+and started twice, operators judge, force and declare lost. The checker knows the effects, and follows each
+agreed entry.
 
-Invariants: once (an unsafe write takes effect at most once, a keyed one under its key alone), told (what is said
-to be in has taken effect, and is agreed), order (a cause before its effects), fenced (who does not hold a line
-gets no BEGIN and no line), final (in and gone are never taken back), bounds, step (copies at the same place are
-the same), progress (at the end each write is in, parked, or waits for one that is)."""
+Invariants: once (an unsafe write takes effect at most once, a keyed one under its key alone), told (what is
+said to be in has taken effect, and is agreed), order (a cause before its effects), fenced (who does not hold
+a line gets no BEGIN and no line), final (in and gone are never taken back), bounds, step (copies at the same
+place are the same), progress (at the end each write is in, parked, or waits for one that is)."""
 
 from __future__ import annotations
 
@@ -23,7 +25,8 @@
 from woadyard.outbox.causes import Cause, Fate
 from woadyard.outbox.dots import Dot, Line
 from woadyard.outbox.shared import record as records
-from woadyard.outbox.shared.entries import Begin, Entry, Hold, In, Lost, Unbegin, pack, unpack
+from woadyard.outbox.shared import spans
+from woadyard.outbox.shared.entries import Begin, Entry, Hold, In, Lost, Said, Unbegin, pack, unpack
 from woadyard.outbox.shared.record import Record
 from woadyard.outbox.shared.terms import Ask, Begun, Claim, Claimed, Replayed, Told
 
@@ -49,6 +52,7 @@
     causes: tuple[Cause, ...]
     state: str = "ready"
     said: bool = True  # the record was told of this state
+    parkings: int = 0
     attempt: int = 0
 
 
@@ -241,6 +245,7 @@
     def found_out(self, one: Kept) -> None:
         """It may have run."""
         one.state, one.said = ("parked", False) if one.unsafe else ("ready", True)
+        one.parkings += one.unsafe
 
     def keep(self, unsafe: bool, causes: tuple[Cause, ...]) -> Dot:
         self.count += 1
@@ -310,7 +315,7 @@
             return None
         fates = {"parked": Fate.PARKED, "done": Fate.IN, "gone": Fate.GONE}
         fate = fates.get(one.state, Fate.UNKNOWN)
-        return Told(one.dot, fate, self.life, False, one.state == "clearing")
+        return Told(one.dot, fate, self.life, False, one.state == "clearing", one.parkings)
 
     def low(self, line: Line) -> Told | None:
         number = 0
@@ -488,8 +493,8 @@
                 call.copy.served(call)
 
     def judge(self) -> None:
-        """Operators are right. That it never ran they say where the line is held, once all tries are over: one
-        that is on its way could still run."""
+        """Operators are right. That it never ran they say where the line is held, once all tries are over:
+        one that is on its way could still run."""
         edge = self.draw.choice(self.living())
         parked = [one for one in edge.disk.kept.values() if one.state == "parked"]
         if not parked:
@@ -583,7 +588,7 @@
         self.log.append(data)
         entry = unpack(data)
         assert entry is not None
-        begun = self.truth._row(entry.dot.line).begun if isinstance(entry, Begin) else ()
+        begun = self.truth._row(entry.dot.line).begun_by(entry.dot.number) if isinstance(entry, Begin) else 0
         try:
             self.truth.apply(len(self.log), data)
         except Exception as error:
@@ -597,11 +602,10 @@
         self.check_finals(touched)
         self.check_bounds()
 
-    def check_begun(self, entry: Begin, before: tuple[tuple[int, int], ...]) -> None:
-        grant = (entry.dot.number, entry.ask)
-        if grant in before or grant not in self.truth._row(entry.dot.line).begun:
-            return
+    def check_begun(self, entry: Begin, before: int) -> None:
         line = entry.dot.line
+        if before == entry.ask or self.truth._row(line).begun_by(entry.dot.number) != entry.ask:
+            return
         if entry.life != self.holder(line) or line in self.lost or line.edge in self.lost:
             raise BrokenError("fenced", f"{entry} was granted, {line} is another's")
 
@@ -636,8 +640,8 @@
 
     def check_bounds(self) -> None:
         rows = self.truth._rows
-        spans = sum(row.spans for row in rows.values())
-        begun = [(line, number) for line, row in rows.items() for number, _ in row.begun]
+        ranges = sum(row.spans for row in rows.values())
+        begun = [(line, one[0]) for line, row in rows.items() for one in row.begun]
         for name, found, most in (
             ("lines", len(rows), records.LINES_MOST),
             (
@@ -646,14 +650,14 @@
                 records.RANGES_MOST,
             ),
             ("parked", max((len(row.parked) for row in rows.values()), default=0), records.PARKED_MOST),
-            ("spans", spans, records.SPANS_MOST),
+            ("spans", ranges, records.SPANS_MOST),
             ("begun", len(begun), records.BEGUN_MOST),
             ("undone", len(self.truth._undone), records.UNDONE_MOST),
             ("lost", len(self.truth._lost), records.LOST_MOST),
         ):
             if found > most:
                 raise BrokenError("bounds", f"{found} {name}, {most} at most")
-        if (spans, len(begun)) != (self.truth._spans, self.truth._begun):
+        if (ranges, len(begun)) != (self.truth._spans, self.truth._begun):
             raise BrokenError("bounds", "what is counted is not what there is")
         for line, number in begun:
             if self.truth.fate(Cause(*line, number)) in OVER:
@@ -724,9 +728,9 @@
             for one in edge.disk.kept.values():
                 if self.truth.holder(one.dot.line) != edge.life or one.state in ("done", "gone", "parked"):
                     continue
-                if all(self.truth.fate(cause) is Fate.IN for cause in one.causes):
-                    if edge.claims[one.dot.line] is not Claimed.FENCED:
-                        raise BrokenError("progress", f"{one.dot} is {one.state} at the end")
+                free = all(self.truth.fate(cause) is Fate.IN for cause in one.causes)
+                if free and edge.claims[one.dot.line] is not Claimed.FENCED:
+                    raise BrokenError("progress", f"{one.dot} is {one.state} at the end")
 
 
 def edge_of(entry: Entry) -> str:
@@ -772,7 +776,7 @@
     def _begin(self, entry: Begin) -> None:
         row, number = self._row(entry.dot.line), entry.dot.number
         if row.holder == entry.life and row.fate(number) not in OVER:
-            self._put(entry.dot.line, row.without_begun(number, number).with_begun(number, entry.ask))
+            self._put(entry.dot.line, row.with_begun(number, entry.ask, 0))
 
 
 class UnbegunByAny(Record):
@@ -847,7 +851,7 @@
         row = self._row(dot.line)
         if fate is Fate.IN and row.holder:
             self._spans -= row.spans
-            row = msgspec.structs.replace(row, gone=records.cut(row.gone, first, dot.number))
+            row = msgspec.structs.replace(row, gone=spans.cut(row.gone, first, dot.number))
             self._spans += row.spans
             self._rows[dot.line] = row
         super()._change(dot, first, fate)
@@ -901,10 +905,10 @@
 class ForgetsForRoom(Record):
     """Where a line has no more room for ranges, the first of them goes."""
 
-    def _put(self, line: Line, row: Any) -> None:
+    def _put(self, line: Line, row: Any) -> bool:
         if len(row.ins) + len(row.gone) > records.RANGES_MOST and row.ins:
             row = msgspec.structs.replace(row, ins=row.ins[1:])
-        super()._put(line, row)
+        return super()._put(line, row)
 
 
 class LostRaises(Record):
@@ -923,6 +927,16 @@
         self._undone.pop(ask, None)
 
 
+class JudgedAgain(Record):
+    """A word that it never ran is heard as often as it comes."""
+
+    def says(self, told: Told) -> bool:
+        return super().says(msgspec.structs.replace(told, parking=0))
+
+    def _said(self, entry: Said) -> None:
+        super()._said(msgspec.structs.replace(entry, parking=0))
+
+
 class TellsEarly(Copy):
     """IN is told before it is agreed."""
 
@@ -996,6 +1010,7 @@
     (NewKeys, "once"),
     (LowOverParked, "told"),
     (LateBegun, "progress"),
+    (JudgedAgain, "progress"),
 ]
 
 
--- a/woadyard/outbox/shared/entries.py
+++ b/woadyard/outbox/shared/entries.py
@@ -69,13 +69,14 @@
 
 class Said(_Entry, frozen=True, tag=5):
     """FATE, or with `before` LOW: what the holder says of one write or of all up to it. `ask`: an operator
-    said that this ask never ran it, though it had begun."""
+    said that this ask never ran it, though it had begun; of which `parking`, if that is told."""
 
     dot: Dot
     fate: Fate
     life: int
     before: bool = False
     ask: int = 0
+    parking: int = 0
 
 
 class Lost(_Entry, frozen=True, tag=6):
@@ -159,8 +160,8 @@
 def _check_said(entry: Said) -> None:
     _check_dot(entry.dot)
     _check_id(entry.life)
-    if not 0 <= entry.ask < ID_END:
-        raise ValueError("an ask that can't be")
+    if not (0 <= entry.ask < ID_END and 0 <= entry.parking < NUMBER_END):
+        raise ValueError("an ask or parking that can't be")
 
 
 def _check_lost(entry: Lost) -> None:
--- a/woadyard/outbox/shared/record.py
+++ b/woadyard/outbox/shared/record.py
@@ -6,7 +6,9 @@
 2. In and gone are final: nothing that comes later takes either back, also where both are said.
 3. A BEGIN is granted only to the line's holder, for a write that is not over and not begun by another ask,
    and never to an ask that was taken back. It ends with IN, with gone, by UNBEGIN of that very ask, or by the
-   holder's word that this ask never ran it.
+   holder's word that this ask never ran it. Such a word names the parking that was judged, and each parking
+   is judged once: one that comes late says nothing of what began since. An operator must not say it while a
+   try may be on its way: the record can't see that.
 4. A CLAIM holds if it names the present holder, and how often the holder changed before; an operator's
    force need not name the holder. Then the former one gets nothing more.
 5. What the holder says holds of all that is not over. All up to a number are over: those that are not gone
@@ -55,7 +57,7 @@
 # Of one line: ranges of in and gone, and of parked.
 RANGES_MOST: Final = 256
 PARKED_MOST: Final = 256
-# Over all lines: ranges of any kind, and begun ones. With these a snapshot is within accord's bound.
+# Over all lines: ranges of any kind, and begun or judged ones. So a snapshot is within accord's bound.
 SPANS_MOST: Final = 16_384
 BEGUN_MOST: Final = 1_024
 # Edges declared lost.
@@ -73,7 +75,8 @@
     ins: Spans = NONE  # above low
     gone: Spans = NONE  # anywhere
     parked: Spans = NONE  # above low
-    begun: tuple[tuple[int, int], ...] = ()  # number, ask; sorted
+    # Number, ask, and the last parking that was judged never to have run; sorted. Ask 0: it is not begun.
+    begun: tuple[tuple[int, int, int], ...] = ()
 
     @property
     def spans(self) -> int:
@@ -97,16 +100,25 @@
 
     def begun_by(self, number: int) -> int:
         """The ask; 0 if it is not begun."""
-        place = bisect_left(self.begun, (number, 0))
+        return self._begun(number)[0]
+
+    def judged(self, number: int) -> int:
+        """The last parking of which it was said that it never ran."""
+        return self._begun(number)[1]
+
+    def _begun(self, number: int) -> tuple[int, int]:
+        place = bisect_left(self.begun, (number,))
         if place < len(self.begun) and self.begun[place][0] == number:
-            return self.begun[place][1]
-        return 0
+            return self.begun[place][1:]
+        return 0, 0
 
-    def with_begun(self, number: int, ask: int) -> _Row:
-        return self._with(begun=tuple(sorted((*self.begun, (number, ask)))))
+    def with_begun(self, number: int, ask: int, parking: int) -> _Row:
+        others = (one for one in self.begun if one[0] != number)
+        new = ((number, ask, parking),) if ask or parking else ()
+        return self._with(begun=tuple(sorted((*others, *new))))
 
     def without_begun(self, first: int, last: int) -> _Row:
-        if not any(first <= number <= last for number, _ in self.begun):
+        if not any(first <= one[0] <= last for one in self.begun):
             return self
         return self._with(begun=tuple(one for one in self.begun if not first <= one[0] <= last))
 
@@ -227,6 +239,8 @@
         fate = row.fate_up_to(number) if told.before else row.fate(number)
         if fate in (Fate.IN, Fate.GONE):
             return True
+        if told.unbegin and told.parking:
+            return row.judged(number) >= told.parking
         return fate is told.fate and not (told.unbegin and row.begun_by(number))
 
     # --- What is to be agreed next ------------------------------------------------------
@@ -246,8 +260,10 @@
         """By which the record would say so; None if it does."""
         if self.says(told):
             return None
-        ask = self._row(told.dot.line).begun_by(told.dot.number) if told.unbegin else 0
-        return Said(told.dot, told.fate, told.life, told.before, ask)
+        if not told.unbegin:
+            return Said(told.dot, told.fate, told.life, told.before)
+        ask = self._row(told.dot.line).begun_by(told.dot.number)
+        return Said(told.dot, told.fate, told.life, told.before, ask, told.parking)
 
     def status(self) -> dict[str, int]:
         """For an operator, in JSON's types."""
@@ -291,12 +307,12 @@
             return
         # Its holder replays it: it is parked no more.
         row = msgspec.structs.replace(row, parked=cut(row.parked, number, number))
-        self._put(entry.dot.line, row.with_begun(number, entry.ask))
+        self._put(entry.dot.line, row.with_begun(number, entry.ask, row.judged(number)))
 
     def _unbegin(self, entry: Unbegin) -> None:
         row, number = self._row(entry.dot.line), entry.dot.number
         if row.begun_by(number) == entry.ask:
-            self._put(entry.dot.line, row.without_begun(number, number))
+            self._put(entry.dot.line, row.with_begun(number, 0, row.judged(number)))
         self._undo(entry.ask)
 
     def _undo(self, ask: int) -> None:
@@ -316,11 +332,23 @@
         row, number = self._row(entry.dot.line), entry.dot.number
         if row.holder == 0 or row.holder != entry.life:
             return
-        if entry.ask and row.begun_by(number) == entry.ask:
-            self._put(entry.dot.line, row.without_begun(number, number))
-            self._undo(entry.ask)
+        if (entry.ask or entry.parking) and not self._judge(entry, row):
+            return
         self._change(entry.dot, 1 if entry.before else number, entry.fate)
 
+    def _judge(self, entry: Said, row: _Row) -> bool:
+        """It never ran. False for a word that is late, or of another ask."""
+        number, judged = entry.dot.number, row.judged(entry.dot.number)
+        if row.begun_by(number) != entry.ask or 0 < entry.parking <= judged:
+            return False
+        if row.fate(number) in (Fate.IN, Fate.GONE):
+            return True
+        if not self._put(entry.dot.line, row.with_begun(number, 0, max(judged, entry.parking))):
+            return False
+        if entry.ask:
+            self._undo(entry.ask)
+        return True
+
     def _change(self, dot: Dot, first: int, fate: Fate) -> None:
         """What is not over of first..number becomes `fate`."""
         row = self._row(dot.line)
@@ -348,23 +376,24 @@
             for line in [line for line in self._rows if line.edge == entry.edge]:
                 self._put(line, self._rows[line].lost())
 
-    def _put(self, line: Line, row: _Row) -> None:
+    def _put(self, line: Line, row: _Row) -> bool:
         """The line's new state, if it fits; one that says nothing is not kept."""
         old = self._rows.get(line)
         new = self._new(line)
         before = new if old is None else old
         if row == before and row != new:
-            return
+            return True
         spans, begun = row.spans - before.spans, len(row.begun) - len(before.begun)
-        if (why := self._bound(old is None, before, row, spans, begun)) is not None:
+        if (why := self._bound(old is None and row != new, before, row, spans, begun)) is not None:
             self.refused[why] += 1
-            return
+            return False
         self._spans += spans
         self._begun += begun
         if row == new:
             self._rows.pop(line, None)
         else:
             self._rows[line] = row
+        return True
 
     def _bound(self, is_new: bool, old: _Row, row: _Row, spans: int, begun: int) -> str | None:
         """The bound that it would break; what takes no more than before breaks none."""
@@ -383,16 +412,16 @@
     """ValueError for what no `dump` gives."""
     for edge, incarnation, row in saved.rows:
         check_edge(edge)
-        ids = (incarnation, *(ask for _, ask in row.begun))
-        numbers = [number for number, _ in row.begun]
-        if not all(0 < id < ID_END for id in ids) or not 0 <= row.holder < ID_END:
+        ids = (row.holder, *(ask for _, ask, _ in row.begun))
+        numbers = [number for number, _, _ in row.begun]
+        if not (0 < incarnation < ID_END and all(0 <= id < ID_END for id in ids)):
             raise ValueError("a life, incarnation or ask that can't be")
         if not (0 <= row.low < NUMBER_END and row.turn >= 0):
             raise ValueError("a number that can't be")
         if not all(well_formed(spans, NUMBER_END) for spans in (row.ins, row.gone, row.parked)):
             raise ValueError("ranges that can't be")
-        if numbers != sorted(set(numbers)):
-            raise ValueError("begun ones out of order")
+        if numbers != sorted(set(numbers)) or not all(ask or parking for _, ask, parking in row.begun):
+            raise ValueError("begun ones that can't be")
     for edge in saved.lost:
         check_edge(edge)
     if not all(0 < ask < ID_END for ask in saved.undone):
--- a/woadyard/outbox/shared/terms.py
+++ b/woadyard/outbox/shared/terms.py
@@ -2,8 +2,8 @@
 
 1. What goes between them is sealed with the edges' common secret (`Seal`): it can't be made up, and a seal of
    one use is of no use for another.
-2. A life is the incarnation of one opening of an outbox's store. A line is held by one life at a time; at first
-   by the life of its own incarnation.
+2. A life is the incarnation of one opening of an outbox's store. A line is held by one life at a time; at
+   first by the life of its own incarnation.
 3. Everything that is said may come twice, late, or not at all, and means the same.
 """
 
@@ -62,13 +62,15 @@
 class Told(msgspec.Struct, array_like=True, frozen=True):
     """What the holder of a line says of one write, or with `before` of all up to it.
 
-    `UNKNOWN`: it waits at its edge (parked no more). `IN`, `GONE`: final. `unbegin`: an operator said that it never ran."""
+    `UNKNOWN`: it waits at its edge (parked no more). `IN`, `GONE`: final. `unbegin`: an operator said that it
+    never ran, of this `parking` of it: one that comes late says nothing of what began since."""
 
     dot: Dot
     fate: Fate
     life: int
     before: bool = False
     unbegin: bool = False
+    parking: int = 0
 
 
 class Ask(msgspec.Struct, array_like=True, frozen=True):
