Begin the edge's side of sharing

Need: an edge has to learn what is in elsewhere, claim its former lines, and heed a fence. Change: the frontier that asks, the driver's part, the steps FENCED, CLAIMED and FOUND_IN.

--- a/woadyard/engine/call.py
+++ b/woadyard/engine/call.py
@@ -79,7 +79,7 @@
     """One request, taken and not yet forgotten. Times in µs."""
 
     __slots__ = (
-        "attempts", "body", "causes", "cls", "endpoint", "expires", "front", "head", "held", "id", "key",
+        "attempts", "body", "causes", "cls", "endpoint", "expires", "fate", "front", "head", "held", "id", "key",
         "name", "open", "order", "recorded", "repeated", "span", "start", "streams", "tenant", "timer",
         "tried", "upload", "with_keeper", "work_us",
     )  # fmt: skip
@@ -122,6 +122,8 @@
         self.with_keeper = False  # a keeper has it in hand: the module has no part in it
         self.causes: tuple[bytes, ...] = ()  # what it says that it follows, where its class may be kept
         self.streams = False  # its front can pass on an answer that is still coming
+        # What a copy upstream says of a kept write, beside its answer; None where no copy is asked.
+        self.fate: bytes | None = None
         self.upload: Flow | None = None  # in place of the body, where that is still coming
         self.span = 0  # upload: the time it has from its last byte on
 
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -438,6 +438,10 @@
         elif status in (503, 504) and fields.get(b"x-not-run", b"").strip() == b"1":
             outcome = FULL
         attempt, self.attempt = self.attempt, None
+        if attempt is not None and attempt.call.fate is not None:
+            # From a copy of this program, whose 503 promises that nothing ran.
+            outcome = FULL if status == 503 else outcome
+            attempt.call.fate = fields.get(b"x-kept-fate", b"refused" if status == 503 else b"")
         self.owner.answering.discard(self)
         self._end_use()
         if attempt is not None:
@@ -514,6 +518,8 @@
             pool.free()
 
     def send(self, attempt: Attempt) -> None:
+        if attempt.call.fate is not None:
+            attempt.call.fate = b""  # of the last attempt alone
         pool = self.pools.get(attempt.endpoint)
         if pool is None:
             address = self.addresses.get(attempt.endpoint)
--- a/woadyard/outbox/driver.py
+++ b/woadyard/outbox/driver.py
@@ -10,6 +10,8 @@
    out, and a life that follows finds that it may have run.
 4. A replay is a request of its own to the engine, with its class's rules and its own deadline.
 5. A live write that follows what is kept is kept too, or refused: it never overtakes.
+6. Where upstream is copies of this program, `shared.asking` adds what goes between them. A kept write of
+   another edge that comes here as at a copy upstream is not kept again: its edge keeps it.
 """
 
 from __future__ import annotations
@@ -18,7 +20,8 @@
 import time
 from collections.abc import Coroutine, Mapping
 from dataclasses import dataclass, field, replace
-from typing import Any, Final
+from random import Random
+from typing import TYPE_CHECKING, Any, Final
 
 import msgspec
 
@@ -30,7 +33,7 @@
 from woadyard.net.message import lines as lines_of
 from woadyard.net.request import hint, key_of
 from woadyard.orders.book import another_body, digest_of, may_have_run
-from woadyard.outbox.causes import Cause, Causes, Fate, Tokens
+from woadyard.outbox.causes import Cause, Causes, Fate, Frontier, Tokens
 from woadyard.outbox.cutoff import CutOff, CutOffRule
 from woadyard.outbox.dots import Dot, Line, read_dot
 from woadyard.outbox.errors import (
@@ -41,14 +44,18 @@
     TokenError,
     UnknownWriteError,
 )
+from woadyard.outbox.frontier import Teller
 from woadyard.outbox.journal import FINAL, Event, KeptWrite, State, Verdict
 from woadyard.outbox.options import OutboxSettings
 from woadyard.outbox.outbox import Bounds, Change, End, KeptClass, Offer, Outbox, Ticket
 from woadyard.outbox.receipts import Receipt, show
-from woadyard.outbox.store import FailedToKeepError, KeptStore
+from woadyard.outbox.store import FailedToKeepError, KeptStore, Loaded
 from woadyard.settings.config import ConfigError
 from woadyard.store import StoreError
 
+if TYPE_CHECKING:
+    from woadyard.outbox.shared.asking import Sharing
+
 JSON: Final = (b"content-type", b"application/json")
 RECEIPTS: Final = b"/outbox/receipts/"
 # How an attempt ended where there is a way to its endpoint, and where none is known.
@@ -61,6 +68,9 @@
 AGAIN_S: Final = 1.0
 # What is out as the process ends is waited for so long.
 LAST_S: Final = 5.0
+# Where the name of another edge's kept write is among a call's causes.
+SEALED: Final = 3
+UNPARKED: Final = (Event.NEVER_RAN, Event.CLAIMED)
 # Parked writes that an operator sees at once.
 SHOWN_MOST: Final = 100
 
@@ -123,6 +133,10 @@
         self.out: dict[Dot, Replay] = {}
         self.again: set[Dot] = set()  # sent before, without a known end
         self.parked: dict[Dot, int] = {}  # the number of the parking
+        self.sharing: Sharing | None = None  # where upstream is copies of this program
+        self.teller = outbox.frontier if isinstance(outbox.frontier, Teller) else None
+        self.untold: list[tuple[Dot, Fate]] = []  # over, and the frontier had no room for it
+        self.by_gate: set[Dot] = set()  # done by an answer: upstream knows, and need not be told
         self.tasks: set[asyncio.Task[None]] = set()
         self.turning: asyncio.Handle | None = None
         self.closing = False
@@ -131,9 +145,14 @@
 
     @classmethod
     async def open(
-        cls, settings: OutboxSettings, classes: Mapping[str, int], tenants: Mapping[str, int], log: Log
+        cls,
+        settings: OutboxSettings,
+        classes: Mapping[str, int],
+        tenants: Mapping[str, int],
+        log: Log,
+        frontier: Frontier | None = None,
     ) -> OutboxDriver:
-        """With all that earlier lives kept. `StoreError` or `OutboxError` if that can't be read, OSError
+        """With all that earlier lives kept. `frontier`: where this is a copy upstream that shares. `StoreError` or `OutboxError` if that can't be read, OSError
         or ValueError if the secret can't be."""
         store = await KeptStore.open(settings.store_path, settings.max_bytes, log)
         try:
@@ -154,8 +173,17 @@
                 for name, one in settings.classes.items()
             }
             line = Line(settings.edge, store.incarnation)
-            outbox = Outbox(line, kept, bounds, tokens, Alone(settings.edge))
+            asks = settings.upstream == "copies" and frontier is None
+            if asks:
+                from woadyard.outbox.shared.edge import RemoteFrontier
+
+                frontier = RemoteFrontier(line, Random())
+            outbox = Outbox(line, kept, bounds, tokens, frontier or Alone(settings.edge))
             self = cls(store, outbox, tokens, settings, classes, tenants, log)
+            if asks:
+                from woadyard.outbox.shared.asking import Sharing
+
+                self.sharing = Sharing(self, secret)
             await self._restore()
         except BaseException:
             await store.close()
@@ -169,12 +197,20 @@
         for write, moved in loaded.writes:
             if moved is not None and moved.state is State.PARKED:
                 self.parked[write.dot] = moved.parking
+        self._restore_shared(loaded)
         for change in changes:
             await self.store.move(change.moved)
             self._apply(change)
         if loaded.writes:
             self.log(f"outbox: {len(loaded.writes)} writes of earlier lives, {len(self.parked)} parked")
 
+    def _restore_shared(self, loaded: Loaded) -> None:
+        if self.sharing is not None:
+            self.sharing.restored(loaded)
+        if self.teller is not None:
+            for dot in self.parked:
+                self.teller.tell(dot, Fate.PARKED)
+
     def begin(self, engine: Engine) -> None:
         self.engine = engine
         engine.keeper = self
@@ -184,6 +220,9 @@
     def _now(self) -> int:
         return self.clock.now()
 
+    def wall(self) -> int:
+        return _wall()
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = self.loop.create_task(work)
         self.tasks.add(task)
@@ -194,6 +233,8 @@
         self.closing = True
         if self.turning is not None:
             self.turning.cancel()
+        if self.sharing is not None:
+            self.sharing.close()
         if self.engine is not None:
             self.engine.keeper = None
         if self.tasks:
@@ -221,6 +262,8 @@
     def _turned(self) -> None:
         self.was_off = self.cutoff.off
         self.log("outbox: cut off: writes are kept" if self.was_off else "outbox: back: writes go upstream")
+        if self.sharing is not None and not self.was_off:
+            self.sharing.remote.back(self._now())
         self._wake()
 
     def _look(self) -> None:
@@ -236,10 +279,16 @@
             self._turned()
 
     def comes_first(self, call: Call) -> bool:
-        if call.cls not in self.classes or isinstance(call.front, Replay) or self.closing:
+        if call.cls not in self.classes or self.closing or self._passes(call):
             return False
         return self.cutoff.off or self._follows(call)
 
+    def _passes(self, call: Call) -> bool:
+        """It is no client's: a replay, an ask, or a replay of another edge."""
+        if call.fate is not None or isinstance(call.front, Replay):
+            return True
+        return self.settings.shared and len(call.causes) > SEALED and bool(call.causes[SEALED])
+
     def _follows(self, call: Call) -> bool:
         """Whether it follows what is not known to be in. One whose token can't be read is kept, or
         rather told so, by `keep`."""
@@ -257,6 +306,8 @@
         if isinstance(front, Replay):
             front.never_ran = True  # asked only where it can't have run
             return False
+        if self._passes(call):
+            return False
         now = self._now()
         if answer is not None and answer.ending is Ending.REFUSED:
             self.outbox.live_refused(now)
@@ -387,9 +438,33 @@
         self._look()
         for change in self.outbox.due(self._now()):
             self._spawn(self._step(change))
+        self._tell_over()
+        if self.sharing is not None:
+            self.sharing.turn()
         if forgettable := self.outbox.forgettable(self._now()):
             self._spawn(self._forget(forgettable))
 
+    def _tell_over(self) -> None:
+        """What is over, to those who may wait for it: given up before all, since a number tells the rest."""
+        over, self.untold = self.untold + self.outbox.over(), []
+        teller = self.teller
+        if teller is None or not over:
+            self.by_gate.clear()  # what is over later is told once more than it need be
+            return
+        gone = [one for one in over if one[1] is Fate.GONE]
+        self.untold = [(dot, fate) for dot, fate in gone if teller.tell(dot, fate) is False]
+        if not self.untold:
+            for line in {dot.line for dot, _ in over}:
+                if number := self.outbox.low(line):
+                    teller.low(line, number)
+        for dot, fate in over:
+            if fate is Fate.GONE:
+                continue
+            if dot in self.by_gate:
+                self.by_gate.discard(dot)
+            elif teller.tell(dot, fate) is False:
+                self.untold.append((dot, fate))
+
     async def _forget(self, dots: list[Dot]) -> None:
         """Numbers first: what is forgotten must not look as if it were still to come."""
         try:
@@ -413,8 +488,14 @@
         self._wake()
 
     def _apply(self, change: Change) -> None:
+        if self.sharing is not None:
+            self.sharing.before(change)
         self.outbox.apply(change, self._now())
         state = change.moved.state
+        if self.teller is not None and (state is State.PARKED or change.event in UNPARKED):
+            self.teller.tell(change.dot, Fate.PARKED if state is State.PARKED else Fate.UNKNOWN)
+        if change.event is Event.FOUND_IN:
+            self.log(f"outbox: {change.dot}: upstream's record says that it is in: done")
         if state is State.PARKED:
             self.parked[change.dot] = change.moved.parking
             self.log(f"outbox: {change.dot}: parked: {change.moved.reason.name.lower()}")
@@ -422,6 +503,8 @@
             self.parked.pop(change.dot, None)
         if state in FINAL:
             self.again.discard(change.dot)
+        if self.sharing is not None:
+            self.sharing.applied(change)
 
     async def _send(self, dot: Dot) -> None:
         """Upstream with it, and its end written down."""
@@ -443,7 +526,9 @@
             answer = await replay.over
         finally:
             del self.out[dot]
-        if answer.ending is Ending.SERVED:
+        if self.sharing is not None:
+            end = self.sharing.end_of(call, replay, answer)
+        elif answer.ending is Ending.SERVED:
             end = End.ANSWERED
         elif answer.ending is Ending.REFUSED or replay.never_ran:
             end = End.NOT_RUN
@@ -468,6 +553,8 @@
             work_us=hint(fields.get(b"x-cost-hint", b"")),
             repeated=write.dot in self.again,
         )
+        if self.sharing is not None:
+            self.sharing.name(call, write)
         return call
 
     async def _end(self, dot: Dot, end: End, answer: Answer) -> None:
@@ -523,6 +610,13 @@
         self._spawn(self._step(change))
         return True
 
+    def claim(self, line: Line) -> bool:
+        """An operator's word: of the processes that have copies of this disk, this one replays that line. False
+        if it does. `UnknownWriteError`."""
+        if self.sharing is None or line not in self.outbox.lines():
+            raise UnknownWriteError(f"no line {line.edge}/{line.incarnation:016x} that others could have")
+        return self.sharing.force(line)
+
     def status(self) -> dict[str, Any]:
         """For an operator."""
         shown = list(self.parked)[:SHOWN_MOST]
@@ -579,7 +673,12 @@
 
 
 async def open_driver(
-    settings: OutboxSettings, classes: Mapping[str, int], tenants: Mapping[str, int], log: Log, file: str = ""
+    settings: OutboxSettings,
+    classes: Mapping[str, int],
+    tenants: Mapping[str, int],
+    log: Log,
+    file: str = "",
+    frontier: Frontier | None = None,
 ) -> OutboxDriver:
     """As `OutboxDriver.open`; `ConfigError` with the key, `file` before it, if that can't be."""
     if settings.secret_file:
@@ -589,7 +688,7 @@
             problem = f"{error.strerror}: expected a file that this user may read"
             raise ConfigError(f"{file}outbox.secret_file: {settings.secret_file}: {problem}") from None
     try:
-        return await OutboxDriver.open(settings, classes, tenants, log)
+        return await OutboxDriver.open(settings, classes, tenants, log, frontier)
     except ValueError as error:
         if isinstance(error, OutboxError):
             raise ConfigError(f"{file}outbox.store_path: {settings.store_path}: {error}") from None
--- a/woadyard/outbox/journal.py
+++ b/woadyard/outbox/journal.py
@@ -9,6 +9,9 @@
 4. A write kept as new has never been sent: KEPT and READY say that it has not run, whatever befell the edge.
 5. A parking has a number, from 1. A verdict names it, so that one given twice never counts for a later one.
 6. DONE and GIVEN_UP are final.
+7. What upstream's copies say moves a write only where nothing is lost by it: one parked because it may have
+   run is DONE once they say that it is in, and one parked because its line is another's is KEPT again once the
+   line is this process's.
 """
 
 from __future__ import annotations
@@ -58,6 +61,7 @@
     AGE = 4  # older than what may be kept
     ORPHANED = 5  # what it follows was given up, or lost with its edge
     FOLLOWS = 6  # never in a record: what it follows is parked
+    FENCED = 7  # another process with a copy of this disk replays its line
 
 
 class Verdict(IntEnum):
@@ -85,6 +89,9 @@
     GIVE_UP = 12
     LOST = 13  # the record of it could not be kept
     JOINED = 14  # it has no effect of its own: all that it follows is in
+    FENCED = 15  # its line is another process's
+    CLAIMED = 16  # it was FENCED, and its line is this process's now
+    FOUND_IN = 17  # it may have run, and upstream's record says that it is in
 
 
 FINAL: Final = frozenset({State.DONE, State.GIVEN_UP})
@@ -95,6 +102,9 @@
     (State.KEPT, Event.ORPHANED): State.PARKED,
     (State.KEPT, Event.GIVE_UP): State.GIVEN_UP,
     (State.KEPT, Event.LOST): State.GIVEN_UP,
+    (State.KEPT, Event.FENCED): State.PARKED,
+    (State.READY, Event.FENCED): State.PARKED,
+    (State.OUT, Event.FENCED): State.PARKED,
     (State.READY, Event.SEND): State.OUT,
     (State.READY, Event.JOINED): State.DONE,
     (State.READY, Event.EXPIRED): State.PARKED,
@@ -106,6 +116,8 @@
     (State.PARKED, Event.RAN): State.DONE,
     (State.PARKED, Event.NEVER_RAN): State.KEPT,
     (State.PARKED, Event.GIVE_UP): State.GIVEN_UP,
+    (State.PARKED, Event.CLAIMED): State.KEPT,
+    (State.PARKED, Event.FOUND_IN): State.DONE,
 }
 
 
--- a/woadyard/outbox/outbox.py
+++ b/woadyard/outbox/outbox.py
@@ -22,6 +22,7 @@
    operator's "it never ran" begins age and window anew.
 7. After a restart the time that passed is that of the wall clock, and never less than none. Where that clock
    stands before what was written by it, a keyed write that may have run is parked: its window can't be known.
+8. Of a line that is another process's nothing is sent and nothing new is kept; what was to be sent is parked.
 """
 
 from __future__ import annotations
@@ -95,6 +96,8 @@
         return self._keep(Offer("", b"", (), 0, b""), KeptClass("", False), causes, 0, now, wall)
 
     def _keep(self, offer: Offer, cls: KeptClass, named: Causes, key: int, now: int, wall: int) -> Ticket:
+        if 0 in self._fenced:
+            raise KeepError("another process with a copy of this disk has this edge's line")
         session, obj = short(b"s", offer.session), short(b"o", offer.obj)
         by_rule = [
             Cause(*self._dot(row))
@@ -208,7 +211,13 @@
 
     def due(self, now: int) -> list[Change]:
         """What is to be done next, `SEND` among it: apply, then send. Asked after events and each second."""
-        return [*self._due_orphans(), *self._due_joins(), *self._due_sweep(now), *self._due_sends(now)]
+        return [
+            *self._due_orphans(),
+            *self._due_joins(),
+            *self._due_fences(),
+            *self._due_sweep(now),
+            *self._due_sends(now),
+        ]
 
     def _change(self, row: int, event: Event, reason: Reason = Reason.NONE) -> Change:
         """A step of this row, as a record without an answer. The row is busy from here."""
@@ -240,6 +249,30 @@
         rows = [self._joins.popleft() for _ in range(count)]
         return [self._change(row, Event.JOINED) for row in rows if self._can_go(row)]
 
+    def _due_fences(self) -> list[Change]:
+        """What is to be parked as its line is another's, and what is not to be any more."""
+        found: list[Change] = []
+        for rows, states, event, reason in (
+            (self._to_fence, (State.KEPT, State.READY), Event.FENCED, Reason.FENCED),
+            (self._to_claim, (State.PARKED,), Event.CLAIMED, Reason.NONE),
+        ):
+            for _ in range(min(SWEEP, len(rows))):
+                row = rows.popleft()
+                if not self._is_fenced(row, event is Event.FENCED, states):
+                    continue
+                if self._rows.flags[row] & (BUSY | DURABLE) == DURABLE:
+                    found.append(self._change(row, event, reason))
+                else:
+                    rows.append(row)
+        return found
+
+    def _is_fenced(self, row: int, fenced: bool, states: tuple[State, ...]) -> bool:
+        """Still to be parked, or not any more, for its line: a place in a queue may be older than that."""
+        rows = self._rows
+        if rows.flags[row] & (FOREIGN | BARRIER | JOIN | CLOSED) or rows.state_of(row) not in states:
+            return False
+        return (rows.line[row] in self._fenced) is fenced and (fenced or rows.reason[row] == Reason.FENCED)
+
     def _due_sweep(self, now: int) -> list[Change]:
         """Part of all rows, in turn: which are too old, or past their window."""
         found: list[Change] = []
@@ -273,13 +306,19 @@
                 continue
             if reason := self._expired(row, now):
                 found.append(self._change(row, Event.EXPIRED, reason))
-            elif not self.frontier.holds(self._lines[self._rows.line[row]]):
+            elif self._rows.line[row] in self._fenced:
+                self._to_fence.append(row)
+            elif not self._may_go(row):
                 self._turns.set_aside(row)
             else:
                 self.pace.sent()
                 found.append(self._change(row, Event.SEND))
         return found
 
+    def _may_go(self, row: int) -> bool:
+        packed = self._rows.line[row] << NUMBERS | self._rows.number[row]
+        return packed not in self._withheld and self.frontier.holds(self._lines[self._rows.line[row]])
+
     def live_refused(self, now: int) -> None:
         """The module refused a live request: kept ones stand back."""
         self.pace.refused(now)
@@ -300,6 +339,8 @@
         follow(self._rows.state_of(row), event)
         if end in (End.ANSWERED, End.DENIED):
             self.pace.answered()
+        elif end is End.FENCED:
+            self.pace.unsent()
         else:
             self.pace.failed(now)
         if end is End.MAY_HAVE_RUN:
@@ -315,6 +356,8 @@
             return Event.DENIED, Reason.DENIED
         if end is End.NOT_RUN:
             return Event.NOT_RUN, Reason.NONE
+        if end is End.FENCED:
+            return Event.FENCED, Reason.FENCED
         cls = self.classes.get(self._names[self._rows.cls[row]])
         if cls is not None and cls.keyed and not self._expired(row, now):
             return Event.AGAIN, Reason.NONE
@@ -345,6 +388,9 @@
                 self._excused.add(row)
             self._graph.resume(row)
             self._wake(row)
+        elif event is Event.CLAIMED:
+            self._graph.resume(row)
+            self._wake(row)
         return event is not Event.SEND or not self._expired(row, now)
 
     def undo(self, change: Change, now: int) -> None:
@@ -357,6 +403,10 @@
             self.pace.unsent()
         if change.event is Event.ORPHANED:
             self._orphans.append(row)
+        elif change.event is Event.FENCED:
+            self._to_fence.append(row)
+        elif change.event is Event.CLAIMED:
+            self._to_claim.append(row)
         elif rows.state[row] == State.READY:
             (self._joins.append if rows.has(row, JOIN) else self._turns.again)(row)
         else:
@@ -396,6 +446,64 @@
             else:
                 self._graph.resume(row)
 
+    def followed(self) -> list[Cause]:
+        """Writes of other lines that are waited for since the last call."""
+        found, self._followed = self._followed, []
+        return found
+
+    def wonders(self, cause: Cause) -> bool:
+        """Whether its fate is of use: an open write follows it, or it is an own one that is parked as it may
+        have run, here or at the process that has its line."""
+        if cause in self._foreign:
+            return True
+        row = -1 if cause.before else self._row(cause.dot)
+        if row < 0 or self._rows.has(row, CLOSED) or self._rows.state[row] != State.PARKED:
+            return False
+        return self._rows.reason[row] in (Reason.MAY_HAVE_RUN, Reason.FENCED)
+
+    def found_in(self, dot: Dot, wall: int) -> Change | None:
+        """The record says that it is in: None if that changes nothing now."""
+        row = self._row(dot)
+        if row < 0 or not self.wonders(Cause(*dot)) or self._rows.has(row, BUSY):
+            return None
+        change = self._change(row, Event.FOUND_IN)
+        return Change(dot, change.event, msgspec.structs.replace(change.moved, wall=wall))
+
+    def fence(self, line: Line) -> None:
+        """Another process has this line."""
+        place = self._line_places.get(line, -1)
+        if place >= 0 and place not in self._fenced:
+            self._fenced.add(place)
+            self._to_fence.extend(self._rows_of(place, (State.KEPT, State.READY)))
+
+    def unfence(self, line: Line) -> None:
+        """This process has it; so what was parked as it had not goes on, also from before a restart."""
+        place = self._line_places.get(line, -1)
+        if place >= 0:
+            self._fenced.discard(place)
+            self._to_claim.extend(self._rows_of(place, (State.PARKED,)))
+
+    def _rows_of(self, place: int, states: tuple[State, ...]) -> list[int]:
+        """Looks at all rows."""
+        line, fenced = self._rows.line, place in self._fenced
+        return [
+            row for row in range(len(self._rows)) if line[row] == place and self._is_fenced(row, fenced, states)
+        ]
+
+    def withhold(self, dot: Dot) -> None:
+        """It is not sent until `release`. Called before the step that would bring it its turn."""
+        self._withheld.add(self._pack(dot))
+
+    def release(self, dot: Dot) -> None:
+        """`heard` is to follow."""
+        self._withheld.discard(self._pack(dot))
+
+    def unsafe(self, dot: Dot) -> bool:
+        """It may be sent once, ever."""
+        row = self._row(dot)
+        cls = self.classes.get(self._names[self._rows.cls[row]]) if row >= 0 else None
+        return cls is None or not cls.keyed
+
     def over(self) -> list[tuple[Dot, Fate]]:
         """Own writes, since the last call, that are over with all that they follow: what the frontier may
         tell others as in or gone. After a restart those that still have a record are named again."""
--- a/woadyard/outbox/receipts.py
+++ b/woadyard/outbox/receipts.py
@@ -18,6 +18,7 @@
     Reason.DENIED: "upstream said a final no",
     Reason.AGE: "it was kept for longer than outbox.age_s",
     Reason.ORPHANED: "a write that it follows was given up, or lost with its edge",
+    Reason.FENCED: "another process with a copy of this disk replays it",
     Reason.FOLLOWS: "a write that it follows is parked",
 }
 # What an operator can say of it.
--- /dev/null
+++ b/woadyard/outbox/shared/asking.py
@@ -0,0 +1,264 @@
+"""The edge's driver towards copies upstream: names its replays, asks, and acts on what it hears.
+
+The rules, beside those of `edge`:
+
+1. An ask is a request of its own through the engine, of a class that is kept, with `ASK_US` at most. Its answer
+   counts only if it was sealed as the answer to this very ask.
+2. A line of a former life is claimed only once the store has this life among those that its disk has known.
+3. An operator's "it never ran" is told upstream before the write is sent again.
+4. A write that may have run is parked at once, so that a crash finds it so, and its fate is asked; where that is
+   in, it is done.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+from woadyard.engine.call import Answer, Call, Ending
+from woadyard.net.message import lines as lines_of
+from woadyard.outbox.causes import Cause
+from woadyard.outbox.dots import Dot, Line
+from woadyard.outbox.errors import OutboxError
+from woadyard.outbox.journal import Event, KeptWrite, State, Verdict
+from woadyard.outbox.shared.edge import KNOWN_MOST, News, RemoteFrontier
+from woadyard.outbox.shared.seal import Seal
+from woadyard.outbox.shared.terms import KEPT_HEADER, SHARED_PATH, Ask, Replayed
+from woadyard.outbox.store import Loaded
+from woadyard.outbox.terms import Change, End
+from woadyard.store import StoreError
+
+if TYPE_CHECKING:
+    from woadyard.outbox.driver import OutboxDriver, Replay
+
+__all__ = ["Sharing"]
+
+ASK_US: Final = 2_000_000
+REMEDY: Final = "stop one of the two; on the one that is to go on, claim the line"
+
+
+@dataclass(eq=False)
+class Asking:
+    """The front of an ask's call."""
+
+    over: asyncio.Future[Answer] = field(default_factory=lambda: asyncio.get_running_loop().create_future())
+
+    def answered(self, call: Call, answer: Answer) -> None:
+        if not self.over.done():
+            self.over.set_result(answer)
+
+
+class Sharing:
+    """Of one `OutboxDriver` whose upstream is copies of this program."""
+
+    def __init__(self, driver: OutboxDriver, secret: bytes) -> None:
+        assert isinstance(driver.outbox.frontier, RemoteFrontier)
+        self.driver = driver
+        self.outbox = driver.outbox
+        self.remote = driver.outbox.frontier
+        self.seal = Seal(secret)
+        kept = driver.settings.classes
+        # One whose attempts may be tried again, if there is any.
+        self.cls = min(driver.classes, key=lambda cls: (kept[driver.classes[cls]].how != "keyed", cls))
+        self.holders: dict[Line, tuple[int, ...]] = {self.remote.line: (self.remote.life,)}
+        self.unnamed: dict[Line, bool] = {}  # lines to be claimed, with force or without
+        self.naming = False
+        self.asking: asyncio.Future[Answer] | None = None
+        self.asked = 0
+
+    # --- A life's beginning -----------------------------------------------------------
+
+    def restored(self, loaded: Loaded) -> None:
+        """Before anything else is done."""
+        for write, moved in loaded.writes:
+            line = write.dot.line
+            if line not in self.holders:
+                self.holders[line] = loaded.holders.get(line, (line.incarnation,))
+                self.unnamed[line] = False
+            if moved is None:
+                continue
+            if moved.state is State.DONE and moved.status:
+                self.driver.by_gate.add(write.dot)
+            elif moved.state is State.PARKED:
+                self._wonder(write.dot)
+            elif moved.verdict == Verdict.NEVER_RAN and moved.state is not State.OUT and not write.keyed:
+                self._unbegin(write.dot)
+
+    def _unbegin(self, dot: Dot) -> None:
+        """Rule 3."""
+        self.outbox.withhold(dot)
+        self.remote.unbegin(dot)
+
+    def _wonder(self, dot: Dot) -> None:
+        cause = Cause(*dot)
+        if self.outbox.wonders(cause):
+            self.remote.follow((cause,))
+
+    def force(self, line: Line) -> bool:
+        if self.remote.holds(line):
+            return False
+        self.holders.setdefault(line, (line.incarnation,))
+        self.unnamed[line] = True
+        self.driver._wake()
+        return True
+
+    async def _name(self) -> None:
+        """Rule 2."""
+        life = self.remote.life
+        try:
+            for line, force in list(self.unnamed.items()):
+                lives = self.holders[line]
+                if life not in lives:
+                    lives = _bounded((*lives, life))
+                    await self.driver.store.put_holders(line, lives)
+                    self.holders[line] = lives
+                del self.unnamed[line]
+                self.remote.claim(line, lives, force)
+        except StoreError as error:
+            self.driver.log(f"outbox: a claim is not written: {error}")
+            return  # at the next turn
+        finally:
+            self.naming = False
+        self.driver._wake()
+
+    # --- Steps ------------------------------------------------------------------------
+
+    def before(self, change: Change) -> None:
+        """A change is durable, and not applied yet."""
+        if change.event is Event.NEVER_RAN and self.outbox.unsafe(change.dot):
+            self._unbegin(change.dot)
+        elif change.event in (Event.ANSWERED, Event.FOUND_IN):
+            self.driver.by_gate.add(change.dot)
+
+    def applied(self, change: Change) -> None:
+        if change.moved.state is State.PARKED:
+            self._wonder(change.dot)
+
+    def name(self, call: Call, write: KeptWrite) -> None:
+        """Make it a replay to a copy upstream."""
+        sealed = self.seal.replayed(Replayed(write.dot, self.remote.life, not write.keyed))
+        call.head = lines_of((*write.headers, (KEPT_HEADER, sealed.encode())))
+        call.fate = b""
+
+    def end_of(self, call: Call, replay: Replay, answer: Answer) -> End:
+        if answer.ending is Ending.SERVED:
+            return End.ANSWERED
+        line = replay.dot.line
+        fenced = call.fate == b"fenced" and self._lost(line)
+        if call.fate == b"begun":
+            return End.MAY_HAVE_RUN
+        if not self._not_run(call, replay, answer):
+            return End.MAY_HAVE_RUN
+        return End.FENCED if fenced else End.NOT_RUN
+
+    def _not_run(self, call: Call, replay: Replay, answer: Answer) -> bool:
+        """`fate` is of the last attempt. Of an unsafe write there was none before it that may have run."""
+        if answer.ending is Ending.REFUSED or replay.never_ran:
+            return True
+        refused = call.fate in (b"fenced", b"refused")
+        return refused and (call.tried <= 1 or self.outbox.unsafe(replay.dot))
+
+    def _lost(self, line: Line) -> bool:
+        """A gate says that another life has it."""
+        if not self.remote.lost(line):
+            return False
+        self._fence(line)
+        return True
+
+    def _fence(self, line: Line) -> None:
+        self.outbox.fence(line)
+        if line in self.holders:
+            name = f"{line.edge}/{line.incarnation:016x}"
+            self.driver.log(
+                f"outbox: {name}: fenced: another process with a copy of this disk replays it; {REMEDY}"
+            )
+
+    # --- Asking -----------------------------------------------------------------------
+
+    def turn(self) -> None:
+        """Once a second, and when something has happened."""
+        driver = self.driver
+        self.remote.follow(self.outbox.followed())
+        if driver.cutoff.off or driver.closing or driver.engine is None:
+            return
+        if self.unnamed and not self.naming:
+            self.naming = True
+            driver._spawn(self._name())
+        ask = self.remote.next(driver._now(), self.outbox.wonders)
+        if ask is not None:
+            driver._spawn(self._ask(ask))
+
+    def close(self) -> None:
+        if self.asking is not None:
+            self.asking.cancel()
+
+    async def _ask(self, ask: Ask) -> None:
+        driver, sealed = self.driver, self.seal.ask(ask)
+        answer = await self._answer(sealed)
+        if driver.closing:
+            return
+        now = driver._now()
+        try:
+            if answer.ending is not Ending.SERVED:
+                raise ValueError("no answer")
+            told = self.seal.open_answered(answer.body.decode("ascii"), sealed)
+        except (OutboxError, ValueError) as error:
+            if answer.ending is Ending.SERVED:
+                driver.log(f"outbox: upstream's answer can't be used: {error}")
+            self.remote.failed(now)
+            return
+        self._act(self.remote.answered(told, now))
+
+    async def _answer(self, sealed: str) -> Answer:
+        engine = self.driver.engine
+        assert engine is not None
+        asking = Asking()
+        self.asked += 1
+        name = b"outbox ask %x/%d" % (self.remote.life, self.asked)
+        wait = min(ASK_US, engine.settings.classes[self.cls].deadline_us)
+        call = Call(
+            self.cls,
+            engine.now() + wait,
+            b"GET " + SHARED_PATH + sealed.encode(),
+            lines_of(((b"host", b"outbox"),)),
+            b"",
+            asking,
+            name,
+        )
+        call.fate = b""
+        self.asking = asking.over
+        engine.take(call)
+        try:
+            return await asking.over
+        finally:
+            self.asking = None
+
+    def _act(self, news: News) -> None:
+        driver = self.driver
+        for line in news.fenced:
+            self._fence(line)
+        for line in news.held:
+            self.outbox.unfence(line)
+            # Whoever comes after on this disk comes after this life.
+            self.holders[line] = (line.incarnation, self.remote.life)
+            driver._spawn(self._held(line))
+        for dot in news.unbegun:
+            self.outbox.release(dot)
+        for dot in news.own_in:
+            change = self.outbox.found_in(dot, driver.wall())
+            if change is not None:
+                driver._spawn(driver._step(change))
+        if news.changed:
+            self.outbox.heard(driver._now())
+        driver._wake()
+
+    async def _held(self, line: Line) -> None:
+        try:
+            await self.driver.store.put_holders(line, self.holders[line])
+        except StoreError as error:
+            self.driver.log(f"outbox: a claim is not written: {error}")  # the longer list is as good
+
+
+def _bounded(lives: tuple[int, ...]) -> tuple[int, ...]:
+    return lives if len(lives) <= KNOWN_MOST else (lives[0], *lives[1 - KNOWN_MOST :])
--- /dev/null
+++ b/woadyard/outbox/shared/edge.py
@@ -0,0 +1,407 @@
+"""What an edge has learned from upstream's copies, and what it asks and tells them next. Pure.
+
+1. Asked for are the fates of the foreign writes that the outbox waits for and of its own that may have run, and
+   claims of the lines of former lives. Told is what becomes of own writes that no gate saw: parked, parked no
+   more, given up, in by a verdict; and up to which number all of a line are over.
+2. One ask is out at a time. What is new goes at once; the rest in turns, `ROUND_MOST` asks of them, then a
+   pause of 1 s, doubled up to 8 s while nothing changes, drawn between half and all of it. When the link is back,
+   and when something has changed, the pause is the shortest again. Nothing is asked unless the driver asks.
+3. IN and GONE are final; PARKED may change. A line of a former life is held only once a claim is; one that is
+   fenced is not held again unless an operator claims it.
+4. That the lines' holders are durable before a claim is asked is for the driver: it calls `claim` after that.
+5. What was told is told again each `AGAIN_US`: the record may have been lost with all that kept it. "All up to a
+   number are over" waits until those given up below are told: else they would be taken for in.
+6. Of all there is a bound. What finds no room of what others wait for (`tell` says False) is given again later; of
+   parked writes and of fates, the oldest are forgotten, which costs an explanation or a question more.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Final, Generic, TypeVar
+
+from woadyard.outbox.causes import Cause, Fate
+from woadyard.outbox.dots import Dot, Line
+from woadyard.outbox.shared.terms import ASKED_MOST, Answered, Ask, Claim, Claimed, Told
+
+__all__ = ["News", "RemoteFrontier"]
+
+LEAST_US: Final = 1_000_000
+MOST_US: Final = 8_000_000
+AGAIN_US: Final = 60_000_000
+# Asks without a pause between them, if nothing in them is new.
+ROUND_MOST: Final = 16
+# Fates that are remembered, and statements of own writes.
+FATES_MOST: Final = 8_192
+SAID_MOST: Final = 4_096
+# Holders that one claim names: the first, which is the line's own life, and the last.
+KNOWN_MOST: Final = 16
+
+FINAL_FATES: Final = (Fate.IN, Fate.GONE)
+
+_K = TypeVar("_K", Cause, Line)
+
+
+class Round(Generic[_K]):
+    """What is to be asked, each in its turn, what is new before all others."""
+
+    def __init__(self) -> None:
+        self.new: OrderedDict[_K, None] = OrderedDict()
+        self._old: OrderedDict[_K, None] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self.new) + len(self._old)
+
+    def add(self, one: _K, urgent: bool = True) -> None:
+        if urgent:
+            self._old.pop(one, None)
+            self.new[one] = None
+        elif one not in self.new:
+            self._old[one] = None
+
+    def drop(self, one: _K) -> None:
+        self.new.pop(one, None)
+        self._old.pop(one, None)
+
+    def take(self, wanted: Callable[[_K], bool]) -> list[_K]:
+        """At most `ASKED_MOST`, each once; they stay, behind all others. What is not wanted goes."""
+        found: list[_K] = []
+        looked = min(len(self), 4 * ASKED_MOST)
+        while len(found) < ASKED_MOST and looked:
+            looked -= 1
+            one, _ = (self.new or self._old).popitem(last=False)
+            if wanted(one):
+                found.append(one)
+        for one in found:
+            self._old[one] = None
+        return found
+
+
+@dataclass
+class News:
+    """What an answer changed. `own_in`: own ones of which the record says that they are in."""
+
+    changed: bool = False  # something that `Outbox.heard` is to hear of
+    held: list[Line] = field(default_factory=list)
+    fenced: list[Line] = field(default_factory=list)
+    own_in: list[Dot] = field(default_factory=list)
+    unbegun: list[Dot] = field(default_factory=list)
+
+
+class RemoteFrontier:
+    """A `Frontier` behind which upstream's record stands. `line`: of this life, which needs no claim."""
+
+    def __init__(self, line: Line, random: Random) -> None:
+        self.line = line
+        self.life = line.incarnation
+        self._random = random
+        self._fates: OrderedDict[Cause, Fate] = OrderedDict()
+        self._held = {line}
+        self._fenced: set[Line] = set()
+        self._open_claims: dict[Line, Claim] = {}
+        self._claimed: dict[Line, Claim] = {}  # of those that are held: asked again by rule 5
+        self._said: dict[Cause, Told] = {}
+        self._low: dict[Line, int] = {}
+        self._ungiven: dict[Line, set[int]] = {}  # by line: given up, and not told yet
+        self._untold: set[Cause] = set()
+        self._asked: Round[Cause] = Round()
+        self._claims: Round[Line] = Round()
+        self._tells: Round[Cause] = Round()
+        self._out: Ask | None = None
+        self._left = 0  # asks of this round that are still to come
+        self._pause = LEAST_US
+        self._next_at = 0
+        self._again_at: int | None = None
+
+    # --- What is known ----------------------------------------------------------------
+
+    def fate(self, cause: Cause) -> Fate:
+        return self._fates.get(cause, Fate.UNKNOWN)
+
+    def holds(self, line: Line) -> bool:
+        return line in self._held
+
+    def fenced(self, line: Line) -> bool:
+        return line in self._fenced
+
+    # --- What is to be asked ----------------------------------------------------------
+
+    def follow(self, causes: Iterable[Cause]) -> None:
+        """Their fates are of use from now on."""
+        for cause in causes:
+            if self.fate(cause) not in FINAL_FATES:
+                self._asked.add(cause)
+
+    def claim(self, line: Line, known: Iterable[int], force: bool = False) -> None:
+        """Ask for it; that its disk knows this life too is durable. `known`: in the order in which they came."""
+        others = [life for life in dict.fromkeys(known) if life != self.life]
+        if len(others) > KNOWN_MOST:
+            others = [others[0], *others[1 - KNOWN_MOST :]]
+        if force:
+            self._fenced.discard(line)
+        if line not in self._fenced:
+            self._open_claims[line] = Claim(line, self.life, tuple(others), force)
+            self._claims.add(line)
+
+    def lost(self, line: Line) -> bool:
+        """A gate refused a write of it as another life's. True if that is so; otherwise the record may have been
+        lost, and it is claimed again first."""
+        claim = self._claimed.get(line)
+        if claim is None or line in self._fenced:
+            if line not in self._open_claims:
+                self._fence(line)
+            return line in self._fenced
+        self._held.discard(line)
+        del self._claimed[line]
+        self._open_claims[line] = claim
+        self._claims.add(line)
+        return False
+
+    def _fence(self, line: Line) -> None:
+        self._fenced.add(line)
+        self._held.discard(line)
+        self._claimed.pop(line, None)
+        self._open_claims.pop(line, None)
+        self._claims.drop(line)
+        for cause in [cause for cause in self._said if cause.line == line]:
+            if not self._said[cause].unbegin:  # the write waits for that
+                self._unsay(cause)
+
+    # --- What is to be told -----------------------------------------------------------
+
+    def tell(self, dot: Dot, fate: Fate) -> bool:
+        """What became of an own write: UNKNOWN if it is parked no more. False if there is no room."""
+        cause = Cause(*dot)
+        if dot.line in self._fenced:
+            return True  # nobody would believe it
+        if fate is Fate.IN and dot.number <= self._low.get(dot.line, 0):
+            self._unsay(cause)
+            return True
+        before = self._said.get(cause)
+        if fate is Fate.UNKNOWN and (before is None or before.unbegin):
+            return True
+        if not self._room(cause, fate):
+            return False
+        if fate is Fate.GONE:
+            self._ungiven.setdefault(dot.line, set()).add(dot.number)
+        self._say(cause, Told(dot, fate, self.life))
+        return True
+
+    def unbegin(self, dot: Dot) -> None:
+        """An operator says that it never ran. `News.unbegun` has it once the record says so too."""
+        self._say(Cause(*dot), Told(dot, Fate.UNKNOWN, self.life, unbegin=True))
+
+    def low(self, line: Line, number: int) -> bool:
+        """All of an own line up to a number are over."""
+        if number <= self._low.get(line, 0):
+            return True
+        self._low[line] = number
+        cause = Cause(*line, 0, True)
+        self._say(cause, Told(Dot(*line, number), Fate.IN, self.life, before=True), urgent=False)
+        return True
+
+    def _room(self, cause: Cause, fate: Fate) -> bool:
+        """Final ones make room for themselves among those parked; those given up that all know go as well."""
+        if cause in self._said or len(self._said) < SAID_MOST:
+            return True
+        if fate not in FINAL_FATES:
+            return False
+        for one, told in self._said.items():
+            known = one not in self._untold and told.fate is Fate.GONE
+            if known or (told.fate is Fate.PARKED and not told.unbegin):
+                self._unsay(one)
+                return True
+        return False
+
+    def _say(self, cause: Cause, told: Told, urgent: bool = True) -> None:
+        self._said[cause] = told
+        self._untold.add(cause)
+        if cause.line in self._held:
+            self._tells.add(cause, urgent)
+
+    def _unsay(self, cause: Cause) -> None:
+        self._said.pop(cause, None)
+        self._untold.discard(cause)
+        self._tells.drop(cause)
+        self._given(cause)
+
+    def _given(self, cause: Cause) -> None:
+        """It was told, or is not to be told any more: the line's number may go."""
+        numbers = self._ungiven.get(cause.line)
+        if numbers is None:
+            return
+        numbers.discard(cause.number)
+        if not numbers:
+            del self._ungiven[cause.line]
+            low = Cause(*cause.line, 0, True)
+            if low in self._untold and cause.line in self._held:
+                self._tells.add(low, urgent=False)
+
+    def _tellable(self, cause: Cause) -> bool:
+        if cause not in self._untold or cause.line not in self._held:
+            return False
+        return not cause.before or cause.line not in self._ungiven
+
+    # --- Asking -----------------------------------------------------------------------
+
+    def back(self, now: int) -> None:
+        """There is a way upstream again."""
+        self._pause = LEAST_US
+        self._next_at = now
+
+    def wait(self, now: int) -> int:
+        """µs until something may be asked, if anything is to be."""
+        if self._asked.new or self._claims.new or self._tells.new:
+            return 0
+        return max(0, self._next_at - now)
+
+    def next(self, now: int, wonders: Callable[[Cause], bool]) -> Ask | None:
+        """What is to be asked now; `answered` or `failed` is called for it. `wonders`: whether a fate is still
+        of use."""
+        if self._again_at is None:
+            self._again_at = now + AGAIN_US
+        elif now >= self._again_at:
+            self._again_at = now + AGAIN_US
+            self._tell_again()
+        if self._out is not None or self.wait(now):
+            return None
+        if now < self._next_at:
+            self._left = 1  # for what is new
+        elif not self._left:
+            most = max(len(self._asked), len(self._claims), len(self._tells))
+            self._left = min(ROUND_MOST, -(-most // ASKED_MOST))
+        ask = Ask(
+            tuple(self._asked.take(wonders)),
+            tuple(self._claim_of(line) for line in self._claims.take(self._is_claim)),
+            tuple(self._said[cause] for cause in self._tells.take(self._tellable)),
+        )
+        self._left = max(0, self._left - 1)
+        if not (ask.fates or ask.claims or ask.told):
+            return None
+        self._out = ask
+        return ask
+
+    def _is_claim(self, line: Line) -> bool:
+        return line in self._open_claims or line in self._claimed
+
+    def _claim_of(self, line: Line) -> Claim:
+        return self._open_claims.get(line) or self._claimed[line]
+
+    def _tell_again(self) -> None:
+        """Rule 5."""
+        for cause, told in self._said.items():
+            self._untold.add(cause)
+            if told.fate is Fate.GONE:
+                self._ungiven.setdefault(cause.line, set()).add(cause.number)
+            if cause.line in self._held:
+                self._tells.add(cause, urgent=False)
+        for line in self._claimed:
+            self._claims.add(line, urgent=False)
+
+    def failed(self, now: int) -> None:
+        """No answer, or none that can be read."""
+        self._out, self._left = None, 0
+        self._rest(now)
+
+    def _rest(self, now: int) -> None:
+        self._next_at = now + self._pause // 2 + self._random.randrange(self._pause // 2)
+        self._pause = min(MOST_US, 2 * self._pause)
+
+    def answered(self, answer: Answered, now: int) -> News:
+        """To the ask that is out. What an answer is too short for is asked again."""
+        ask, self._out = self._out, None
+        news = News()
+        if ask is None:
+            return news
+        moved = False
+        for cause, fate in zip(ask.fates, answer.fates, strict=False):
+            moved |= self._learn(cause, fate, news)
+        for claim, became in zip(ask.claims, answer.claims, strict=False):
+            moved |= self._settle(claim, became, news)
+        for told, known in zip(ask.told, answer.told, strict=False):
+            moved |= known
+            if known:
+                self._has_been_told(told, news)
+        if moved:
+            self._pause = LEAST_US
+        if not self._left:
+            self._rest(now)
+        return news
+
+    def _learn(self, cause: Cause, fate: Fate, news: News) -> bool:
+        before = self.fate(cause)
+        if self._own(cause.line):
+            if fate is Fate.IN and not cause.before:
+                news.own_in.append(cause.dot)
+            return fate is Fate.IN
+        if before in FINAL_FATES or fate is before:
+            if before in FINAL_FATES:
+                self._asked.drop(cause)
+            return False
+        self._fates[cause] = fate
+        self._fates.move_to_end(cause)
+        if fate in FINAL_FATES:
+            self._asked.drop(cause)
+        if len(self._fates) > FATES_MOST:
+            self._fates.popitem(last=False)
+        news.changed = True
+        return True
+
+    def _own(self, line: Line) -> bool:
+        return line.edge == self.line.edge and (
+            line in self._held or line in self._fenced or line in self._open_claims
+        )
+
+    def _settle(self, claim: Claim, became: Claimed, news: News) -> bool:
+        line = claim.line
+        if not self._is_claim(line) or self._claim_of(line) is not claim:
+            return False  # something else is asked for it by now
+        if became is Claimed.FENCED:
+            self._fence(line)
+            news.fenced.append(line)
+            return True
+        if became is not Claimed.HELD:
+            return False
+        self._claims.drop(line)
+        if line in self._claimed:
+            return False
+        self._open_claims.pop(line)
+        # Asked again without force: an operator's word counts once.
+        self._claimed[line] = Claim(line, claim.life, claim.known)
+        self._held.add(line)
+        for cause in self._said:
+            if cause.line == line and cause in self._untold:
+                self._tells.add(cause)
+        news.held.append(line)
+        news.changed = True
+        return True
+
+    def _has_been_told(self, told: Told, news: News) -> None:
+        cause = Cause(*told.dot.line, 0, True) if told.before else Cause(*told.dot)
+        if self._said.get(cause) is not told:
+            return  # something else is to be told of it by now
+        if told.unbegin:
+            news.unbegun.append(told.dot)
+            news.changed = True
+        if told.before:
+            self._drop_below(told.dot)
+        if told.fate is Fate.UNKNOWN:
+            self._unsay(cause)
+            return
+        self._untold.discard(cause)
+        self._tells.drop(cause)
+        self._given(cause)
+
+    def _drop_below(self, dot: Dot) -> None:
+        """In, and told by a number now."""
+        below = [
+            cause
+            for cause, told in self._said.items()
+            if cause.line == dot.line and not cause.before
+            and cause.number <= dot.number and told.fate is Fate.IN
+        ]  # fmt: skip
+        for cause in below:
+            self._unsay(cause)
--- a/woadyard/outbox/store.py
+++ b/woadyard/outbox/store.py
@@ -27,7 +27,7 @@
 from woadyard.outbox.options import CHUNK
 from woadyard.store import Disk, FolderDisk, Options, Store, StoreError
 
-KEPT, MOVED, PART, LINE = b"k", b"m", b"p", b"l"
+KEPT, MOVED, PART, LINE, HOLDERS = b"k", b"m", b"p", b"l", b"h"
 SECRET: Final = b"secret"
 SECRET_BYTES: Final = 32
 # The store may have this beside twice what is kept: states and deletions must find room when no more
@@ -53,14 +53,15 @@
 
     writes: list[tuple[KeptWrite, Moved | None]] = field(default_factory=list)
     lines: dict[Line, int] = field(default_factory=dict)
+    holders: dict[Line, tuple[int, ...]] = field(default_factory=dict)
 
 
 def key_of(kind: bytes, dot: Dot) -> bytes:
     return kind + dot.incarnation.to_bytes(8, "big") + dot.number.to_bytes(8, "big")
 
 
-def _line_key(line: Line) -> bytes:
-    return LINE + line.incarnation.to_bytes(8, "big") + line.edge.encode()
+def _line_key(line: Line, kind: bytes = LINE) -> bytes:
+    return kind + line.incarnation.to_bytes(8, "big") + line.edge.encode()
 
 
 def _line_of(key: bytes) -> Line:
@@ -116,13 +117,15 @@
         kept: dict[bytes, KeptWrite] = {}
         moved: dict[bytes, Moved] = {}
         for key in sorted(self.store.index.where):
-            value = await self.store.get(key) if key[:1] in (KEPT, MOVED, LINE) else None
+            value = await self.store.get(key) if key[:1] in (KEPT, MOVED, LINE, HOLDERS) else None
             if value is None:
                 continue
             if key[:1] == KEPT:
                 kept[key[1:]] = _split(value)[0]
             elif key[:1] == MOVED:
                 moved[key[1:]] = decode_moved(value)
+            elif key[:1] == HOLDERS:
+                found.holders[_line_of(key)] = _lives_of(value)
             else:
                 found.lines[_line_of(key)] = int.from_bytes(value, "big")
         stale = self._orphans(kept, moved)
@@ -202,6 +205,11 @@
             *(self.store.put(_line_key(line), number.to_bytes(8, "big")) for line, number in lines.items())
         )
 
+    async def put_holders(self, line: Line, lives: tuple[int, ...]) -> None:
+        """The lives that this disk knows to have had a line, or to have asked for it. `StoreError`."""
+        told = b"".join(life.to_bytes(8, "big") for life in lives)
+        await self.store.put(_line_key(line, HOLDERS), told)
+
     # --- Reading ----------------------------------------------------------------------
 
     async def read(self, dot: Dot) -> tuple[KeptWrite, bytes] | None:
@@ -232,6 +240,10 @@
         await self.store.close()
 
 
+def _lives_of(value: bytes) -> tuple[int, ...]:
+    return tuple(int.from_bytes(value[at : at + 8], "big") for at in range(0, len(value), 8))
+
+
 def _split(value: bytes) -> tuple[KeptWrite, bytes]:
     """The head, and the first part of the body; `KeptRecordError`."""
     size = int.from_bytes(value[:4], "big")
--- a/woadyard/outbox/terms.py
+++ b/woadyard/outbox/terms.py
@@ -76,6 +76,7 @@
     DENIED = 2  # a final answer that says no
     NOT_RUN = 3  # no attempt of it can have run
     MAY_HAVE_RUN = 4
+    FENCED = 5  # not run: its line is another process's
 
 
 @dataclass(frozen=True, slots=True)
--- a/woadyard/outbox/waiting.py
+++ b/woadyard/outbox/waiting.py
@@ -67,6 +67,11 @@
         self._foreign_of: dict[int, Cause] = {}
         self._barriers: dict[int, tuple[int, int]] = {}  # by line's place: up to which number, and its row
         self._unsure: dict[int, Causes] = {}  # of rows whose record is not on the disk
+        self._followed: list[Cause] = []  # foreign ones that are waited for since the last `followed`
+        self._withheld: set[int] = set()  # own dots that are not to be sent yet
+        self._fenced: set[int] = set()  # places of lines that are another process's
+        self._to_fence: deque[int] = deque()  # rows of those, to be parked
+        self._to_claim: deque[int] = deque()  # rows parked so whose line is ours again
         self._joins: deque[int] = deque()
         self._orphans: deque[int] = deque()
         # Final ones whose receipts are kept: own dot, when that is over, key.
@@ -195,6 +200,7 @@
         node = self._graph.add()
         self._rows.clear(node, FOREIGN)
         self._foreign[cause], self._foreign_of[node] = node, cause
+        self._followed.append(cause)
         if fate is Fate.PARKED:
             self._graph.halt(node)
         return node
@@ -270,6 +276,7 @@
             packed = rows.line[row] << NUMBERS | rows.number[row]
             self._unsure.pop(row, None)
             self._excused.discard(row)
+            self._withheld.discard(packed)
             self._over_now.append((self._dot(row), Fate.GONE if packed in self._given_up else Fate.IN))
             self._open.drop(packed)
             for places, name in ((self._sessions, rows.session[row]), (self._objects, rows.obj[row])):
