Begin the tests of the edge's side of sharing

Need: asks, claims and fences had no test. Change: made sequences on the real record, and a driver over loopback. Found by them: "all up to a number" could be told before what was given up below it; it goes behind it now.

--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -284,6 +284,24 @@
     gone = desk.outbox.offer(desk.offer(), desk.now, WALL)
     desk.outbox.unstored(gone.dot, desk.now)
     taken.add((State.KEPT, Event.LOST))
+    desk = Desk()
+    desk.bounds = Bounds(replay_most=1)
+    unsure, ready, held = desk.keep(), desk.keep(), desk.keep(follows=TOKENS.receipt(Dot("oak", 1, 1)))
+    desk.outbox.pace.limit = 1
+    assert desk.due() == [unsure]
+    desk.end(unsure, End.MAY_HAVE_RUN)
+    seen(desk, desk.outbox.found_in(unsure, WALL))
+    assert desk.state(unsure) is State.DONE and desk.outbox.found_in(unsure, WALL) is None
+    desk.outbox.fence(ASH)
+    for change in desk.outbox.due(desk.now):
+        seen(desk, change)
+    assert [desk.outbox.receipt(dot).reason for dot in (ready, held)] == [Reason.FENCED] * 2
+    with pytest.raises(KeepError):
+        desk.keep()
+    desk.outbox.unfence(ASH)
+    for change in desk.outbox.due(desk.now):
+        seen(desk, change)
+    assert [desk.state(dot) for dot in (ready, held)] == [State.READY, State.KEPT]
     assert set(TABLE) - taken == set()
 
 
--- /dev/null
+++ b/tests/test_shared_edge.py
@@ -0,0 +1,787 @@
+"""What an edge shares with copies upstream: what it asks, tells and learns, by made sequences, and over
+loopback against a stand-in for a copy that has the real record."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import shutil
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+
+import pytest
+
+from tests.sockets import TIMEOUT_S, run
+from woadyard.engine.call import Answer, Call
+from woadyard.net.assembly import Assembly
+from woadyard.net.message import lines
+from woadyard.outbox.causes import Cause, Fate, Tokens
+from woadyard.outbox.dots import Dot, Line
+from woadyard.outbox.driver import OutboxDriver
+from woadyard.outbox.errors import UnknownWriteError
+from woadyard.outbox.journal import Reason, State, Verdict
+from woadyard.outbox.options import KeptClass, OutboxSettings
+from woadyard.outbox.receipts import Receipt
+from woadyard.outbox.shared.edge import (
+    AGAIN_US,
+    KNOWN_MOST,
+    LEAST_US,
+    MOST_US,
+    ROUND_MOST,
+    SAID_MOST,
+    News,
+    RemoteFrontier,
+)
+from woadyard.outbox.shared.entries import Begin, Entry, In, pack
+from woadyard.outbox.shared.record import Record
+from woadyard.outbox.shared.seal import Seal
+from woadyard.outbox.shared.terms import (
+    ASKED_MOST,
+    KEPT_HEADER,
+    SHARED_PATH,
+    Answered,
+    Ask,
+    Begun,
+    Claim,
+    Claimed,
+    Replayed,
+    Told,
+)
+from woadyard.settings import config_from
+from woadyard.testing import Endpoint, Message, Writer, answer
+from woadyard.testing.endpoints import reset_connection
+
+OWN, FORMER, OTHER = Line("ash", 7), Line("ash", 3), Line("oak", 9)
+SECOND = 1_000_000
+
+
+def always(cause: Cause) -> bool:
+    return True
+
+
+class Agreed(Record):
+    """A record whose entries are agreed at once."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.index = 0
+
+    def agree(self, entry: Entry | None) -> None:
+        if entry is not None:
+            self.index += 1
+            self.apply(self.index, pack(entry)[1:])
+
+    def answer(self, ask: Ask) -> Answered:
+        for claim in ask.claims:
+            self.agree(self.claim_entry(claim))
+        for told in ask.told:
+            self.agree(self.said_entry(told))
+        return Answered(
+            tuple(map(self.fate, ask.fates)),
+            tuple(map(self.claimed, ask.claims)),
+            tuple(map(self.says, ask.told)),
+        )
+
+
+class Asker:
+    """A frontier, and its driver by hand."""
+
+    def __init__(self, record: Agreed | None = None, line: Line = OWN) -> None:
+        self.remote = RemoteFrontier(line, random.Random(1))
+        self.record = record or Agreed()
+        self.now = 0
+
+    def next(self) -> Ask | None:
+        return self.remote.next(self.now, always)
+
+    def must(self) -> Ask:
+        ask = self.next()
+        assert ask is not None
+        return ask
+
+    def answer(self, ask: Ask) -> News:
+        return self.remote.answered(self.record.answer(ask), self.now)
+
+    def until_still(self) -> News:
+        """All that is to be asked without a pause."""
+        found = News()
+        while (ask := self.next()) is not None:
+            news = self.answer(ask)
+            found.held += news.held
+            found.fenced += news.fenced
+            found.own_in += news.own_in
+            found.unbegun += news.unbegun
+        return found
+
+
+# Pace
+
+
+def test_what_is_new_is_asked_at_once_and_the_rest_after_pauses_that_double() -> None:
+    one = Asker()
+    assert one.next() is None
+    first = Cause(*OTHER, 1)
+    one.remote.follow([first])
+    ask = one.must()
+    assert ask == Ask((first,)) and one.next() is None  # one is out at a time
+    pauses = []
+    for _ in range(6):
+        one.answer(ask)
+        pauses.append(one.remote.wait(one.now))
+        one.now += pauses[-1] - 1
+        assert one.next() is None
+        one.now += 1
+        ask = one.must()
+    for pause, most in zip(pauses, (1, 2, 4, 8, 8, 8), strict=True):
+        assert most * SECOND // 2 <= pause < most * SECOND
+    one.answer(ask)
+    assert one.next() is None
+    second = Cause(*OTHER, 2)
+    one.remote.follow([second])
+    assert one.must().fates == (second, first)
+    one.remote.failed(one.now)
+    assert one.next() is None
+    one.remote.back(one.now)
+    assert one.must().fates == (second, first)
+
+
+def test_a_change_makes_the_pause_short_again_and_a_final_fate_ends_the_asking() -> None:
+    one = Asker()
+    causes = [Cause(*OTHER, 1), Cause(*OTHER, 2)]
+    one.remote.follow(causes)
+    for _ in range(5):
+        one.answer(one.must())
+        one.now += one.remote.wait(one.now)
+    one.record.agree(In(causes[0].dot))
+    ask = one.must()
+    news = one.answer(ask)
+    assert news.changed and one.remote.fate(causes[0]) is Fate.IN
+    assert LEAST_US // 2 <= one.remote.wait(one.now) < LEAST_US
+    one.now += LEAST_US
+    assert one.must().fates == (causes[1],)
+    # A later answer, of another record, takes nothing back.
+    one.remote.answered(Answered((Fate.PARKED,)), one.now)
+    assert one.remote.fate(causes[1]) is Fate.PARKED
+    one.remote.follow([causes[0]])
+    one.now += MOST_US
+    assert one.must().fates == (causes[1],)
+    one.remote.answered(Answered((Fate.UNKNOWN,)), one.now)
+    assert one.remote.fate(causes[1]) is Fate.UNKNOWN and one.remote.fate(causes[0]) is Fate.IN
+
+
+def test_all_come_round_and_none_twice_before() -> None:
+    one = Asker()
+    causes = [Cause(*OTHER, number) for number in range(1, 5 * ASKED_MOST + 4)]
+    one.remote.follow(causes)
+    seen: list[Cause] = []
+    while len(seen) < 2 * len(causes):
+        ask = one.next()
+        if ask is None:
+            one.now += one.remote.wait(one.now)
+            continue
+        assert len(ask.fates) <= ASKED_MOST
+        seen += ask.fates
+        one.answer(ask)
+    assert seen[: len(causes)] == causes and set(seen[len(causes) : 2 * len(causes)]) == set(causes)
+
+
+def test_a_round_has_an_end() -> None:
+    one = Asker()
+    one.remote.follow(Cause(*OTHER, number) for number in range(1, 2 * ROUND_MOST * ASKED_MOST))
+    for _ in range(ROUND_MOST * 2):
+        if (ask := one.next()) is not None:
+            one.answer(ask)
+    asked = 0
+    one.now += one.remote.wait(one.now)
+    while (ask := one.next()) is not None:
+        asked += 1
+        one.answer(ask)
+    assert asked == ROUND_MOST and one.remote.wait(one.now) > 0
+
+
+def test_what_is_of_no_use_any_more_is_not_asked() -> None:
+    one = Asker()
+    one.remote.follow([Cause(*OTHER, 1), Cause(*OTHER, 2)])
+    ask = one.remote.next(0, lambda cause: cause.number == 2)
+    assert ask is not None and ask.fates == (Cause(*OTHER, 2),)
+
+
+# Lines
+
+
+def test_a_former_line_is_held_only_once_its_claim_is() -> None:
+    one = Asker()
+    assert one.remote.holds(OWN) and not one.remote.holds(FORMER) and not one.remote.holds(OTHER)
+    one.remote.claim(FORMER, (FORMER.incarnation, 5, OWN.incarnation))
+    ask = one.must()
+    assert ask.claims == (Claim(FORMER, 7, (3, 5)),) and not one.remote.holds(FORMER)
+    one.remote.answered(Answered((), (Claimed.OPEN,)), one.now)
+    assert not one.remote.holds(FORMER)
+    one.now += LEAST_US
+    assert one.answer(one.must()).held == [FORMER] and one.remote.holds(FORMER)
+    assert one.record.holder(FORMER) == 7
+
+
+def test_a_claim_names_a_bounded_number_the_first_among_them() -> None:
+    one = Asker()
+    lives = tuple(range(100, 200))
+    one.remote.claim(FORMER, lives)
+    known = one.must().claims[0].known
+    assert len(known) == KNOWN_MOST and known[0] == 100 and known[1:] == lives[1 - KNOWN_MOST :]
+
+
+def test_of_two_copies_of_a_disk_the_second_is_fenced_for_good_unless_it_is_told_otherwise() -> None:
+    record = Agreed()
+    first, second = Asker(record, Line("ash", 7)), Asker(record, Line("ash", 8))
+    first.remote.claim(FORMER, (3, 7))
+    second.remote.claim(FORMER, (3, 8))
+    assert first.until_still().held == [FORMER]
+    assert second.until_still().fenced == [FORMER]
+    assert not second.remote.holds(FORMER) and second.remote.fenced(FORMER)
+    second.remote.claim(FORMER, (3, 8))
+    assert second.next() is None
+    second.remote.claim(FORMER, (3, 8), force=True)
+    assert second.until_still().held == [FORMER] and record.holder(FORMER) == 8
+    # The first hears it from a gate: it asks once more, and is fenced.
+    assert not first.remote.lost(FORMER) and not first.remote.holds(FORMER)
+    assert first.until_still().fenced == [FORMER]
+
+
+def test_a_record_that_was_lost_is_told_the_claims_again() -> None:
+    one = Asker()
+    one.remote.claim(FORMER, (3, 7))
+    one.until_still()
+    one.record = Agreed()
+    assert not one.remote.lost(FORMER) and one.until_still().held == [FORMER]
+    one.record = Agreed()
+    one.now += AGAIN_US
+    one.until_still()
+    assert one.record.holder(FORMER) == 7
+    # Its own running line needs no claim: whoever has that instead took it.
+    assert one.remote.lost(OWN) and not one.remote.holds(OWN)
+
+
+# Telling
+
+
+def test_what_is_given_up_is_told_before_the_number_below_which_all_are_over() -> None:
+    one = Asker()
+    assert one.remote.low(OWN, 40)
+    for number in range(1, 2 * ASKED_MOST):
+        assert one.remote.tell(Dot(*OWN, number), Fate.GONE)
+    lost = one.must()
+    assert not any(told.before for told in lost.told)
+    one.remote.failed(one.now)
+    one.now += MOST_US
+    one.until_still()
+    one.now += MOST_US
+    one.until_still()
+    assert one.record.fate(Cause(*OWN, 1)) is Fate.GONE and one.record.fate(Cause(*OWN, 40)) is Fate.IN
+    assert one.remote.tell(Dot(*OWN, 40), Fate.IN)  # the number says so
+    one.now += MOST_US
+    assert one.next() is None
+
+
+def test_all_is_told_again_to_a_record_that_may_be_new() -> None:
+    one = Asker()
+    one.remote.tell(Dot(*OWN, 1), Fate.GONE)
+    one.remote.tell(Dot(*OWN, 3), Fate.IN)
+    one.remote.tell(Dot(*OWN, 4), Fate.PARKED)
+    one.remote.low(OWN, 1)
+    one.until_still()
+    one.now += MOST_US
+    one.until_still()
+    before = one.record.dump()
+    one.record = Agreed()
+    one.now += AGAIN_US
+    while one.record.dump() != before:
+        one.until_still()
+        one.now += MOST_US
+        assert one.now < 10 * AGAIN_US
+    assert one.record.fate(Cause(*OWN, 1)) is Fate.GONE and one.record.fate(Cause(*OWN, 3)) is Fate.IN
+    # Parked no more: told once, and then no more.
+    one.remote.tell(Dot(*OWN, 4), Fate.UNKNOWN)
+    one.until_still()
+    assert one.record.fate(Cause(*OWN, 4)) is Fate.UNKNOWN
+
+
+def test_that_it_never_ran_is_told_until_the_record_says_so() -> None:
+    one = Asker()
+    dot = Dot(*OWN, 1)
+    one.record.agree(Begin(dot, 7, 5))
+    one.remote.tell(dot, Fate.PARKED)
+    one.until_still()
+    one.remote.unbegin(dot)
+    one.remote.tell(dot, Fate.UNKNOWN)  # says less
+    ask = one.must()
+    assert ask.told == (Told(dot, Fate.UNKNOWN, 7, unbegin=True),)
+    assert not one.remote.answered(Answered((), (), (False,)), one.now).unbegun
+    one.now += MOST_US
+    assert one.until_still().unbegun == [dot]
+    assert one.record.begun(dot, 7, 6) is Begun.OPEN
+
+
+def test_what_is_said_of_a_line_waits_until_it_is_held() -> None:
+    one = Asker()
+    one.remote.tell(Dot(*FORMER, 1), Fate.PARKED)
+    assert one.next() is None
+    one.remote.claim(FORMER, (3, 7))
+    one.until_still()
+    one.now += LEAST_US
+    one.until_still()
+    assert one.record.fate(Cause(*FORMER, 1)) is Fate.PARKED
+
+
+def test_what_others_wait_for_finds_room_or_is_given_back() -> None:
+    one = Asker()
+    for number in range(1, SAID_MOST + 1):
+        assert one.remote.tell(Dot(*OWN, number), Fate.PARKED)
+    assert not one.remote.tell(Dot(*OWN, SAID_MOST + 1), Fate.PARKED)
+    for number in range(SAID_MOST + 1, 2 * SAID_MOST + 1):
+        assert one.remote.tell(Dot(*OWN, number), Fate.GONE)
+    last = Dot(*OWN, 2 * SAID_MOST + 1)
+    assert not one.remote.tell(last, Fate.GONE)
+    assert len(one.remote._said) == SAID_MOST
+    one.until_still()
+    assert one.remote.tell(last, Fate.GONE)  # what the record knows makes room
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_made_sequences_end_with_all_known_and_told(seed: int) -> None:
+    """Asks and answers are lost, and so is the record; in the end all is known on both sides."""
+    rng = random.Random(seed)
+    one = Asker()
+    frontier = one.remote
+    truth: dict[Dot, Fate] = {}
+    asked: set[Cause] = set()
+    before: dict[Cause, Fate] = {}
+    out: Ask | None = None
+    low = 0
+    claimed = False
+    for _ in range(300):
+        one.now += rng.randrange(SECOND)
+        match rng.randrange(8):
+            case 0:
+                cause = Cause(*OTHER, rng.randrange(1, 60))
+                one.remote.follow([cause])
+                asked.add(cause)
+            case 1:
+                one.record.agree(In(Dot(*OTHER, rng.randrange(1, 60))))
+            case 2:
+                dot = Dot(*OWN, rng.randrange(low + 1, low + 30))
+                fate = rng.choice((Fate.PARKED, Fate.UNKNOWN, Fate.GONE, Fate.IN))
+                if truth.get(dot) not in (Fate.IN, Fate.GONE) and one.remote.tell(dot, fate):
+                    truth[dot] = fate
+            case 3 if rng.randrange(5) == 0:
+                numbers = [dot.number for dot, fate in truth.items() if fate in (Fate.PARKED, Fate.UNKNOWN)]
+                low = max(low, min([*numbers, low + 10]) - 1)
+                one.remote.low(OWN, low)
+            case 4 if not claimed:
+                one.remote.claim(FORMER, (3, 7))
+                claimed = True
+            case 5 if rng.randrange(20) == 0 and not any(one.before for one in frontier._untold):
+                one.record = Agreed()
+            case _ if out is not None and rng.random() < 0.6:
+                if rng.randrange(3):
+                    one.answer(out)
+                else:
+                    one.record.answer(out)  # the answer is lost
+                    one.remote.failed(one.now)
+                out = None
+        ask = one.next()
+        if ask is not None:
+            assert out is None and max(len(ask.fates), len(ask.claims), len(ask.told)) <= ASKED_MOST
+            assert all(
+                told.fate is not Fate.IN or not told.before or told.dot.number <= low for told in ask.told
+            )
+            out = ask
+        for cause, fate in before.items():
+            if fate in (Fate.IN, Fate.GONE):
+                assert one.remote.fate(cause) is fate
+        before = {cause: one.remote.fate(cause) for cause in asked}
+        assert claimed or not one.remote.holds(FORMER)
+    if out is not None:
+        one.answer(out)
+    one.now += AGAIN_US
+    for _ in range(50):
+        one.until_still()
+        one.now += MOST_US
+    for cause in asked:
+        known = one.remote.fate(cause)
+        assert known is one.record.fate(cause) or known is Fate.IN  # in a record that was lost
+    for dot, fate in truth.items():
+        expected = Fate.GONE if fate is Fate.GONE else Fate.IN if dot.number <= low else fate
+        assert one.record.fate(Cause(*dot)) is expected, dot
+    assert one.record.fate(Cause(*OWN, low, True)) is Fate.IN or not low
+    assert one.remote.holds(FORMER) is claimed
+
+
+# Over loopback
+
+SECRET = b"the secret of all edges and copies"
+SETTINGS = {
+    "classes": [
+        {"name": "page", "aim-us": 500_000, "deadline-us": 5_000_000, "repeat": "retryable"},
+        {
+            "name": "put", "aim-us": 500_000, "deadline-us": 5_000_000, "repeat": "dedup",
+            "dedup-scope": "all", "repeat-window-us": 5_000_000,
+        },
+        {"name": "pay", "aim-us": 500_000, "deadline-us": 5_000_000, "repeat": "fragile"},
+    ],
+    "ceilings": {"cancel": True, "max-attempts": 3, "max-streams": 1, "conn-idle-us": 10_000_000},
+    "invariants": {"drain-grace-us": 500_000},
+    "stage": 1,
+}  # fmt: skip
+KEPT = KEPT_HEADER.decode()
+
+
+class Copies:
+    """A copy upstream with the real record, agreed at once, and the servers behind it."""
+
+    def __init__(self) -> None:
+        self.record = Agreed()
+        self.seal = Seal(SECRET)
+        self.ran: list[Dot] = []
+        self.sent: list[Dot] = []  # every replay that came
+        self.asks: list[Ask] = []
+        self.lost: set[Dot] = set()  # answers that are lost after the effect
+        self.late: set[Dot] = set()  # the same, and nobody has agreed on IN yet
+        self.silent = False  # asks get no answer
+        self.refuses = False  # replays are refused
+        self.asked = 0
+        self.endpoint = Endpoint(handler=self.handle)
+
+    async def handle(self, endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        target = message.start.split()[1]
+        if target.startswith(SHARED_PATH.decode()):
+            self._ask(target[len(SHARED_PATH) :], writer)
+        elif self.refuses:
+            writer.write(answer(503, b"", "Retry-After: 1\r\n"))
+        else:
+            self._replay(self.seal.open_replayed(message.headers[KEPT]), writer)
+
+    def _ask(self, sealed: str, writer: Writer) -> None:
+        ask = self.seal.open_ask(sealed)
+        self.asks.append(ask)
+        if self.silent:
+            writer.write(answer(503, b"", "Retry-After: 1\r\n"))
+            return
+        writer.write(answer(200, self.seal.answered(self.record.answer(ask), sealed).encode()))
+
+    def _replay(self, one: Replayed, writer: Writer) -> None:
+        self.sent.append(one.dot)
+        self.asked += 1
+        found = self.record.begun(one.dot, one.life, self.asked)
+        if found is Begun.FENCED:
+            writer.write(answer(503, b"", "X-Kept-Fate: fenced\r\nRetry-After: 1\r\n"))
+        elif found is Begun.IN:
+            writer.write(answer(200, b"", "X-Kept-Fate: in\r\n"))
+        elif found is Begun.OTHERS:
+            writer.write(answer(502, b"", "X-Kept-Fate: begun\r\n"))
+        else:
+            self._run(one, writer)
+
+    def _run(self, one: Replayed, writer: Writer) -> None:
+        if one.unsafe:
+            self.record.agree(Begin(one.dot, one.life, self.asked))
+        self.ran.append(one.dot)
+        if one.dot not in self.late:
+            self.record.agree(In(one.dot))
+        if one.dot in self.lost | self.late:
+            reset_connection(writer)
+        else:
+            writer.write(answer(200, b"ran"))
+
+
+class Front:
+    def __init__(self) -> None:
+        self.answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+
+    def answered(self, call: Call, answer: Answer) -> None:
+        self.answer.set_result(answer)
+
+
+class Studio:
+    """An edge over its copies. Its link is set, not found out: that is tested elsewhere."""
+
+    def __init__(self, parts: Assembly, driver: OutboxDriver, log: list[str], copies: Copies) -> None:
+        self.parts = parts
+        self.driver = driver
+        self.log = log
+        self.copies = copies
+        self.number = 0
+
+    @classmethod
+    async def open(cls, folder: Path, copies: Copies, edge: str = "ash") -> Studio:
+        config = config_from({"seed": "1", "settings": SETTINGS}, "test")
+        config.names.keepable = frozenset((1, 2))
+        log: list[str] = []
+        parts = Assembly(asyncio.get_running_loop(), config, log.append)
+        parts.start()
+        secret = folder / "secret"
+        secret.write_bytes(SECRET)
+        classes = {"put": KeptClass("keyed", 86_400 * SECOND), "pay": KeptClass("unsafe")}
+        settings = OutboxSettings(
+            store_path=str(folder / "store"), edge=edge, classes=classes, secret_file=str(secret),
+            cut_us=3_600 * SECOND, back_us=0, send_us=5 * SECOND, upstream="copies",
+        )  # fmt: skip
+        driver = await OutboxDriver.open(settings, config.names.classes, {}, log.append)
+        driver.begin(parts.engine)
+        found = cls(parts, driver, log, copies)
+        parts.engine.listed(1, True, [copies.endpoint.entry("copy")])
+        found.link(False)
+        return found
+
+    def link(self, on: bool) -> None:
+        self.driver.cutoff.off = not on
+        if self.driver.was_off is on:
+            self.driver._turned()
+
+    async def close(self) -> None:
+        await self.driver.close()
+        self.parts.close()
+
+    async def write(self, cls: str, follows: bytes = b"") -> Answer:
+        self.number += 1
+        name = b"r%d" % self.number
+        headers = [(b"host", b"x"), (b"x-request-id", name), (b"x-class", cls.encode())]
+        if cls == "put":
+            headers.append((b"idempotency-key", name))
+        front, engine = Front(), self.parts.engine
+        call = Call(
+            {"put": 1, "pay": 2}[cls], engine.now() + 5 * SECOND, b"POST /" + cls.encode(), lines(headers),
+            b"body", front, name,
+        )  # fmt: skip
+        call.causes = (follows, b"", b"")
+        engine.take(call)
+        return await front.answer
+
+    async def keep(self, cls: str, follows: bytes = b"") -> Dot:
+        told = await self.write(cls, follows)
+        assert told.status == 202, told.body
+        return Tokens(SECRET).read(dict(told.headers)[b"x-causal-token"].decode())[0].dot
+
+    def receipt(self, dot: Dot) -> Receipt:
+        return self.driver.outbox.receipt(dot)
+
+    async def until(self, dot: Dot, state: State, reason: Reason | None = None) -> None:
+        while (found := self.receipt(dot)).state is not state or found.reason is not (reason or found.reason):
+            await asyncio.sleep(0)
+
+    def judge(self, dot: Dot, verdict: Verdict) -> None:
+        assert self.driver.judge(str(dot), self.receipt(dot).parking, verdict)
+
+
+def token(dot: Dot) -> bytes:
+    return Tokens(SECRET).receipt(dot).encode()
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await asyncio.sleep(0)
+
+
+@contextlib.asynccontextmanager
+async def studio(folder: Path, edge: str = "ash", copies: Copies | None = None) -> AsyncIterator[Studio]:
+    async with contextlib.AsyncExitStack() as stack, asyncio.timeout(TIMEOUT_S):
+        if copies is None:
+            copies = Copies()
+            await stack.enter_async_context(copies.endpoint)
+        folder.mkdir(exist_ok=True)
+        found = await Studio.open(folder, copies, edge)
+        stack.push_async_callback(found.close)
+        yield found
+
+
+def test_a_lost_answer_to_an_unsafe_write_is_made_good_by_the_record(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with studio(tmp_path) as one:
+            first = await one.keep("pay")
+            second = await one.keep("pay", token(first))
+            assert not one.copies.asks and not one.copies.sent  # cut off
+            one.copies.lost.add(first)
+            one.link(True)
+            await one.until(first, State.DONE)
+            await one.until(second, State.DONE)
+            assert one.copies.ran == [first, second]
+            assert any("upstream's record says that it is in" in line for line in one.log)
+
+    run(main())
+
+
+def test_one_that_is_in_later_is_done_later(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with studio(tmp_path) as one:
+            first = await one.keep("pay")
+            one.copies.late.add(first)
+            one.link(True)
+            await one.until(first, State.PARKED, Reason.MAY_HAVE_RUN)
+            await until(lambda: one.copies.record.fate(Cause(*first)) is Fate.PARKED)
+            one.copies.record.agree(In(first))
+            await one.until(first, State.DONE)
+            assert one.copies.sent == [first]
+
+    run(main())
+
+
+def test_one_that_another_ask_began_is_parked_and_goes_again_only_after_the_record_was_told(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        async with studio(tmp_path) as one:
+            first = await one.keep("pay")
+            one.copies.record.agree(Begin(first, first.incarnation, 99))
+            one.link(True)
+            await one.until(first, State.PARKED, Reason.MAY_HAVE_RUN)
+            assert not one.copies.ran
+            one.copies.silent = True
+            one.judge(first, Verdict.NEVER_RAN)
+            await one.until(first, State.READY)
+            asked = len(one.copies.asks)
+            await until(lambda: len(one.copies.asks) > asked + 1)
+            assert one.copies.sent == [first] and one.receipt(first).state is State.READY
+            one.copies.silent = False
+            await one.until(first, State.DONE)
+            assert one.copies.sent == [first, first] and one.copies.ran == [first]
+
+    run(main())
+
+
+def test_a_refusal_by_a_copy_says_that_an_unsafe_write_has_not_run(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with studio(tmp_path) as one:
+            first = await one.keep("pay")
+            one.copies.refuses = True
+            one.link(True)
+            await one.copies.endpoint.arrived.acquire()
+            while not one.copies.endpoint.got[-1].start.startswith("POST"):
+                await one.copies.endpoint.arrived.acquire()
+            one.copies.refuses = False
+            await one.until(first, State.DONE)
+            assert one.copies.ran == [first]
+
+    run(main())
+
+
+def test_a_fenced_edge_parks_what_it_has_and_keeps_nothing_new(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with studio(tmp_path) as one:
+            first = await one.keep("pay")
+            second = await one.keep("put", token(first))
+            line = first.line
+            one.copies.record.agree(one.copies.record.claim_entry(Claim(line, 5, (line.incarnation,))))
+            one.link(True)
+            await one.until(first, State.PARKED, Reason.FENCED)
+            await one.until(second, State.PARKED, Reason.FENCED)
+            assert not one.copies.ran and one.copies.sent == [first]
+            assert sum("another process with a copy of this disk" in text for text in one.log) == 1
+            one.link(False)
+            assert (await one.write("pay")).status in (502, 503)
+            assert one.driver.outbox.count == 2
+            # What the other process brought upstream is done here too.
+            one.copies.record.agree(In(first))
+            one.link(True)
+            await one.until(first, State.DONE)
+            assert one.driver.claim(line)
+            await one.until(second, State.DONE)
+            assert one.copies.ran == [second] and not one.driver.claim(line)
+            with pytest.raises(UnknownWriteError):
+                one.driver.claim(OTHER)
+
+    run(main())
+
+
+def test_a_write_that_follows_another_edges_waits_for_it(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with studio(tmp_path / "ash") as ash, studio(tmp_path / "oak", "oak", ash.copies) as oak:
+            first = await ash.keep("pay")
+            oak.link(True)
+            # The link is well, and it is kept all the same: nobody knows of the other yet.
+            second = await oak.keep("put", token(first))
+            asked = len(ash.copies.asks)
+            await until(lambda: len(ash.copies.asks) > asked)
+            assert oak.receipt(second).state is State.KEPT and oak.receipt(second).behind == first
+            ash.copies.late.add(first)
+            ash.link(True)
+            await ash.until(first, State.PARKED, Reason.MAY_HAVE_RUN)
+            await oak.until(second, State.PARKED, Reason.FOLLOWS)
+            assert oak.receipt(second).behind == first
+            ash.judge(first, Verdict.RAN)
+            await oak.until(second, State.DONE)
+            assert ash.copies.ran == [first, second]
+
+    run(main())
+
+
+def test_what_follows_a_write_that_was_given_up_elsewhere_is_an_orphan(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with studio(tmp_path / "ash") as ash, studio(tmp_path / "oak", "oak", ash.copies) as oak:
+            first = await ash.keep("pay")
+            ash.copies.late.add(first)
+            ash.link(True)
+            await ash.until(first, State.PARKED, Reason.MAY_HAVE_RUN)
+            oak.link(True)
+            second = await oak.keep("pay", token(first))
+            await oak.until(second, State.PARKED, Reason.FOLLOWS)
+            ash.judge(first, Verdict.GIVE_UP)
+            await oak.until(second, State.PARKED, Reason.ORPHANED)
+            assert second not in ash.copies.ran
+
+    run(main())
+
+
+def test_a_new_life_claims_before_it_replays_and_its_name_is_durable_before(tmp_path: Path) -> None:
+    async def main() -> None:
+        copies = Copies()
+        async with copies.endpoint, asyncio.timeout(TIMEOUT_S):
+            async with studio(tmp_path / "1", copies=copies) as one:
+                first = await one.keep("pay")
+                shutil.copytree(tmp_path / "1", tmp_path / "2")
+            async with studio(tmp_path / "2", copies=copies) as two:
+                line, life = first.line, two.driver.store.incarnation
+                assert not two.driver.outbox.frontier.holds(line)
+                copies.silent = True
+                two.link(True)
+                await until(lambda: any(ask.claims for ask in copies.asks))
+                # Killed as it asks: what the disk has by then names it.
+                shutil.copytree(tmp_path / "2", tmp_path / "3")
+                claim = next(ask.claims[0] for ask in copies.asks if ask.claims)
+                assert claim == Claim(line, life, (line.incarnation,)) and not copies.sent
+                copies.silent = False
+                copies.refuses = True
+                await until(lambda: copies.record.holder(line) == life)
+            copies.refuses = False
+            async with studio(tmp_path / "3", copies=copies) as three:
+                three.link(True)
+                await three.until(first, State.DONE)
+                assert copies.record.holder(line) == three.driver.store.incarnation
+            assert copies.ran == [first]
+            # The disk of the first life knows neither: it is fenced, and sends nothing.
+            sent = len(copies.sent)
+            async with studio(tmp_path / "1", copies=copies) as again:
+                again.link(True)
+                await until(lambda: again.receipt(first).state is not State.KEPT)
+                await until(lambda: any("fenced" in text for text in again.log))
+                await again.until(first, State.DONE)
+            assert copies.ran == [first] and len(copies.sent) == sent
+
+    run(main())
+
+
+def test_a_life_that_was_cut_off_all_the_time_is_not_named(tmp_path: Path) -> None:
+    async def main() -> None:
+        copies = Copies()
+        async with copies.endpoint, asyncio.timeout(TIMEOUT_S):
+            async with studio(tmp_path, copies=copies) as one:
+                first = await one.keep("put")
+            for _ in range(3):
+                async with studio(tmp_path, copies=copies):
+                    pass
+            async with studio(tmp_path, copies=copies) as last:
+                last.link(True)
+                await last.until(first, State.DONE)
+            claims = [ask.claims[0] for ask in copies.asks if ask.claims]
+            assert {claim.known for claim in claims} == {(first.incarnation,)}
+
+    run(main())
--- a/woadyard/engine/call.py
+++ b/woadyard/engine/call.py
@@ -79,9 +79,9 @@
     """One request, taken and not yet forgotten. Times in µs."""
 
     __slots__ = (
-        "attempts", "body", "causes", "cls", "endpoint", "expires", "fate", "front", "head", "held", "id", "key",
-        "name", "open", "order", "recorded", "repeated", "span", "start", "streams", "tenant", "timer",
-        "tried", "upload", "with_keeper", "work_us",
+        "attempts", "body", "causes", "cls", "endpoint", "expires", "fate", "front", "head", "held", "id",
+        "key", "name", "open", "order", "recorded", "repeated", "span", "start", "streams", "tenant",
+        "timer", "tried", "upload", "with_keeper", "work_us",
     )  # fmt: skip
 
     def __init__(
--- a/woadyard/outbox/driver.py
+++ b/woadyard/outbox/driver.py
@@ -152,8 +152,8 @@
         log: Log,
         frontier: Frontier | None = None,
     ) -> OutboxDriver:
-        """With all that earlier lives kept. `frontier`: where this is a copy upstream that shares. `StoreError` or `OutboxError` if that can't be read, OSError
-        or ValueError if the secret can't be."""
+        """With all that earlier lives kept. `StoreError` or `OutboxError` if that can't be read, OSError
+        or ValueError if the secret can't be. `frontier`: that of a copy upstream which shares."""
         store = await KeptStore.open(settings.store_path, settings.max_bytes, log)
         try:
             secret = await store.secret() if not settings.secret_file else _read_secret(settings.secret_file)
@@ -611,8 +611,8 @@
         return True
 
     def claim(self, line: Line) -> bool:
-        """An operator's word: of the processes that have copies of this disk, this one replays that line. False
-        if it does. `UnknownWriteError`."""
+        """An operator's word: of the processes that have copies of this disk, this one replays that line.
+        False if it does. `UnknownWriteError`."""
         if self.sharing is None or line not in self.outbox.lines():
             raise UnknownWriteError(f"no line {line.edge}/{line.incarnation:016x} that others could have")
         return self.sharing.force(line)
--- a/woadyard/outbox/frontier.py
+++ b/woadyard/outbox/frontier.py
@@ -18,11 +18,11 @@
 
 @runtime_checkable
 class Teller(Protocol):
-    """A `Frontier` that others hear of this process's writes through. Both may be called again with the same."""
+    """A `Frontier` through which others hear of this process's writes. It may hear the same again."""
 
     def tell(self, dot: Dot, fate: Fate) -> bool:
-        """What became of an own write. `IN`, `GONE`: over, with all that it follows. `UNKNOWN`: parked no more.
-        False if there is no room: it is told again later."""
+        """What became of an own write. `IN`, `GONE`: over, with all that it follows. `UNKNOWN`: parked no
+        more. False if there is no room: it is told again later."""
 
     def low(self, line: Line, number: int) -> bool:
         """All of an own line up to a number are over. Those given up were told before."""
--- a/woadyard/outbox/journal.py
+++ b/woadyard/outbox/journal.py
@@ -9,9 +9,8 @@
 4. A write kept as new has never been sent: KEPT and READY say that it has not run, whatever befell the edge.
 5. A parking has a number, from 1. A verdict names it, so that one given twice never counts for a later one.
 6. DONE and GIVEN_UP are final.
-7. What upstream's copies say moves a write only where nothing is lost by it: one parked because it may have
-   run is DONE once they say that it is in, and one parked because its line is another's is KEPT again once the
-   line is this process's.
+7. What upstream's copies say moves a parked write only in two ways: one that may have run is DONE once they
+   say that it is in, and one whose line was another's is KEPT again once the line is this process's.
 """
 
 from __future__ import annotations
--- a/woadyard/outbox/outbox.py
+++ b/woadyard/outbox/outbox.py
@@ -487,7 +487,9 @@
         """Looks at all rows."""
         line, fenced = self._rows.line, place in self._fenced
         return [
-            row for row in range(len(self._rows)) if line[row] == place and self._is_fenced(row, fenced, states)
+            row
+            for row in range(len(self._rows))
+            if line[row] == place and self._is_fenced(row, fenced, states)
         ]
 
     def withhold(self, dot: Dot) -> None:
--- a/woadyard/outbox/shared/asking.py
+++ b/woadyard/outbox/shared/asking.py
@@ -2,12 +2,12 @@
 
 The rules, beside those of `edge`:
 
-1. An ask is a request of its own through the engine, of a class that is kept, with `ASK_US` at most. Its answer
-   counts only if it was sealed as the answer to this very ask.
+1. An ask is a request of its own through the engine, of a class that is kept, with `ASK_US` at most. Its
+   answer counts only if it was sealed as the answer to this very ask.
 2. A line of a former life is claimed only once the store has this life among those that its disk has known.
 3. An operator's "it never ran" is told upstream before the write is sent again.
-4. A write that may have run is parked at once, so that a crash finds it so, and its fate is asked; where that is
-   in, it is done.
+4. A write that may have run is parked at once, so that a crash finds it so, and its fate is asked; where that
+   is in, it is done.
 """
 
 from __future__ import annotations
--- a/woadyard/outbox/shared/edge.py
+++ b/woadyard/outbox/shared/edge.py
@@ -1,18 +1,21 @@
 """What an edge has learned from upstream's copies, and what it asks and tells them next. Pure.
 
-1. Asked for are the fates of the foreign writes that the outbox waits for and of its own that may have run, and
-   claims of the lines of former lives. Told is what becomes of own writes that no gate saw: parked, parked no
-   more, given up, in by a verdict; and up to which number all of a line are over.
+1. Asked for are the fates of the foreign writes that the outbox waits for and of its own that may have run,
+   and claims of the lines of former lives. Told is what becomes of own writes that no gate saw: parked,
+   parked no more, given up, in by a verdict; and up to which number all of a line are over.
 2. One ask is out at a time. What is new goes at once; the rest in turns, `ROUND_MOST` asks of them, then a
-   pause of 1 s, doubled up to 8 s while nothing changes, drawn between half and all of it. When the link is back,
-   and when something has changed, the pause is the shortest again. Nothing is asked unless the driver asks.
+   pause of 1 s, doubled up to 8 s while nothing changes, drawn between half and all of it. When the link
+   is back, and when something has changed, the pause is the shortest again. Where the edge is cut off, the
+   driver does not call `next`.
 3. IN and GONE are final; PARKED may change. A line of a former life is held only once a claim is; one that is
    fenced is not held again unless an operator claims it.
 4. That the lines' holders are durable before a claim is asked is for the driver: it calls `claim` after that.
-5. What was told is told again each `AGAIN_US`: the record may have been lost with all that kept it. "All up to a
-   number are over" waits until those given up below are told: else they would be taken for in.
-6. Of all there is a bound. What finds no room of what others wait for (`tell` says False) is given again later; of
-   parked writes and of fates, the oldest are forgotten, which costs an explanation or a question more.
+5. What was told is told again each `AGAIN_US`: the record may have been lost with all that kept it. "All up
+   to a number are over" goes behind those given up, and where those were told before, only as they are told
+   again: in a record that does not know them they would be taken for in.
+6. What is asked for is bounded by what the outbox keeps, all else here. What others wait for and finds no
+   room (`tell` says False) is told later; of parked writes and of fates, the oldest are forgotten: that costs
+   an explanation, or a question more.
 """
 
 from __future__ import annotations
@@ -105,6 +108,7 @@
         self._claimed: dict[Line, Claim] = {}  # of those that are held: asked again by rule 5
         self._said: dict[Cause, Told] = {}
         self._low: dict[Line, int] = {}
+        self._told_low: dict[Line, int] = {}
         self._ungiven: dict[Line, set[int]] = {}  # by line: given up, and not told yet
         self._untold: set[Cause] = set()
         self._asked: Round[Cause] = Round()
@@ -136,7 +140,7 @@
                 self._asked.add(cause)
 
     def claim(self, line: Line, known: Iterable[int], force: bool = False) -> None:
-        """Ask for it; that its disk knows this life too is durable. `known`: in the order in which they came."""
+        """Ask for it. `known`: as they came; that this life is among them is durable."""
         others = [life for life in dict.fromkeys(known) if life != self.life]
         if len(others) > KNOWN_MOST:
             others = [others[0], *others[1 - KNOWN_MOST :]]
@@ -147,8 +151,8 @@
             self._claims.add(line)
 
     def lost(self, line: Line) -> bool:
-        """A gate refused a write of it as another life's. True if that is so; otherwise the record may have been
-        lost, and it is claimed again first."""
+        """A gate refused a write of it as another life's. True if that is so; otherwise the record may have
+        been lost, and it is claimed again first."""
         claim = self._claimed.get(line)
         if claim is None or line in self._fenced:
             if line not in self._open_claims:
@@ -177,7 +181,7 @@
         cause = Cause(*dot)
         if dot.line in self._fenced:
             return True  # nobody would believe it
-        if fate is Fate.IN and dot.number <= self._low.get(dot.line, 0):
+        if fate is Fate.IN and dot.number <= self._told_low.get(dot.line, 0):
             self._unsay(cause)
             return True
         before = self._said.get(cause)
@@ -200,9 +204,19 @@
             return True
         self._low[line] = number
         cause = Cause(*line, 0, True)
-        self._say(cause, Told(Dot(*line, number), Fate.IN, self.life, before=True), urgent=False)
+        told = Told(Dot(*line, number), Fate.IN, self.life, before=True)
+        if self._has_told_gone(line):
+            self._said[cause] = told  # rule 5
+        else:
+            self._say(cause, told, urgent=False)
         return True
 
+    def _has_told_gone(self, line: Line) -> bool:
+        return any(
+            told.fate is Fate.GONE and told.dot.line == line and cause not in self._untold
+            for cause, told in self._said.items()
+        )
+
     def _room(self, cause: Cause, fate: Fate) -> bool:
         """Final ones make room for themselves among those parked; those given up that all know go as well."""
         if cause in self._said or len(self._said) < SAID_MOST:
@@ -259,8 +273,8 @@
         return max(0, self._next_at - now)
 
     def next(self, now: int, wonders: Callable[[Cause], bool]) -> Ask | None:
-        """What is to be asked now; `answered` or `failed` is called for it. `wonders`: whether a fate is still
-        of use."""
+        """What is to be asked now; `answered` or `failed` is called for it. `wonders`: whether a fate is
+        still of use."""
         if self._again_at is None:
             self._again_at = now + AGAIN_US
         elif now >= self._again_at:
@@ -387,6 +401,7 @@
             news.unbegun.append(told.dot)
             news.changed = True
         if told.before:
+            self._told_low[cause.line] = told.dot.number
             self._drop_below(told.dot)
         if told.fate is Fate.UNKNOWN:
             self._unsay(cause)
