--- a/tests/test_shared_edge.py
+++ b/tests/test_shared_edge.py
@@ -510,7 +510,7 @@
         self.driver = driver
         self.log = log
         self.copies = copies
-        self.number = 0
+        self.number = self.lists = 0
 
     @classmethod
     async def open(cls, folder: Path, copies: Copies, edge: str = "ash") -> Studio:
@@ -529,11 +529,13 @@
         driver = await OutboxDriver.open(settings, config.names.classes, {}, log.append)
         driver.begin(parts.engine)
         found = cls(parts, driver, log, copies)
-        parts.engine.listed(1, True, [copies.endpoint.entry("copy")])
         found.link(False)
         return found
 
     def link(self, on: bool) -> None:
+        """Without it there is nowhere to go."""
+        self.lists += 1
+        self.parts.engine.listed(self.lists, True, [self.copies.endpoint.entry("copy")] if on else [])
         self.driver.cutoff.off = not on
         if self.driver.was_off is on:
             self.driver._turned()
