--- a/woadyard/testing/processes/program.py
+++ b/woadyard/testing/processes/program.py
@@ -21,7 +21,7 @@
 from woadyard.testing.processes.relays import HOST, Address
 
 # How long a test waits for an event before it fails; nothing is measured by it.
-PATIENCE_S: Final = 20.0
+PATIENCE_S: Final = 60.0
 # Between two looks at what can only be asked for. No verdict depends on it.
 LOOK_S: Final = 0.01
 LINES_MOST: Final = 10_000
