Refuse an ask whose parking can't be

Cause: a sealed ask with a parking below 0 passed, though no edge makes one. Change: it is checked as other numbers are. Result: a test with asks that can't be, which fails without it.

--- a/tests/test_shared_seal.py
+++ b/tests/test_shared_seal.py
@@ -119,6 +119,20 @@
         SEAL.open_replayed(SEAL.replayed(value))
 
 
+@pytest.mark.parametrize(
+    "ask",
+    [
+        Ask(fates=(Cause("edge", 7, 0),)),
+        Ask(claims=(Claim(Line("edge", 7), 8, (-1,)),)),
+        Ask(told=(Told(DOT, Fate.IN, -1),)),
+        Ask(told=(Told(DOT, Fate.UNKNOWN, 7, unbegin=True, parking=-1),)),
+    ],
+)
+def test_an_ask_that_no_edge_could_make_is_refused_though_it_is_sealed(ask: Ask) -> None:
+    with pytest.raises(SealError, match="can't be read"):
+        SEAL.open_ask(SEAL.ask(ask))
+
+
 def test_more_than_may_be_asked_at_once_is_refused_though_it_is_sealed() -> None:
     cause = Cause("e", 1, 1)
     assert len(SEAL.open_ask(SEAL.ask(Ask(fates=(cause,) * ASKED_MOST))).fates) == ASKED_MOST
--- a/woadyard/outbox/shared/seal.py
+++ b/woadyard/outbox/shared/seal.py
@@ -162,6 +162,7 @@
         _check_line(told.dot.line)
         _check_number(told.dot.number)
         _check_life(told.life)
+        _check_number(told.parking + 1)
 
 
 def _check_count(*parts: tuple[object, ...]) -> None:
