--- a/tests/test_shared_gate.py
+++ b/tests/test_shared_gate.py
@@ -286,6 +286,19 @@
     play(test)
 
 
+def test_a_call_whose_time_is_over_before_its_begin_was_looked_at_is_refused() -> None:
+    """The loop was late: the engine's time for it comes first."""
+
+    async def test(world: World) -> None:
+        await world.take()
+        world.clock.advance(DEADLINE_US)
+        assert world.told == [(503, b"")] and world.front.given[0][1].ending is Ending.REFUSED
+        await world.turn()
+        assert world.sharer.asked == [Unbegin(DOT, 1)] and len(world.told) == 1
+
+    play(test)
+
+
 def test_a_copy_that_lost_touch_while_its_begin_was_agreed_sends_nothing() -> None:
     async def test(world: World) -> None:
         await world.take()
@@ -526,6 +539,23 @@
     play(test)
 
 
+def test_a_failure_of_which_nothing_was_written_is_a_refusal() -> None:
+    async def test(world: World) -> None:
+        await world.take()
+        await world.land()
+        while not world.sharer.asked:
+            if world.sent:
+                await world.play(RESET, written=False)
+            await world.advance(10_000)
+        assert world.sharer.asked == [Unbegin(DOT, 1)] and world.upstream.writes == []
+        await world.land()
+        await world.advance(DEADLINE_US)
+        assert world.told == [(503, b"")] and world.front.given[0][1].ending is Ending.REFUSED
+        assert world.begun() is Begun.OPEN
+
+    play(test)
+
+
 @pytest.mark.parametrize(("outcome", "runs"), [(RESET, True), (ERROR, True), (RESET, False)])
 def test_a_failure_leaves_at_once_and_stays_begun(outcome: int, runs: bool) -> None:
     async def test(world: World) -> None:
@@ -686,7 +716,9 @@
 def test_a_copy_that_does_not_know_the_record_answers_no_ask() -> None:
     async def test(world: World) -> None:
         world.sharer.ready = False
-        answer = await world.ask(SEAL.ask(Ask(fates=(Cause(*DOT),))))
+        ask = Ask(fates=(Cause(*DOT),), claims=(Claim(LINE, LATER_LIFE, (LIFE,)),))
+        answer = await world.ask(SEAL.ask(ask))
+        assert world.sharer.asked == []
         assert answer.status == 503 and answer.retry_after_us > 0 and answer.body == b""
 
     play(test)
@@ -712,6 +744,15 @@
     play(test)
 
 
+def test_what_can_be_no_entry_is_never_agreed() -> None:
+    async def test(world: World) -> None:
+        sealed = SEAL.ask(Ask(claims=(Claim(LINE, 0, (LIFE,)),), told=(Told(DOT, Fate.PARKED, 0),)))
+        told = answered(await world.ask(sealed), sealed)
+        assert told.claims == (Claimed.OPEN,) and told.told == (False,) and world.sharer.asked == []
+
+    play(test)
+
+
 def test_what_an_edge_tells_is_agreed_before_it_hears_so() -> None:
     async def test(world: World) -> None:
         tellings = (
--- a/woadyard/outbox/shared/gate.py
+++ b/woadyard/outbox/shared/gate.py
@@ -301,7 +301,7 @@
         if hand is None:
             if self.inner is not None:
                 self.inner.gone(call, engine)
-        elif hand.admitted and hand.unsafe:
+        elif hand.admitted:
             # The module calls off what is out: only then it shows whether it can have run.
             self.clock.at(self.clock.now(), self._left, hand, tuple(call.attempts))
 
