Test that a module's fault before a send takes the begin back

Cause: a fault put into the gate on purpose was found by no test: the old one played resets, which may have run. Change: the module fails before anything is sent. Result: that fault is found.

--- a/tests/test_shared_gate.py
+++ b/tests/test_shared_gate.py
@@ -14,7 +14,18 @@
 from woadyard.engine.given import GivenMembers
 from woadyard.engine.names import Names
 from woadyard.engine.ports import Recorded
-from woadyard.interface import ERROR, FULL, KEYED, OK, RESET, UNSAFE, RequestClass, Settings
+from woadyard.interface import (
+    ERROR,
+    FULL,
+    KEYED,
+    OK,
+    RESET,
+    UNSAFE,
+    Action,
+    Arrival,
+    RequestClass,
+    Settings,
+)
 from woadyard.outbox.causes import Cause, Fate
 from woadyard.outbox.dots import Dot, Line
 from woadyard.outbox.shared.entries import Begin, Entry, Hold, In, Lost, Said, Unbegin, pack
@@ -539,19 +550,18 @@
     play(test)
 
 
-def test_a_failure_of_which_nothing_was_written_is_a_refusal() -> None:
+def test_a_failure_of_which_nothing_was_sent_is_a_refusal(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test(world: World) -> None:
+        def fail(now: int, event: Arrival) -> list[Action]:
+            raise RuntimeError("a fault of the module")
+
+        monkeypatch.setattr(world.engine.balancer, "request", fail)
         await world.take()
         await world.land()
-        while not world.sharer.asked:
-            if world.sent:
-                await world.play(RESET, written=False)
-            await world.advance(10_000)
-        assert world.sharer.asked == [Unbegin(DOT, 1)] and world.upstream.writes == []
+        assert world.sharer.asked == [Unbegin(DOT, 1)] and world.told == []
         await world.land()
-        await world.advance(DEADLINE_US)
         assert world.told == [(503, b"")] and world.front.given[0][1].ending is Ending.REFUSED
-        assert world.begun() is Begun.OPEN
+        assert world.begun() is Begun.OPEN and world.upstream.writes == []
 
     play(test)
 
