Let large bodies wait for their turn to be kept, and bound the outbox's segments at 4 MB

Eight photos at once: two of eight were refused, as what had come of each counted; they now wait, held back.

--- a/tests/test_outbox_bodies.py
+++ b/tests/test_outbox_bodies.py
@@ -491,8 +491,9 @@
     run(main())
 
 
-def test_only_so_many_are_taken_at_a_time(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_only_so_many_are_taken_at_a_time_and_only_so_many_wait(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(bodies, "TAKEN_MOST", 2)
+    monkeypatch.setattr(bodies, "WAITING_MOST", 1)
     body = body_of(2 << 20)
 
     async def main() -> None:
@@ -502,15 +503,39 @@
             for name in ("a", "b"):
                 reader, writer = await one.begin(name, len(body))
                 writer.write(body[:-1])
-                await writer.drain()
                 await one.until(lambda: len(one.driver.bodies.coming) == len(begun) + 1)
                 begun.append((reader, writer))
-            third = await one.write("c", body, "X-Session: anna\r\n")
-            assert third.status == 503 and float(third.headers["retry-after"]) > 0
+            waits = asyncio.create_task(one.write("c", body))
+            await one.until(lambda: len(one.driver.bodies.waiting) == 1)
+            refused = await one.write("d", body, "X-Session: anna\r\n")
+            assert refused.status == 503 and float(refused.headers["retry-after"]) > 0
+            assert [each.came > 0 for each in one.driver.bodies.coming.values()] == [True, True, False]
             for reader, writer in begun:
                 writer.write(body[-1:])
                 assert (await read_message(reader)).status == 202
-            assert (await one.write("c", body)).status == 202
+            assert (await waits).status == 202 and not one.driver.bodies.waiting
+
+    run(main())
+
+
+def test_one_that_leaves_while_it_waits_is_not_begun(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(bodies, "TAKEN_MOST", 1)
+    body = body_of(2 << 20)
+
+    async def main() -> None:
+        async with edge() as one:
+            reader, writer = await one.begin("a", len(body))
+            writer.write(body[:-1])
+            await one.until(lambda: len(one.driver.bodies.coming) == 1)
+            leaver = await one.begin("b", len(body))
+            leaver[1].write(body[:-1])
+            await one.until(lambda: len(one.driver.bodies.waiting) == 1)
+            one.driver.left(one.driver.bodies.waiting[0].call)  # a client that is held back is not heard
+            await one.until(lambda: len(one.driver.bodies.coming) == 1)
+            writer.write(body[-1:])
+            assert (await read_message(reader)).status == 202
+            await one.quiet()
+            assert not one.driver.bodies.waiting and one.driver.outbox.count == 2
 
     run(main())
 
--- a/woadyard/outbox/bodies.py
+++ b/woadyard/outbox/bodies.py
@@ -8,7 +8,8 @@
    behind. Its parts are deleted, after a crash as the store is opened. As nothing of it was sent, the client
    is refused; what may be found by a later life all the same may have run.
 3. Of one write `HELD_EACH` are held, and what one read brings beyond that; at first what had come before it
-   was too large to be held. `TAKEN_MOST` are taken at a time, and none while `HELD_MOST` are held.
+   was too large to be held. `TAKEN_MOST` are taken at a time, and no more of them while `HELD_MOST` are held;
+   `WAITING_MOST` wait for that, their clients held back.
 4. A repeat of a key is read to its end and compared; nothing of it is stored.
 5. A replay of more than `WHOLE_MOST` is passed on as an upload, a part at a time. What an endpoint had the
    beginning of is not tried again by the engine: the write goes out again, or is parked, as its class has it.
@@ -18,6 +19,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from hashlib import blake2b
 from typing import TYPE_CHECKING, Final
 
@@ -45,6 +47,7 @@
 HELD_LOW: Final = 2 * CHUNK
 HELD_MOST: Final = 2 << 20
 TAKEN_MOST: Final = 8
+WAITING_MOST: Final = 16
 # Up to this a body is read whole for its replay.
 WHOLE_MOST: Final = 256 * 1024
 # A replay's provisional time, as that of a caller's upload: it counts from the last byte, once that is out.
@@ -66,7 +69,7 @@
         self.first = b""  # stands behind the record, which is written last
         self.rest = bytearray()
         self.next = 1  # the part that is written next
-        self.over = self.whole = self.paused = False
+        self.begun = self.over = self.whole = self.paused = False
         self.kept: bool | None = None
         self.certain = True
         self.news = asyncio.Event()
@@ -82,6 +85,7 @@
         return self.came <= self.bodies.most
 
     def begin(self) -> None:
+        self.begun = True
         self.upload.attach(self)
         if not self.paused:
             self.upload.resume()
@@ -143,6 +147,7 @@
                 await self.bodies.driver.store.put_parts(dot, self.next, parts)
                 self.next += len(parts)
                 self._hold(-sum(map(len, parts)))
+                self.bodies._begin()
                 if self.paused and self.held <= HELD_LOW:
                     self.paused = False
                     self.upload.resume()
@@ -173,6 +178,7 @@
         self.most = driver.settings.body_bytes
         self.held = 0
         self.coming: dict[Call, Body] = {}
+        self.waiting: deque[Body] = deque()
         self.stored: dict[Dot, Body] = {}  # those that are coming and are no repeats
         self.digests: dict[Call, bytes] = {}  # of repeats that came whole
 
@@ -185,10 +191,7 @@
         return call.upload.length if call.upload.length >= 0 else self.most
 
     def has_room(self, call: Call) -> bool:
-        if call.upload is None or not self.coming:
-            return True
-        waiting = sum(map(len, call.upload.parts))
-        return len(self.coming) < TAKEN_MOST and self.held + waiting <= HELD_MOST
+        return call.upload is None or len(self.coming) < TAKEN_MOST + WAITING_MOST
 
     def digest(self, call: Call) -> bytes:
         """Asked once for each."""
@@ -203,7 +206,18 @@
             self.driver._spawn(self._store(body, ticket.write, answer, engine))
         else:
             self.driver._spawn(self._compare(body, ticket.dot, answer, engine))
-        body.begin()
+        self.waiting.append(body)
+        self._begin()
+
+    def _begin(self) -> None:
+        """Those that wait, while there is room."""
+        while self.waiting:
+            taken = sum(1 for one in self.coming.values() if one.begun)
+            if taken and (taken >= TAKEN_MOST or self.held >= HELD_MOST):
+                return
+            body = self.waiting.popleft()
+            if not body.over:
+                body.begin()
 
     def left(self, call: Call) -> None:
         """It is not open any more."""
@@ -239,6 +253,7 @@
     def _close(self, body: Body) -> None:
         del self.coming[body.call]
         body.close()
+        self._begin()
 
     async def _clear(self, dot: Dot, size: int) -> None:
         """Its parts. On a disk that fails, once that writes again; at the latest as the store is opened."""
--- a/woadyard/outbox/store.py
+++ b/woadyard/outbox/store.py
@@ -33,7 +33,8 @@
 # The store may have this beside twice what is kept: states and deletions must find room when no more
 # writes are let in, and what is of no more use waits there for compaction.
 SPARE_BYTES: Final = 64 << 20
-SEGMENT_LEAST, SEGMENT_MOST = 4 << 20, 64 << 20
+# A segment is read whole as the store is opened, and as it is compacted.
+SEGMENT_LEAST, SEGMENT_MOST = 2 << 20, 4 << 20
 
 
 class FailedToKeepError(StoreError):
