--- a/tests/test_outbox_bodies.py
+++ b/tests/test_outbox_bodies.py
@@ -7,15 +7,18 @@
 import contextlib
 import errno
 import random
+import socket
 import threading
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
 from dataclasses import dataclass, field
 from hashlib import blake2b
+from pathlib import Path
 from typing import Any, cast
 
 import pytest
 
 from tests.sockets import SETTINGS, TIMEOUT_S, Endpoint, Message, Reader, Writer, read_message, run
+from tests.test_outbox_daemon import edge as process
 from woadyard.engine.flow import Flow
 from woadyard.interface import NO_CONNECT
 from woadyard.net.assembly import Assembly
@@ -34,6 +37,7 @@
 from woadyard.testing import after, answer, serve, whole_list
 from woadyard.testing.contracts.outbox import made
 from woadyard.testing.disk import SimulatedDisk
+from woadyard.testing.endpoints import Listener
 
 NO_SPACE = OSError(errno.ENOSPC, "No space left on device")
 # What one read of a socket brings at most.
@@ -208,6 +212,31 @@
     monkeypatch.setattr(driving, "LAST_S", 0.0)
 
 
+@pytest.fixture(autouse=True)
+def held(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    """The port of an endpoint that is down is nobody else's: it is bound, and refuses."""
+    holders: dict[int, socket.socket] = {}
+    stop = Endpoint.stop
+
+    def stop_and_hold(endpoint: Endpoint) -> None:
+        stop(endpoint)
+        if endpoint.port not in holders:
+            holder = holders[endpoint.port] = socket.socket()
+            with contextlib.suppress(OSError):
+                holder.bind(("127.0.0.1", endpoint.port))
+
+    def start(endpoint: Endpoint, port: int = 0) -> Coroutine[Any, Any, asyncio.Server]:
+        if port in holders:
+            holders.pop(port).close()
+        return Listener.start(endpoint, port)
+
+    monkeypatch.setattr(Endpoint, "stop", stop_and_hold)
+    monkeypatch.setattr(Endpoint, "start", start)
+    yield
+    for holder in holders.values():
+        holder.close()
+
+
 def watch(monkeypatch: pytest.MonkeyPatch) -> list[int]:
     """What one body held, each time that it held more or less."""
     found: list[int] = []
@@ -354,17 +383,14 @@
 def test_one_that_was_begun_while_the_link_was_thought_well_is_not_kept() -> None:
     async def main() -> None:
         async with edge(off=False) as one:
-            one.endpoint.stop()
 
             async def break_off(reader: Reader, writer: Writer) -> None:
                 await reader.readexactly(2_000)
                 writer.transport.abort()
 
-            listener = await asyncio.start_server(break_off, "127.0.0.1", one.endpoint.port)
-            try:
-                found = await one.write("photo", body_of(4 << 20))
-            finally:
-                listener.close()
+            one.endpoint._serve = break_off  # type: ignore[method-assign]
+            await one.endpoint.restart(0)
+            found = await one.write("photo", body_of(4 << 20))
             assert found.status in (502, 503, 504) and "location" not in found.headers
             assert one.driver.outbox.count == 0 and one.parts == 0
 
@@ -404,9 +430,11 @@
                     await writer.drain()
                 writer.close() if b"photo" not in head else writer.transport.abort()
 
-            listener = await asyncio.start_server(break_off, "127.0.0.1", one.endpoint.port)
+            serves = one.endpoint._serve
+            one.endpoint._serve = break_off  # type: ignore[method-assign]
+            await one.endpoint.restart(0)
             await broken.wait()
-            listener.close()
+            one.endpoint._serve = serves  # type: ignore[method-assign]
             await one.endpoint.restart(0)
             await one.done("photo")
             assert one.got("photo").body == body and one.endpoint.effects.by_id["photo"] == 1
@@ -871,3 +899,56 @@
                 assert moved is not None and moved.state is State.DONE and moved.status == 200
 
     run(main())
+
+
+def test_a_replay_that_is_passed_on_ends_within_the_window_of_its_key() -> None:
+    async def main() -> None:
+        async with edge() as one:
+            assert (await one.write("photo", body_of(2 << 20))).status == 202
+            assert (await one.write("order", body_of(2 << 20), cls="pay")).status == 202
+            outbox, now = one.driver.outbox, one.driver._now()
+            photo, order = (Dot("studio-1", one.driver.store.incarnation, at) for at in (2, 3))
+            for left, most in ((3_600_000_000, bodies.PASSING_MOST_US + 5_000_000), (7_000_000, 7_000_000)):
+                for dot in (photo, order):
+                    outbox._rows.since[outbox._must_row(dot)] = now - CLASSES["put"].window_us + left
+                call = await one.driver.bodies.call(photo, cast(Any, None))
+                assert call is not None and 0 < call.expires - now <= most + 1_000_000
+                call = await one.driver.bodies.call(order, cast(Any, None))
+                assert call is not None and call.expires > now + bodies.PASSING_MOST_US
+
+    run(main())
+
+
+# --- A process that is killed -------------------------------------------------------------
+
+
+def test_a_process_killed_in_the_middle_keeps_nothing_and_killed_after_the_202_all(tmp_path: Path) -> None:
+    body, session = body_of(12 << 20), "X-Session: anna\r\n"
+
+    async def main() -> None:
+        async with process(tmp_path, "body_mb = 16") as one:
+            assert (await one.write("put", "prime", b"", session)).status == 202
+            _, told = await one.manage("GET /api/outbox")
+            before = told["disk_bytes"]
+            _, writer = await asyncio.open_connection("127.0.0.1", one.port)
+            head = f"Host: x\r\nX-Request-Id: photo\r\nX-Class: put\r\nIdempotency-Key: k-photo\r\n{session}"
+            head = f"POST /put HTTP/1.1\r\n{head}Content-Length: {len(body)}\r\n\r\n"
+            writer.write(head.encode() + body[: 6 << 20])
+            while told["disk_bytes"] < before + (4 << 20):
+                _, told = await one.manage("GET /api/outbox")
+            assert told["bytes"] == len(body)
+            await one.end()
+            writer.transport.abort()
+            await one.start()
+            _, told = await one.manage("GET /api/outbox")
+            assert (told["kept"], told["bytes"]) == (1, 0)
+            kept = await one.write("put", "photo", body, session)
+            assert kept.status == 202
+            await one.end()
+            await one.endpoint.restart(0)
+            await one.start()
+            await one.until(kept, "done")
+            got = [each.body for each in one.endpoint.got if each.headers["x-request-id"] == "photo"]
+            assert got == [body] and not one.endpoint.effects.twice()
+
+    run(main())
