--- a/woadyard/outbox/store.py
+++ b/woadyard/outbox/store.py
@@ -39,7 +39,8 @@
 # The bodies of what is final go after so long, so many at a time.
 END_S: Final = 1.0
 ENDED_MOST: Final = 16
-SEGMENT_LEAST, SEGMENT_MOST = 4 << 20, 64 << 20
+# A segment is read whole as the store is opened, and as it is compacted.
+SEGMENT_LEAST, SEGMENT_MOST = 2 << 20, 4 << 20
 
 
 class FailedToKeepError(StoreError):
