--- a/woadyard/outbox/driver.py
+++ b/woadyard/outbox/driver.py
@@ -30,6 +30,7 @@
 from woadyard.net.message import lines as lines_of
 from woadyard.net.request import hint, key_of
 from woadyard.orders.book import another_body, digest_of, may_have_run
+from woadyard.outbox.aside import Aside
 from woadyard.outbox.causes import Cause, Causes, Fate, Tokens
 from woadyard.outbox.cutoff import CutOff, CutOffRule
 from woadyard.outbox.dots import Dot, Line, read_dot
@@ -121,6 +122,7 @@
         self.engine: Engine | None = None
         self.storing: dict[Dot, list[Call]] = {}  # requests that wait for a write to be durable
         self.out: dict[Dot, Replay] = {}
+        self.aside = Aside()
         self.again: set[Dot] = set()  # sent before, without a known end
         self.parked: dict[Dot, int] = {}  # the number of the parking
         self.tasks: set[asyncio.Task[None]] = set()
@@ -236,7 +238,10 @@
             self._turned()
 
     def comes_first(self, call: Call) -> bool:
-        if call.cls not in self.classes or isinstance(call.front, Replay) or self.closing:
+        if isinstance(call.front, Replay):
+            return False
+        self.aside.live = True
+        if call.cls not in self.classes or self.closing:
             return False
         return self.cutoff.off or self._follows(call)
 
@@ -439,10 +444,11 @@
         replay = Replay(self, dot)
         self.out[dot] = replay
         try:
-            call = self._call(*found, replay)
-            del found
-            assert self.engine is not None
-            self.engine.take(call)
+            async with self.aside:
+                call = self._call(*found, replay)
+                del found
+                assert self.engine is not None
+                self.engine.take(call)
             answer = await replay.over
         finally:
             del self.out[dot]
--- a/woadyard/outbox/store.py
+++ b/woadyard/outbox/store.py
@@ -38,7 +38,7 @@
 SPARE_BYTES: Final = 64 << 20
 # The bodies of what is final go after so long, so many at a time.
 END_S: Final = 1.0
-ENDED_MOST: Final = 16
+ENDED_MOST: Final = 8
 SEGMENT_LEAST, SEGMENT_MOST = 4 << 20, 64 << 20
 
 
