--- a/benchmarks/outbox.py
+++ b/benchmarks/outbox.py
@@ -3,7 +3,11 @@
 The edge's engine, outbox and store are in this process, the endpoint is another one. Live requests come at a
 fixed rate, without and with a replay turn about; the time of a kept write, beside that of a bare sync of as
 many bytes, turn about. `request_cost_on_over_off`: CPU of a live request with an outbox that keeps nothing,
-over one without."""
+over one without.
+
+`thirty`: so many edges come back at once to a stand-in upstream that serves `PLACES` requests at a time,
+lets as many wait and refuses the rest, while live requests come to it past them; with the replay's pace, and
+with all sent at once, turn about."""
 
 from __future__ import annotations
 
@@ -24,6 +28,7 @@
 from woadyard.net.message import lines
 from woadyard.outbox.driver import OutboxDriver
 from woadyard.outbox.options import KeptClass, OutboxSettings
+from woadyard.outbox.replay import Pace
 from woadyard.settings import config_from
 
 SETTINGS = {
@@ -43,11 +48,14 @@
 REPLAYED = 1_500
 SINGLE = 400
 COST_REQUESTS, COST_TASKS = 1_500, 16
+EDGES, EDGE_KEPT, EDGE_ROUNDS = 30, 20, 2
+PLACES = 16
+THIRTY_RATE = 150
 
 
-def resident_kb() -> int:
+def resident_kb(line: str = "VmRSS") -> int:
     text = Path("/proc/self/status").read_text()
-    return int(next(line.split()[1] for line in text.splitlines() if line.startswith("VmRSS")))
+    return int(next(one.split()[1] for one in text.splitlines() if one.startswith(line)))
 
 
 class Front:
@@ -63,7 +71,8 @@
 class Edge:
     """An engine, with an outbox unless it is told otherwise."""
 
-    def __init__(self, parts: Assembly, driver: OutboxDriver | None) -> None:
+    def __init__(self, parts: Assembly, driver: OutboxDriver | None, name: str) -> None:
+        self.name = name
         self.parts = parts
         self.found = driver
         self.chains: list[bytes] = [b""] * CHAINS  # the last receipt of each
@@ -76,21 +85,21 @@
         return self.found
 
     @classmethod
-    async def open(cls, folder: str, most: int = 100_000) -> Edge:
+    async def open(cls, folder: str, most: int = 100_000, name: str = "bench") -> Edge:
         """`folder`: of its store; empty for none."""
         config = config_from({"seed": "1", "settings": SETTINGS}, "benchmark")
         parts = Assembly(asyncio.get_running_loop(), config, lambda line: None)
         parts.start()
         if not folder:
-            return cls(parts, None)
+            return cls(parts, None, name)
         settings = OutboxSettings(
-            store_path=folder, edge="bench", classes={"put": KeptClass("keyed", 86_400_000_000)}, most=most,
+            store_path=folder, edge=name, classes={"put": KeptClass("keyed", 86_400_000_000)}, most=most,
             share=1.0, cut_us=10_000, back_us=10_000, send_us=2_000_000,
         )  # fmt: skip
         config.names.keepable = frozenset((1,))
         driver = await OutboxDriver.open(settings, config.names.classes, {}, lambda line: None)
         driver.begin(parts.engine)
-        return cls(parts, driver)
+        return cls(parts, driver, name)
 
     def members(self, *ports: int) -> None:
         entries = [
@@ -111,7 +120,7 @@
 
     async def ask(self, cls: int, start: bytes, body: bytes = b"", token: bytes = b"") -> Answer:
         self.number += 1
-        name = b"r%d" % self.number
+        name = b"%s-%d" % (self.name.encode(), self.number)
         headers = [(b"x-request-id", name), (b"x-class", start[1:].partition(b" /")[2])]
         if cls:
             headers.append((b"idempotency-key", name))
@@ -130,7 +139,7 @@
             chain = place % CHAINS
             for _ in numbers:
                 self.sent[round_, chain] = self.sent.get((round_, chain), 0) + 1
-                body = b"%d-%d %d" % (round_, chain, self.sent[round_, chain])
+                body = b"%s-%d-%d %d" % (self.name.encode(), round_, chain, self.sent[round_, chain])
                 began = time.perf_counter()
                 answer = await self.ask(1, b"POST /put", body, self.chains[chain])
                 times.append(time.perf_counter() - began)
@@ -229,6 +238,73 @@
     return round(median([a / b for a, b in zip(seen["on"], seen["off"], strict=True)]), 3)
 
 
+class AllAtOnce(Pace):
+    """No pace: what is ready goes."""
+
+    def __init__(self) -> None:
+        super().__init__(0, 0)
+
+    def may_send(self, now: int) -> bool:
+        return True
+
+
+async def straight(port: int, times: list[float], refused: list[int]) -> None:
+    """One live request to the stand-in, past all edges."""
+    began = time.perf_counter()
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"GET /page HTTP/1.1\r\nHost: a\r\n\r\n")
+    status = (await reader.readuntil(b"ok"))[9:12]
+    writer.close()
+    if status == b"200":
+        times.append(time.perf_counter() - began)
+    else:
+        refused.append(1)
+
+
+async def returned(edges: list[Edge], port: int, paced: bool) -> dict[str, float]:
+    """All edges keep their writes, then come back together; until all is replayed."""
+    await asyncio.gather(*(edge.cut_off() for edge in edges))
+    await asyncio.gather(*(edge.keep(EDGE_KEPT, CHAINS) for edge in edges))
+    for edge in edges:
+        edge.driver.outbox.pace = Pace(8, 1_000_000) if paced else AllAtOnce()
+    times: list[float] = []
+    refused: list[int] = []
+    tasks, began = [], time.perf_counter()
+    for edge in edges:
+        edge.members(port)
+    while any(edge.driver.outbox.count for edge in edges):
+        tasks.append(asyncio.create_task(straight(port, times, refused)))
+        await asyncio.sleep(max(0.0, began + len(tasks) / THIRTY_RATE - time.perf_counter()))
+    took = time.perf_counter() - began
+    await asyncio.gather(*tasks)
+    return {"p99": percentile(times, 0.99), "refused": len(refused) / len(tasks), "took": took}
+
+
+async def thirty(folder: Path, child: Child) -> dict[str, Any]:
+    port = int(child.line())
+    opening = [Edge.open(str(folder / f"edge{n}"), name=f"edge{n}") for n in range(EDGES)]
+    edges = list(await asyncio.gather(*opening))
+    found: dict[str, list[dict[str, float]]] = {"paced": [], "at_once": []}
+    for _ in progress([f"thirty edges {n + 1}" for n in range(EDGE_ROUNDS)]):
+        for name, seen in found.items():
+            seen.append(await returned(edges, port, name == "paced"))
+    await asyncio.gather(*(edge.close() for edge in edges))
+    child.tell("tell")
+    told = json.loads(child.line())
+    return {
+        **{
+            f"thirty_{name}_{key}": round(scale * median([one[what] for one in seen]), 3)
+            for name, seen in found.items()
+            for key, what, scale in (
+                ("live_p99_ms", "p99", 1000.0), ("live_refused", "refused", 1.0), ("s", "took", 1.0),
+            )
+        },
+        "thirty_kept": 2 * EDGE_ROUNDS * EDGES * EDGE_KEPT,
+        "thirty_ran": told["ran"],
+        "thirty_refused_at_upstream": told["refused"],
+    }  # fmt: skip
+
+
 async def measured(folder: Path, child: Child) -> dict[str, Any]:
     port = int(child.line())
     edge, plain = await Edge.open(str(folder / "store")), await Edge.open("")
@@ -258,6 +334,11 @@
             found = uvloop.run(measured(folder, child))
         finally:
             child.end()
+        child = Child(["-m", "benchmarks.outbox_child", "tight", str(PLACES)], 1)
+        try:
+            found |= uvloop.run(thirty(folder, child))
+        finally:
+            child.end()
         holder = Child(["-m", "benchmarks.outbox_child", "held", str(folder / "held"), str(count)], 2)
         try:
             found |= json.loads(holder.line())
