--- a/woadyard/outbox/driver.py
+++ b/woadyard/outbox/driver.py
@@ -33,6 +33,7 @@
 from woadyard.net.message import lines as lines_of
 from woadyard.net.request import hint, key_of
 from woadyard.orders.book import another_body, may_have_run
+from woadyard.outbox.aside import Aside
 from woadyard.outbox.bodies import Bodies
 from woadyard.outbox.causes import Cause, Causes, Fate, Frontier, Tokens
 from woadyard.outbox.cutoff import CutOff, CutOffRule
@@ -133,6 +134,7 @@
         self.bodies = Bodies(self)
         self.storing: dict[Dot, list[Call]] = {}  # requests that wait for a write to be durable
         self.out: dict[Dot, Replay] = {}
+        self.aside = Aside()
         self.again: set[Dot] = set()  # sent before, without a known end
         self.parked: dict[Dot, int] = {}  # the number of the parking
         self.sharing: Sharing | None = None  # where upstream is copies of this program
@@ -281,7 +283,10 @@
             self._turned()
 
     def comes_first(self, call: Call) -> bool:
-        if call.cls not in self.classes or self.closing or self._passes(call):
+        if self._passes(call):
+            return False
+        self.aside.live = True
+        if call.cls not in self.classes or self.closing:
             return False
         return self.cutoff.off or self._follows(call)
 
@@ -547,8 +552,9 @@
             return
         self.out[dot] = replay
         try:
-            assert self.engine is not None
-            self.engine.take(call)
+            async with self.aside:
+                assert self.engine is not None
+                self.engine.take(call)
             answer = await replay.over
         finally:
             del self.out[dot]
