See a link that is back also where an edge only waits; keep who held a line

An edge that was cut off and had nothing to send, as all waited for other edges' writes or for claims, asked nothing either: no attempt could show that the link was back, and it stayed cut off. While cut off and waiting it sends asks without a question, at the pace of the others; three answers end it, as any.

Of more than 16 lives known of a line the last that held it could fall out, and the disk with it: it is kept. Tests: the frontier of a copy upstream hears of what is over, and a replay of another edge is not kept there.

--- a/tests/test_shared_edge.py
+++ b/tests/test_shared_edge.py
@@ -207,6 +207,29 @@
     assert ask is not None and ask.fates == (Cause(*OTHER, 2),)
 
 
+def test_while_cut_off_a_probe_goes_at_the_same_pace_and_an_answer_makes_it_quick() -> None:
+    one = Asker()
+    assert not one.remote.waits
+    one.remote.follow([Cause(*OTHER, 1)])
+    assert one.remote.waits
+    pauses = []
+    for _ in range(5):
+        assert one.remote.probe(one.now) == Ask() and one.remote.probe(one.now) is None
+        one.remote.failed(one.now)
+        before = one.now
+        while one.remote.probe(one.now) is None:
+            one.now += SECOND // 10
+        one.remote.failed(one.now)
+        pauses.append(one.now - before)
+        one.now += MOST_US
+    assert pauses[0] <= SECOND and pauses[-1] >= MOST_US // 2
+    ask = one.remote.probe(one.now)
+    assert ask is not None
+    one.answer(ask)
+    one.now += LEAST_US
+    assert one.remote.probe(one.now) == Ask()
+
+
 # Lines
 
 
@@ -228,7 +251,7 @@
     lives = tuple(range(100, 200))
     one.remote.claim(FORMER, lives)
     known = one.must().claims[0].known
-    assert len(known) == KNOWN_MOST and known[0] == 100 and known[1:] == lives[1 - KNOWN_MOST :]
+    assert len(known) == KNOWN_MOST and known == (100, 101, *lives[2 - KNOWN_MOST :])
 
 
 def test_of_two_copies_of_a_disk_the_second_is_fenced_for_good_unless_it_is_told_otherwise() -> None:
@@ -787,3 +810,84 @@
             assert {claim.known for claim in claims} == {(first.incarnation,)}
 
     run(main())
+
+
+def test_an_edge_that_only_waits_sees_its_link_come_back(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with studio(tmp_path) as one:
+            cause = Dot(*OTHER, 1)
+            kept = await one.keep("put", token(cause))
+            one.copies.record.agree(In(cause))
+            # The way is there; the edge does not know.
+            one.lists += 1
+            one.parts.engine.listed(one.lists, True, [one.copies.endpoint.entry("copy")])
+            await until(lambda: bool(one.copies.asks))
+            assert one.driver.cutoff.off and one.copies.asks[0] == Ask()
+            await one.until(kept, State.DONE)
+            assert not one.driver.cutoff.off and one.copies.ran == [kept]
+
+    run(main())
+
+
+class Teller:
+    """A frontier as a copy upstream has one. All that others kept is gone."""
+
+    def __init__(self) -> None:
+        self.fates: list[tuple[Dot, Fate]] = []
+        self.lows: dict[Line, int] = {}
+        self.full = True
+
+    def fate(self, cause: Cause) -> Fate:
+        return Fate.GONE
+
+    def holds(self, line: Line) -> bool:
+        return True
+
+    def tell(self, dot: Dot, fate: Fate) -> bool:
+        self.fates.append((dot, fate))
+        return not self.full
+
+    def low(self, line: Line, number: int) -> bool:
+        self.lows[line] = number
+        return True
+
+
+def test_a_copy_that_shares_keeps_no_other_edges_replay_and_tells_what_becomes_of_its_own(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        config = config_from({"seed": "1", "settings": SETTINGS}, "test")
+        (tmp_path / "secret").write_bytes(SECRET)
+        settings = OutboxSettings(
+            store_path=str(tmp_path / "store"), edge="up", classes={"pay": KeptClass("unsafe")}, shared=True,
+            secret_file=str(tmp_path / "secret"),
+        )  # fmt: skip
+        teller = Teller()
+        parts = Assembly(asyncio.get_running_loop(), config, lambda line: None)
+        parts.start()
+        driver = await OutboxDriver.open(settings, config.names.classes, {}, lambda line: None, teller)
+        driver.begin(parts.engine)
+        driver.cutoff.off = True
+
+        async def ask(*causes: bytes) -> Answer:
+            front = Front()
+            call = Call(2, parts.engine.now() + 5 * SECOND, b"POST /pay", b"", b"x", front, b"r")
+            call.causes = causes
+            parts.engine.take(call)
+            return await front.answer
+
+        async with asyncio.timeout(TIMEOUT_S):
+            assert (await ask(b"", b"", b"", b"sealed")).status == 503  # its edge has it
+            assert (await ask(token(Dot(*OTHER, 1)), b"", b"", b"")).status == 202
+            dot = Dot("up", driver.store.incarnation, 1)
+            await until(lambda: (dot, Fate.PARKED) in teller.fates)
+            assert driver.judge(str(dot), 1, Verdict.GIVE_UP)
+            await until(lambda: (dot, Fate.GONE) in teller.fates)
+            assert not teller.lows  # it would say that the write is in
+            teller.full = False
+            await until(lambda: teller.lows == {dot.line: 1})
+            assert not driver.untold and not driver.outbox.over()
+        await driver.close()
+        parts.close()
+
+    run(main())
--- a/woadyard/outbox/shared/asking.py
+++ b/woadyard/outbox/shared/asking.py
@@ -22,7 +22,7 @@
 from woadyard.outbox.dots import Dot, Line
 from woadyard.outbox.errors import OutboxError
 from woadyard.outbox.journal import Event, KeptWrite, State, Verdict
-from woadyard.outbox.shared.edge import KNOWN_MOST, News, RemoteFrontier
+from woadyard.outbox.shared.edge import News, RemoteFrontier, bounded
 from woadyard.outbox.shared.seal import Seal
 from woadyard.outbox.shared.terms import KEPT_HEADER, SHARED_PATH, Ask, Replayed
 from woadyard.outbox.store import Loaded
@@ -110,7 +110,7 @@
             for line, force in list(self.unnamed.items()):
                 lives = self.holders[line]
                 if life not in lives:
-                    lives = _bounded((*lives, life))
+                    lives = tuple(bounded((*lives, life)))
                     await self.driver.store.put_holders(line, lives)
                     self.holders[line] = lives
                 del self.unnamed[line]
@@ -180,14 +180,20 @@
         """Once a second, and when something has happened."""
         driver = self.driver
         self.remote.follow(self.outbox.followed())
-        if driver.cutoff.off or driver.closing or driver.engine is None:
+        if driver.closing or driver.engine is None:
+            return
+        if driver.cutoff.off:
+            if self.unnamed or self.remote.waits:
+                self._begin(self.remote.probe(driver._now()))
             return
         if self.unnamed and not self.naming:
             self.naming = True
             driver._spawn(self._name())
-        ask = self.remote.next(driver._now(), self.outbox.wonders)
+        self._begin(self.remote.next(driver._now(), self.outbox.wonders))
+
+    def _begin(self, ask: Ask | None) -> None:
         if ask is not None:
-            driver._spawn(self._ask(ask))
+            self.driver._spawn(self._ask(ask))
 
     def close(self) -> None:
         if self.asking is not None:
@@ -258,7 +264,3 @@
             await self.driver.store.put_holders(line, self.holders[line])
         except StoreError as error:
             self.driver.log(f"outbox: a claim is not written: {error}")  # the longer list is as good
-
-
-def _bounded(lives: tuple[int, ...]) -> tuple[int, ...]:
-    return lives if len(lives) <= KNOWN_MOST else (lives[0], *lives[1 - KNOWN_MOST :])
--- a/woadyard/outbox/shared/edge.py
+++ b/woadyard/outbox/shared/edge.py
@@ -5,8 +5,9 @@
    parked no more, given up, in by a verdict; and up to which number all of a line are over.
 2. One ask is out at a time. What is new goes at once; the rest in turns, `ROUND_MOST` asks of them, then a
    pause of 1 s, doubled up to 8 s while nothing changes, drawn between half and all of it. When the link
-   is back, and when something has changed, the pause is the shortest again. Where the edge is cut off, the
-   driver does not call `next`.
+   is back, and when something has changed, the pause is the shortest again. While the edge is cut off nothing
+   is asked but `probe`: where nothing is sent, as all waits for others or for claims, a link that is back is
+   seen by nothing else.
 3. IN and GONE are final; PARKED may change. A line of a former life is held only once a claim is; one that is
    fenced is not held again unless an operator claims it.
 4. That the lines' holders are durable before a claim is asked is for the driver: it calls `claim` after that.
@@ -21,7 +22,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from typing import Final, Generic, TypeVar
@@ -30,7 +31,7 @@
 from woadyard.outbox.dots import Dot, Line
 from woadyard.outbox.shared.terms import ASKED_MOST, Answered, Ask, Claim, Claimed, Told
 
-__all__ = ["News", "RemoteFrontier"]
+__all__ = ["News", "RemoteFrontier", "bounded"]
 
 LEAST_US: Final = 1_000_000
 MOST_US: Final = 8_000_000
@@ -40,7 +41,8 @@
 # Fates that are remembered, and statements of own writes.
 FATES_MOST: Final = 8_192
 SAID_MOST: Final = 4_096
-# Holders that one claim names: the first, which is the line's own life, and the last.
+# Holders that one claim names: the first two, the line's own life and the last known to have held it, and the
+# last that asked.
 KNOWN_MOST: Final = 16
 
 FINAL_FATES: Final = (Fate.IN, Fate.GONE)
@@ -48,6 +50,10 @@
 _K = TypeVar("_K", Cause, Line)
 
 
+def bounded(lives: Sequence[int]) -> Sequence[int]:
+    return lives if len(lives) <= KNOWN_MOST else (*lives[:2], *lives[2 - KNOWN_MOST :])
+
+
 class Round(Generic[_K]):
     """What is to be asked, each in its turn, what is new before all others."""
 
@@ -142,8 +148,7 @@
     def claim(self, line: Line, known: Iterable[int], force: bool = False) -> None:
         """Ask for it. `known`: as they came; that this life is among them is durable."""
         others = [life for life in dict.fromkeys(known) if life != self.life]
-        if len(others) > KNOWN_MOST:
-            others = [others[0], *others[1 - KNOWN_MOST :]]
+        others = list(bounded(others))
         if force:
             self._fenced.discard(line)
         if line not in self._fenced:
@@ -298,6 +303,19 @@
         self._out = ask
         return ask
 
+    def probe(self, now: int) -> Ask | None:
+        """While cut off: an ask without a question, at the pace of the others."""
+        if self._out is not None or now < self._next_at:
+            return None
+        self._left = 0
+        self._out = Ask()
+        return self._out
+
+    @property
+    def waits(self) -> bool:
+        """There is something to ask or tell."""
+        return bool(len(self._asked) or len(self._claims) or len(self._tells))
+
     def _is_claim(self, line: Line) -> bool:
         return line in self._open_claims or line in self._claimed
 
@@ -330,7 +348,7 @@
         news = News()
         if ask is None:
             return news
-        moved = False
+        moved = ask == Ask()  # a probe: the link may be back
         for cause, fate in zip(ask.fates, answer.fates, strict=False):
             moved |= self._learn(cause, fate, news)
         for claim, became in zip(ask.claims, answer.claims, strict=False):
