Hold kept writes of real processes against a checker of their own: edges before servers

Need: what edges keep and bring upstream was shown by one process at a time, and by schedules; nothing held several real ones against the order and the once of each write. The checker is pure and has seventeen made faulty histories, each found by the rule that it breaks. Three edges are killed in the midst of their replays; a link flaps.

--- /dev/null
+++ b/tests/outboxing.py
@@ -0,0 +1,514 @@
+"""Edges, copies upstream and servers as real processes and stand-ins on loopback, with clients that write.
+
+Each edge and each copy is `python -m woadyard run`; between an edge and each of its endpoints stands a
+relay of connections, between copies one of datagrams. Servers count what took effect, by the write's name
+in the query (`w=`); `kept` holds the history of it all."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import shutil
+from collections import defaultdict
+from collections.abc import Coroutine, Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final
+from urllib.parse import parse_qs, urlencode
+
+from tests.sockets import run
+from woadyard.testing.callers import Caller
+from woadyard.testing.endpoints import Endpoint, reset_connection
+from woadyard.testing.messages import Message, Writer, answer, read_message
+from woadyard.testing.processes import DatagramRelay, History, Program, Rules, StreamRelay, check, until
+from woadyard.testing.processes.history import Answered, Asked, Broken
+from woadyard.testing.processes.kept import (
+    OVER,
+    Came,
+    Ended,
+    Judged,
+    Kept,
+    KeptEvent,
+    LostEdge,
+    Stands,
+    Wrote,
+    check_kept,
+)
+from woadyard.testing.processes.lists import Entry, Lists
+from woadyard.testing.processes.relays import HOST, now_us
+from woadyard.testing.processes.tier import LATE_US, free_udp
+from woadyard.testing.registry import whole_list
+
+TEST_S: Final = 60.0  # for a test that hangs; nothing is measured by it
+DEADLINE_MS: Final = 2_000
+SETTINGS: Final[dict[str, Any]] = {
+    "classes": [
+        {"name": "page", "aim-us": 500_000, "deadline-us": 2_000_000, "repeat": "retryable"},
+        {
+            "name": "put", "aim-us": 500_000, "deadline-us": 2_000_000, "repeat": "dedup",
+            "dedup-scope": "cell", "repeat-window-us": 600_000_000,
+        },
+        {"name": "pay", "aim-us": 500_000, "deadline-us": 2_000_000, "repeat": "fragile"},
+    ],
+    "ceilings": {
+        "cancel": True, "second-copies": True, "max-attempts": 3, "max-streams": 1,
+        "conn-idle-us": 30_000_000, "connect-timeout-us": 500_000, "retry-after": True,
+    },
+    "invariants": {"drain-grace-us": 500_000},
+    "load-report": {"fields": ["waiting", "rps"], "how": "piggyback"},
+    "zones": ["a"], "kinds": ["small"], "discovery": "push", "stage": 1,
+}  # fmt: skip
+ACCORD: Final[dict[str, Any]] = {"heartbeat_ms": 50, "election_ms": 200}
+CLASSES: Final = [
+    {"name": "put", "keep": "keyed", "window_s": 86_400},
+    {"name": "pay", "keep": "unsafe"},
+]
+
+
+def play(test: Coroutine[Any, Any, None]) -> None:
+    async def limited() -> None:
+        async with asyncio.timeout(TEST_S):
+            await test
+
+    run(limited())
+
+
+# --- Servers --------------------------------------------------------------------------------
+
+
+class Ledger:
+    """What took effect at all servers, which know each other's keys."""
+
+    def __init__(self, events: list[KeptEvent]) -> None:
+        self.events = events
+        self.order: list[str] = []  # writes, as they took effect
+        self.keys: set[str] = set()
+        self.came: dict[str, int] = defaultdict(int)
+        self._losing: dict[str, int] = defaultdict(int)
+        self._held: dict[str, asyncio.Event] = {}
+        self._news = asyncio.Condition()
+
+    def lose(self, write: str, times: int = 1) -> None:
+        """The next answers to it are lost, after its effect."""
+        self._losing[write] += times
+
+    def hold(self, write: str) -> None:
+        """It takes effect, and is answered when `let_go` is called."""
+        self._held.setdefault(write, asyncio.Event())
+
+    def let_go(self, write: str) -> None:
+        if (held := self._held.pop(write, None)) is not None:
+            held.set()
+
+    async def serve(self, endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        write = _write_of(message)
+        key = message.headers.get("idempotency-key")
+        if write:
+            await self._take(write, key, message.body)
+        if (held := self._held.get(write)) is not None:
+            await held.wait()
+        if self._losing[write]:
+            self._losing[write] -= 1
+            reset_connection(writer)
+            return
+        writer.write(answer(200, write.encode()))
+
+    async def _take(self, write: str, key: str | None, body: bytes) -> None:
+        ran = key is None or key not in self.keys
+        self.events.append(Came(now_us(), write, key, body, ran))
+        self.came[write] += 1
+        if ran:
+            self.order.append(write)
+        if key is not None:
+            self.keys.add(key)
+        async with self._news:
+            self._news.notify_all()
+
+    async def until_ran(self, *writes: str) -> None:
+        async with self._news:
+            await self._news.wait_for(lambda: set(writes) <= set(self.order))
+
+    async def until_came(self, count: int, among: Iterable[str] = ()) -> None:
+        """So many effects, in all or of these."""
+        named = set(among)
+        async with self._news:
+            await self._news.wait_for(
+                lambda: sum(1 for write in self.order if not named or write in named) >= count
+            )
+
+
+def _write_of(message: Message) -> str:
+    words = message.start.split()
+    _, _, query = words[1].partition("?")
+    return "".join(parse_qs(query).get("w", [""]))
+
+
+# --- Processes ------------------------------------------------------------------------------
+
+
+@dataclass(eq=False)
+class Node:
+    """One process, its folder, and the relays to its endpoints."""
+
+    program: Program
+    name: str
+    links: list[StreamRelay]
+    lists: Lists
+
+    @property
+    def folder(self) -> Path:
+        return self.program.folder
+
+    @property
+    def store(self) -> Path:
+        return self.folder / "store"
+
+    def refuse(self, *at: int) -> None:
+        """Its link is down: what is open is reset, what comes is refused."""
+        for number in at or range(len(self.links)):
+            self.links[number].refuse()
+
+    async def admit(self, *at: int) -> None:
+        for number in at or range(len(self.links)):
+            await self.links[number].admit()
+
+    async def start(self) -> None:
+        await self.program.start()
+        await self.program.until_ready()
+
+    async def kill(self) -> None:
+        await self.program.kill()
+
+    async def state(self, target: str = "/api/outbox") -> Any:
+        message = await self.program.ask("GET", target)
+        assert message.status == 200, (self.name, target, message.status, message.body)
+        return json.loads(message.body)
+
+    async def call(self, target: str) -> tuple[int, Any]:
+        message = await self.program.ask("POST", target)
+        return message.status, json.loads(message.body)
+
+
+@dataclass
+class Write:
+    """One that a client has been told of."""
+
+    name: str
+    edge: str
+    node: Node
+    token: str = ""
+    location: str = ""
+    dot: str = ""
+
+
+class Client:
+    """Its writes follow each other: it brings the token of its last answer, and names its session."""
+
+    def __init__(self, chain: Chain, name: str) -> None:
+        self.chain = chain
+        self.name = name
+        self.told: list[str] = []  # its writes that are kept or served
+        self.token = ""
+        self._bodies: dict[str, bytes] = {}
+        self._causes: dict[str, frozenset[str]] = {}
+
+    async def write(
+        self,
+        node: Node,
+        name: str,
+        cls: str = "put",
+        follows: Sequence[Write] = (),
+        obj: str = "",
+        size: int = 0,
+        session: bool = True,
+    ) -> Message | None:
+        """One try; None if its connection ended. The same name again is another try of the same write."""
+        chain = self.chain
+        key = f"k-{name}" if cls == "put" else None
+        body = self._bodies.setdefault(name, name.encode() + bytes(size))
+        own = [one for one in self.told if one != name] if session else []
+        causes = self._causes.setdefault(name, frozenset((*own, *(one.name for one in follows))))
+        tokens = [self.token] if self.token and session else []
+        headers = {
+            "Host": "x", "X-Request-Id": (rid := chain.request_id(name)), "X-Class": cls,
+            "X-Deadline-Ms": DEADLINE_MS, "Content-Length": len(body),
+            **({"Idempotency-Key": key} if key else {}),
+            **({"X-Session": self.name} if session else {}),
+            **({"X-Causal-Token": ", ".join(tokens)} if tokens else {}),
+            **({"X-Follows": ", ".join(one.token for one in follows)} if follows else {}),
+        }  # fmt: skip
+        query = urlencode({"w": name, **({"obj": obj} if obj else {})})
+        lines = "".join(f"{field}: {value}\r\n" for field, value in headers.items())
+        raw = f"POST /{cls}?{query} HTTP/1.1\r\n{lines}\r\n".encode() + body
+        chain.kept.append(Wrote(now_us(), name, key, body, causes))
+        message = await chain.exchange(node, rid, "keyed" if key else "unsafe", key, raw)
+        status = 0 if message is None else message.status
+        if status == 202 and message is not None:
+            told = json.loads(message.body)
+            chain.kept.append(Kept(now_us(), name, node.name))
+            chain.writes.append(
+                Write(name, node.name, node, message.headers["x-causal-token"], message.headers["location"],
+                      told["write"])
+            )  # fmt: skip
+        else:
+            chain.kept.append(Ended(now_us(), name, status))
+        if status in (200, 202) and message is not None:
+            if session:
+                self.token = message.headers.get("x-causal-token", self.token)
+            if name not in self.told:
+                self.told.append(name)
+        return message
+
+    async def keep(self, node: Node, name: str, cls: str = "put", **more: Any) -> Write:
+        """Told as kept at the first try."""
+        message = await self.write(node, name, cls, **more)
+        assert message is not None and message.status == 202, (
+            name, message and (message.status, message.headers, message.body), node.program.lines[-5:],
+        )  # fmt: skip
+        return self.chain.writes[-1]
+
+    async def bring(self, node: Node, name: str, cls: str = "put", **more: Any) -> int:
+        """Until it is kept or served: a keyed one whatever came, an unsafe one after a refusal alone."""
+        found: list[int] = []
+
+        async def told() -> bool:
+            message = await self.write(node, name, cls, **more)
+            found[:] = [0 if message is None else message.status]
+            assert cls == "put" or found[0] in (200, 202, 429, 503), (name, found)
+            return found[0] in (200, 202)
+
+        await until(told, f"{name} kept or served at {node.name}")
+        return found[0]
+
+
+class Chain:
+    """Three edges, three copies upstream, servers behind them; or edges before the servers."""
+
+    def __init__(
+        self,
+        folder: Path,
+        edges: int = 3,
+        copies: int = 3,
+        servers: int = 2,
+        seed: int = 1,
+        outbox: Mapping[str, Any] | None = None,
+        begin: Mapping[str, Sequence[str]] | None = None,
+    ) -> None:
+        """`outbox` changes the table of all edges; `begin` starts another program at nodes of these names."""
+        self.folder = folder
+        self.seed = seed
+        self.draw = random.Random(f"{seed} chain")
+        self.kept: list[KeptEvent] = []
+        self.history = History(now_us)
+        self.ledger = Ledger(self.kept)
+        self.servers = [Endpoint(self.ledger.serve, keep=False) for _ in range(servers)]
+        self.edges: list[Node] = []
+        self.copies: list[Node] = []
+        self.writes: list[Write] = []
+        self.datagrams: DatagramRelay | None = None
+        self._counts = edges, copies
+        self._outbox, self._begin = dict(outbox or {}), dict(begin or {})
+        self._stack = contextlib.AsyncExitStack()
+        self._tries: dict[str, int] = defaultdict(int)
+        self._secret = folder / "secret"
+
+    # --- Life -----------------------------------------------------------------------
+
+    async def __aenter__(self) -> Chain:
+        async with self._stack:
+            await self._build()
+            await asyncio.gather(*(node.start() for node in (*self.copies, *self.edges)))
+            self._stack = self._stack.pop_all()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._stack.aclose()
+
+    async def _build(self) -> None:
+        self.folder.mkdir(exist_ok=True)
+        self._secret.write_bytes(b"the secret of all edges and copies")
+        for server in self.servers:
+            await self._stack.enter_async_context(server)
+        edges, copies = self._counts
+        behind = [(server.port, f"s-{at}") for at, server in enumerate(self.servers)]
+        if copies:
+            self.datagrams = DatagramRelay([(HOST, free_udp()) for _ in range(copies)], self.seed)
+            self._stack.callback(self.datagrams.close)
+            await self.datagrams.start()
+        for number in range(copies):
+            self.copies.append(await self._node(f"copy-{number}", number, behind))
+            self._write_copy(self.copies[number])
+        if copies:
+            behind = [(node.program.listen[1], node.name) for node in self.copies]
+        for number in range(edges):
+            self.edges.append(await self._node(f"edge-{number}", copies + number, behind))
+            self._write_edge(self.edges[number])
+
+    async def _node(self, name: str, number: int, behind: Sequence[tuple[int, str]]) -> Node:
+        begin = self._begin.get(name, ("-m", "woadyard"))
+        program = Program(number, self.folder / name, self.history, self.seed, begin=begin)
+        links, entries = [], []
+        for at, (port, far) in enumerate(behind):
+            link = StreamRelay((HOST, port), self.seed * 1000 + number * 100 + at)
+            self._stack.callback(link.close)
+            await link.start()
+            links.append(link)
+            entries.append(_entry(far, link.address))
+        lists = Lists(lambda: list(entries), lambda read, at: None)
+        self._stack.callback(lists.close)
+        await lists.open()
+        self._stack.push_async_callback(program.close)
+        return Node(program, name, links, lists)
+
+    def _platform(self, node: Node, settings: Mapping[str, Any]) -> dict[str, Any]:
+        relay = node.lists.relay
+        assert relay is not None
+        return {
+            "listen": _text(node.program.listen),
+            "management": _text(node.program.management),
+            "discovery": relay.address,
+            "limits": {"sockets": 1024},
+            "settings": {**SETTINGS, **settings},
+            "known": whole_list(*node.lists.entries()),
+        }
+
+    def _write_copy(self, node: Node) -> None:
+        assert self.datagrams is not None
+        number = node.program.number
+        host, port = self.datagrams.real[number]
+        peers = {"peer_listen": f"{host}:{port}", "peers": self.datagrams.peers_of(number)}
+        platform = self._platform(node, {"me": number, "instances": self._counts[1]})
+        outbox = {"shared": True, "secret_file": str(self._secret)}
+        accord = {**ACCORD, "seats": self._counts[1], "store_path": str(node.folder / "accord")}
+        node.program.write({**platform, **peers}, {"accord": accord, "outbox": outbox})
+
+    def _write_edge(self, node: Node) -> None:
+        table = {
+            "store_path": str(node.store), "edge": node.name, "secret_file": str(self._secret),
+            "cut_ms": 100, "back_ms": 10, "classes": CLASSES,
+            **({"upstream": "copies"} if self._counts[1] else {}), **self._outbox,
+        }  # fmt: skip
+        node.program.write(self._platform(node, {}), {"outbox": table})
+
+    async def twin(self, edge: Node) -> Node:
+        """Another process on a copy of the edge's disk, which must not be in use. Not started."""
+        behind = [(node.program.listen[1], node.name) for node in self.copies]
+        number = sum(self._counts) + len(self.edges)
+        node = await self._node(f"twin-{number}", number, behind)
+        node.program.folder.mkdir()
+        shutil.copytree(edge.store, node.store)
+        node.name = edge.name
+        self._write_edge(node)
+        return node
+
+    # --- Clients ----------------------------------------------------------------------
+
+    def client(self, name: str) -> Client:
+        return Client(self, name)
+
+    def request_id(self, write: str) -> str:
+        self._tries[write] += 1
+        return f"{write}.{self._tries[write]}"
+
+    async def exchange(
+        self, node: Node, rid: str, effect: Any, key: str | None, raw: bytes
+    ) -> Message | None:
+        """A client's request, for the rules of live requests. None if its connection ended."""
+        number, now = node.program.number, self.history.now
+        self.history.add(Asked(now(), number, rid, effect, key, DEADLINE_MS * 1000))
+        async with Caller(*node.program.listen) as caller:
+            try:
+                message = await caller.ask(raw)
+            except (OSError, asyncio.IncompleteReadError) as error:
+                self.history.add(Broken(now(), number, rid, type(error).__name__))
+                return None
+        self.history.add(Answered(now(), number, rid, message.status))
+        return message
+
+    async def receipt(self, write: Write) -> Any:
+        """What it says of itself; None while nobody can say it."""
+        try:
+            reader, writer = await asyncio.open_connection(*write.node.program.listen)
+        except OSError:
+            return None
+        try:
+            writer.write(f"GET {write.location} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            message = await read_message(reader)
+        except (OSError, asyncio.IncompleteReadError):
+            return None
+        finally:
+            writer.close()
+        assert message.status in (200, 503), (write, message.status, message.body)
+        return json.loads(message.body) if message.status == 200 else None
+
+    async def until(self, write: Write, *states: str) -> Any:
+        found: list[Any] = []
+
+        async def look() -> bool:
+            found[:] = [await self.receipt(write)]
+            return found[0] is not None and found[0]["state"] in states
+
+        try:
+            await until(look, f"{write.name} {' or '.join(states)}")
+        except AssertionError as error:
+            raise AssertionError(f"{error}; it says {found}; {write.node.program.lines[-5:]}") from None
+        return found[0]
+
+    # --- Operators ----------------------------------------------------------------------
+
+    async def judge(self, write: Write, verdict: str, parking: int, node: Node | None = None) -> int:
+        query = urlencode({"write": write.dot, "parking": parking, "verdict": verdict})
+        status, _ = await (node or write.node).call(f"/api/outbox/judge?{query}")
+        if status in (200, 202):
+            self.kept.append(Judged(now_us(), write.name, verdict))
+        return status
+
+    async def declare_lost(self, edge: str, copy: Node) -> int:
+        status, told = await copy.call(f"/api/outbox/lost?{urlencode({'edge': edge})}")
+        assert status in (200, 202, 503), (status, told)
+        if status != 503:
+            self.kept.append(LostEdge(now_us(), edge))
+        return status
+
+    # --- Faults among copies ------------------------------------------------------------
+
+    def cut(self, some: Iterable[int], others: Iterable[int]) -> None:
+        assert self.datagrams is not None
+        self.datagrams.ways.cut(some, others)
+
+    def heal(self) -> None:
+        assert self.datagrams is not None
+        self.datagrams.ways.heal()
+
+    # --- The verdict --------------------------------------------------------------------
+
+    async def settle(self, but: Iterable[str] = ()) -> dict[str, str]:
+        """Once all kept writes are over: how each stands. `but`: edges that are gone."""
+        gone, found = set(but), {}
+        for write in self.writes:
+            if write.edge not in gone:
+                told = await self.until(write, *OVER)
+                found[write.name] = told["state"]
+                self.kept.append(Stands(write.name, told["state"], told.get("reason", "")))
+        return found
+
+    def check(self) -> None:
+        """AssertionError that names what was broken."""
+        broken = [*check_kept(self.kept), *check(self.history.events, Rules(late_us=LATE_US))]
+        if broken:
+            logs = [f"{one.name}: {one.program.lines[-5:]}" for one in (*self.copies, *self.edges)]
+            shown = [str(one) for one in broken[:20]]
+            raise AssertionError("\n".join([f"{len(broken)} broken, seed {self.seed}", *shown, *logs]))
+
+
+def _entry(name: str, address: str) -> Entry:
+    return {
+        "instanceId": name, "hostPort": address, "zone": "a", "machineType": "small", "cell": 1,
+        "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0,
+    }  # fmt: skip
+
+
+def _text(address: tuple[str, int]) -> str:
+    return f"{address[0]}:{address[1]}"
--- /dev/null
+++ b/tests/test_outbox_processes.py
@@ -0,0 +1,203 @@
+"""Writes kept by edges and brought upstream, in real processes under faults. Servers count what took
+effect, in which order; the checker's rules are at the head of `woadyard.testing.processes.kept`.
+
+Where a replay must still be out at a fault, a server holds its answer: what a test brings about then comes
+between the effect and the answer however slow the machine is."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from tests.outboxing import Chain, Client, Node, play
+from woadyard.testing.processes.kept import (
+    ANOTHER_KEY,
+    DONE_NOT_RUN,
+    GIVEN_UP_AND_RUN,
+    INVENTED,
+    NO_REASON,
+    NOT_BROUGHT,
+    NOT_OVER,
+    OUT_OF_ORDER,
+    REFUSED_AND_RUN,
+    RUN_TWICE,
+    Came,
+    Ended,
+    Judged,
+    Kept,
+    KeptEvent,
+    LostEdge,
+    Stands,
+    Wrote,
+    check_kept,
+)
+
+# --- The checker ----------------------------------------------------------------------------
+
+
+def sound() -> list[KeptEvent]:
+    """Album, photo and order, kept at two edges and brought in their order; a mail that stands parked."""
+    return [
+        Wrote(1, "album", "k-album", b"a"),
+        Kept(2, "album", "edge-0"),
+        Wrote(3, "photo", "k-photo", b"p", frozenset(("album",))),
+        Kept(4, "photo", "edge-1"),
+        Wrote(5, "order", None, b"o", frozenset(("photo",))),
+        Kept(6, "order", "edge-1"),
+        Wrote(7, "mail", None, b"m"),
+        Kept(8, "mail", "edge-0"),
+        Wrote(9, "late", None, b"l"),
+        Ended(10, "late", 503),
+        Came(11, "album", "k-album", b"a"),
+        Came(12, "photo", "k-photo", b"p"),
+        Came(13, "photo", "k-photo", b"p", ran=False),
+        Came(14, "order", None, b"o"),
+        Stands("album", "done"),
+        Stands("photo", "done"),
+        Stands("order", "done"),
+        Stands("mail", "parked", "it was kept for too long"),
+    ]
+
+
+def swap(events: list[KeptEvent], old: KeptEvent, *new: KeptEvent) -> None:
+    at = events.index(old)
+    events[at : at + 1] = new
+
+
+ALBUM, PHOTO, ORDER = (
+    Came(11, "album", "k-album", b"a"),
+    Came(12, "photo", "k-photo", b"p"),
+    Came(14, "order", None, b"o"),
+)
+MAIL = Stands("mail", "parked", "it was kept for too long")
+
+FAULTS: dict[str, tuple[str, Callable[[list[KeptEvent]], None]]] = {
+    "a kept write is forgotten": (NOT_BROUGHT, lambda e: e.remove(MAIL)),
+    "a kept write stays on its way": (NOT_OVER, lambda e: swap(e, MAIL, Stands("mail", "out"))),
+    "a lost answer is sent again": (RUN_TWICE, lambda e: e.append(Came(15, "order", None, b"o"))),
+    "a key takes effect twice": (RUN_TWICE, lambda e: e.append(Came(15, "photo", "k-photo", b"p"))),
+    "a key takes effect as two writes": (
+        RUN_TWICE,
+        lambda e: e.extend([Wrote(15, "copy", "k-photo", b"p"), Came(16, "copy", "k-photo", b"p")]),
+    ),
+    "a follower goes first": (OUT_OF_ORDER, lambda e: swap(e, ORDER, Came(10, "order", None, b"o"))),
+    "a follower goes before what its cause follows": (
+        OUT_OF_ORDER,
+        lambda e: swap(e, ALBUM, Came(15, "album", "k-album", b"a")),
+    ),
+    "a follower of a parked write goes": (
+        OUT_OF_ORDER,
+        lambda e: e.extend(
+            [Wrote(15, "after", None, b"", frozenset(("mail",))), Came(16, "after", None, b"")]
+        ),
+    ),
+    "a write is made up": (INVENTED, lambda e: e.append(Came(15, "nobody's", None, b""))),
+    "a write comes before it is asked for": (
+        INVENTED,
+        lambda e: swap(e, ORDER, Came(4, "order", None, b"o")),
+    ),
+    "a body is another one": (INVENTED, lambda e: swap(e, ORDER, Came(14, "order", None, b"p"))),
+    "a repeat comes under another key": (
+        ANOTHER_KEY,
+        lambda e: e.append(Came(15, "photo", "k-2", b"p", ran=False)),
+    ),
+    "a keyed write comes without its key": (
+        ANOTHER_KEY,
+        lambda e: swap(e, PHOTO, Came(12, "photo", None, b"p")),
+    ),
+    "what was refused has run": (REFUSED_AND_RUN, lambda e: e.append(Came(15, "late", None, b"l"))),
+    "a parked write tells no reason": (NO_REASON, lambda e: swap(e, MAIL, Stands("mail", "parked"))),
+    "what is told done ran nowhere": (DONE_NOT_RUN, lambda e: swap(e, MAIL, Stands("mail", "done"))),
+    "what was given up runs": (
+        GIVEN_UP_AND_RUN,
+        lambda e: e.extend([Judged(15, "mail", "give_up"), Came(16, "mail", None, b"m")]),
+    ),
+}  # fmt: skip
+
+
+def test_a_sound_history_breaks_no_rule() -> None:
+    assert check_kept(sound()) == []
+    lost = [one for one in sound() if one not in (ALBUM, Stands("album", "done"))]
+    assert {one.name for one in check_kept(lost)} == {NOT_BROUGHT, OUT_OF_ORDER}
+    assert check_kept([*lost, LostEdge(20, "edge-0")]) == []
+    assert check_kept([*lost, Judged(20, "album", "ran"), Stands("album", "done")]) == []
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_a_faulty_history_breaks_the_rule_that_it_is_made_for(fault: str) -> None:
+    name, spoil = FAULTS[fault]
+    events = sound()
+    spoil(events)
+    assert name in {one.name for one in check_kept(events)}
+
+
+# --- Edges before servers -------------------------------------------------------------------
+
+
+def test_three_edges_are_cut_off_and_killed_and_bring_all_that_they_kept(tmp_path: Path) -> None:
+    """Each with a client of its own; they are killed in the midst of their replays, with answers lost."""
+
+    async def main() -> None:
+        async with Chain(tmp_path, copies=0) as chain:
+            clients = [chain.client(f"c{n}") for n in range(3)]
+            for node, client in zip(chain.edges, clients, strict=True):
+                assert await client.bring(node, f"{client.name}-live", "pay") == 200
+                node.refuse()
+            await asyncio.gather(
+                *(wedding(client, node) for client, node in zip(clients, chain.edges, strict=True))
+            )
+            chain.ledger.lose("c0-p1", 2)
+            chain.ledger.hold("c1-order")
+            chain.ledger.hold("c2-p0")
+            for node in chain.edges:
+                await node.admit()
+            await chain.ledger.until_ran("c0-order", "c1-order", "c2-p0")
+            await asyncio.gather(*(node.kill() for node in chain.edges))
+            for write in ("c1-order", "c2-p0"):
+                chain.ledger.let_go(write)
+            await asyncio.gather(*(node.start() for node in chain.edges))
+            found = await chain.settle()
+            parked = {name for name, state in found.items() if state == "parked"}
+            assert "c1-order" in parked and parked <= {"c0-order", "c0-mail", "c1-order", "c1-mail"}
+            assert chain.ledger.came["c2-p0"] >= 2
+            chain.check()
+
+    play(main())
+
+
+async def wedding(client: Client, node: Node) -> None:
+    """An album, its photos, their order, and a mail about it."""
+    name = client.name
+    await client.keep(node, f"{name}-album")
+    for n in range(3):
+        await client.keep(node, f"{name}-p{n}", size=n * 70_000)
+    await client.keep(node, f"{name}-order", "pay")
+    await client.keep(node, f"{name}-mail")
+
+
+def test_a_link_that_flaps_under_writes(tmp_path: Path) -> None:
+    """Drawn by the seed: refused, silent or open at each write."""
+
+    async def main() -> None:
+        async with Chain(tmp_path, edges=1, copies=0, seed=7) as chain:
+            (node,) = chain.edges
+            client = chain.client("anna")
+            for n in range(12):
+                match chain.draw.choice(("refused", "open", "answers lost")):
+                    case "refused":
+                        node.refuse()
+                    case "open":
+                        await node.admit()
+                    case "answers lost":
+                        await node.admit()
+                        chain.ledger.lose(f"w{n}")
+                await client.write(node, f"w{n}", chain.draw.choice(("put", "pay")))
+            await node.admit()
+            await chain.settle()
+            assert {one.name for one in chain.writes} and chain.ledger.order
+            chain.check()
+
+    play(main())
--- a/woadyard/testing/processes/tier.py
+++ b/woadyard/testing/processes/tier.py
@@ -136,7 +136,7 @@
             self.lists.append(lists)
             self._stack.callback(lists.close)
             await lists.open()
-        self.datagrams = DatagramRelay([(HOST, _free_udp()) for _ in self.programs], self.seed)
+        self.datagrams = DatagramRelay([(HOST, free_udp()) for _ in self.programs], self.seed)
         self._stack.callback(self.datagrams.close)
         await self.datagrams.start()
         for program in self.programs:
@@ -417,7 +417,7 @@
     return int(name.removeprefix("s-"))
 
 
-def _free_udp() -> int:
+def free_udp() -> int:
     """A port for a process's datagrams, below those that systems give out."""
     while True:
         port = free_port()
