Show nine faulty programs to the checker of kept writes, each found by its rule

Need: made histories prove the checker alone, not that the processes' history reaches it whole. Nine edges run at once, each with one fault put in; a repeat, a lost write and a wrong order are told by name.

--- /dev/null
+++ b/tests/faulty_outbox.py
@@ -0,0 +1,121 @@
+"""The program with a fault in its outbox, which a checker must find: `python -m tests.faulty_outbox FAULT
+run ...`."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from woadyard.engine.call import Answer, Call, Ending
+from woadyard.outbox import driver, replay
+from woadyard.outbox.dots import Dot
+from woadyard.outbox.driver import OutboxDriver
+from woadyard.outbox.journal import KeptWrite, Verdict
+from woadyard.outbox.outbox import Outbox
+from woadyard.outbox.receipts import Receipt, show
+from woadyard.outbox.terms import Change, End, Offer, Ticket
+
+
+def forgets() -> None:
+    """What earlier lives kept."""
+    real = Outbox.restore
+
+    def restore(self: Outbox, writes: Any, *more: Any) -> list[Change]:
+        return real(self, [], *more)
+
+    Outbox.restore = restore  # type: ignore[method-assign,assignment]
+
+
+def sends_again() -> None:
+    """An unsafe write whose answer was lost."""
+    real = Outbox.ended
+
+    def ended(self: Outbox, dot: Dot, end: End, *more: Any) -> Change:
+        return real(self, dot, End.NOT_RUN if end is End.MAY_HAVE_RUN else end, *more)
+
+    Outbox.ended = ended  # type: ignore[method-assign,assignment]
+
+
+def goes_first() -> None:
+    """What came last, whatever it follows."""
+    real = Outbox.offer
+
+    def offer(self: Outbox, one: Offer, *more: Any) -> Ticket:
+        return real(self, alone(one), *more)
+
+    def alone(one: Offer) -> Offer:
+        return Offer(one.cls, one.start, one.headers, one.size, one.digest, one.key, tenant=one.tenant)
+
+    Outbox.offer = offer  # type: ignore[method-assign,assignment]
+    replay.Turns.next = lambda self: self._ready.pop()  # type: ignore[method-assign]
+
+
+def _replays(change: Callable[[KeptWrite, bytes], tuple[KeptWrite, bytes]]) -> None:
+    real = OutboxDriver._call
+
+    def call(self: OutboxDriver, write: KeptWrite, body: bytes, *more: Any) -> Call:
+        return real(self, *change(write, body), *more)
+
+    OutboxDriver._call = call  # type: ignore[method-assign,assignment]
+
+
+def drops_the_key() -> None:
+    def change(write: KeptWrite, body: bytes) -> tuple[KeptWrite, bytes]:
+        headers = tuple(one for one in write.headers if one[0] != b"idempotency-key")
+        return msgspec.structs.replace(write, headers=headers), body
+
+    _replays(change)
+
+
+def garbles_the_body() -> None:
+    _replays(lambda write, body: (write, bytes(len(body))))
+
+
+def refuses_what_it_keeps() -> None:
+    OutboxDriver._kept = lambda self, dot: Answer(Ending.REFUSED, 503)  # type: ignore[method-assign]
+
+
+def sends_nothing() -> None:
+    async def send(self: OutboxDriver, dot: Dot, *more: Any) -> None:
+        await self._end(dot, End.ANSWERED, Answer(Ending.SERVED, 200))
+
+    OutboxDriver._send = send  # type: ignore[method-assign]
+
+
+def tells_no_reason() -> None:
+    def told(receipt: Receipt) -> bytes:
+        return msgspec.json.encode({**msgspec.json.decode(show(receipt)), "reason": ""})
+
+    driver.show = told  # type: ignore[attr-defined]
+
+
+def runs_what_is_given_up() -> None:
+    real = OutboxDriver.judge
+
+    def judge(self: OutboxDriver, text: str, parking: int, verdict: Verdict) -> bool:
+        return real(self, text, parking, Verdict.NEVER_RAN)
+
+    OutboxDriver.judge = judge  # type: ignore[method-assign]
+
+
+FAULTS = {
+    one.__name__: one
+    for one in (
+        forgets, sends_again, goes_first, drops_the_key, garbles_the_body, refuses_what_it_keeps,
+        sends_nothing, tells_no_reason, runs_what_is_given_up,
+    )
+}  # fmt: skip
+
+
+def main() -> int:
+    FAULTS[sys.argv[1]]()
+    from woadyard.__main__ import main as program
+
+    return program(sys.argv[2:])
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/outboxing.py
+++ b/tests/outboxing.py
@@ -61,6 +61,7 @@
     "zones": ["a"], "kinds": ["small"], "discovery": "push", "stage": 1,
 }  # fmt: skip
 ACCORD: Final[dict[str, Any]] = {"heartbeat_ms": 50, "election_ms": 200}
+FORGOTTEN: Final = "forgotten"  # for the checker: no state that a receipt may tell
 CLASSES: Final = [
     {"name": "put", "keep": "keyed", "window_s": 86_400},
     {"name": "pay", "keep": "unsafe"},
@@ -440,7 +441,9 @@
             return None
         finally:
             writer.close()
-        assert message.status in (200, 503), (write, message.status, message.body)
+        assert message.status in (200, 404, 503), (write, message.status, message.body)
+        if message.status == 404:
+            return {"state": FORGOTTEN}
         return json.loads(message.body) if message.status == 200 else None
 
     async def until(self, write: Write, *states: str) -> Any:
@@ -489,7 +492,7 @@
         gone, found = set(but), {}
         for write in self.writes:
             if write.edge not in gone:
-                told = await self.until(write, *OVER)
+                told = await self.until(write, *OVER, FORGOTTEN)
                 found[write.name] = told["state"]
                 self.kept.append(Stands(write.name, told["state"], told.get("reason", "")))
         return found
--- a/tests/test_outbox_processes.py
+++ b/tests/test_outbox_processes.py
@@ -134,6 +134,49 @@
     assert name in {one.name for one in check_kept(events)}
 
 
+FAULTY = {
+    "forgets": NOT_BROUGHT,
+    "sends_again": RUN_TWICE,
+    "goes_first": OUT_OF_ORDER,
+    "drops_the_key": ANOTHER_KEY,
+    "garbles_the_body": INVENTED,
+    "refuses_what_it_keeps": REFUSED_AND_RUN,
+    "sends_nothing": DONE_NOT_RUN,
+    "tells_no_reason": NO_REASON,
+    "runs_what_is_given_up": GIVEN_UP_AND_RUN,
+}
+
+
+def test_faulty_programs_are_found(tmp_path: Path) -> None:
+    """Each of these edges has one fault, and a client and writes of its own."""
+
+    async def main() -> None:
+        begin = {f"edge-{n}": ("-m", "tests.faulty_outbox", fault) for n, fault in enumerate(FAULTY)}
+        async with Chain(tmp_path, edges=len(FAULTY), copies=0, begin=begin) as chain:
+            for node, fault in zip(chain.edges, FAULTY, strict=True):
+                node.refuse()
+                client = chain.client(fault)
+                await client.write(node, f"{fault}-album")
+                await client.write(node, f"{fault}-order", "pay")
+                if fault in ("sends_again", "tells_no_reason", "runs_what_is_given_up"):
+                    chain.ledger.lose(f"{fault}-order")
+            first = chain.edges[0]
+            await first.kill()
+            await first.start()
+            for node in chain.edges:
+                await node.admit()
+            given_up = next(one for one in chain.writes if one.name == "runs_what_is_given_up-order")
+            told = await chain.until(given_up, "parked")
+            assert await chain.judge(given_up, "give_up", told["parking"]) == 202
+            await chain.ledger.until_ran("refuses_what_it_keeps-order")
+            await chain.settle()
+            found = check_kept(chain.kept)
+            for fault, name in FAULTY.items():
+                assert name in {one.name for one in found if one.subject.startswith(fault)}, (fault, found)
+
+    play(main())
+
+
 # --- Edges before servers -------------------------------------------------------------------
 
 
--- a/woadyard/testing/processes/relays.py
+++ b/woadyard/testing/processes/relays.py
@@ -163,6 +163,7 @@
     def __init__(self, near: Writer, far: Writer) -> None:
         self.near, self.far = near, far
         self.passed_back = 0  # bytes that were handed to the process's system
+        self.waiting = b""  # what the server has sent and a cut keeps
 
     @property
     def far_port(self) -> int:
@@ -313,7 +314,9 @@
         near = connection.near
         with contextlib.suppress(OSError):
             while data := await reader.read(1 << 16):
+                connection.waiting = data
                 await self.back.pass_on()
+                connection.waiting = b""
                 near.write(data)
                 await near.drain()
                 connection.passed_back += len(data)
