--- a/woadyard/testing/processes/__init__.py
+++ b/woadyard/testing/processes/__init__.py
@@ -34,8 +34,9 @@
 `tier.note_clear(endpoint)` begins the time in which nobody may send there, `note_back` ends it. The
 rules are at the head of `history`. What a test draws it draws from `tier.draw`, so from `seed`.
 
-Writes that edges keep and bring upstream have a history and rules of their own, at the head of `kept`: a test
-notes what clients were told, what servers were sent and how receipts stand; `check_kept` gives what was broken.
+Writes that edges keep and bring upstream have a history and rules of their own, at the head of `kept`: a
+test notes what clients were told, what servers were sent and how receipts stand; `check_kept` gives what
+was broken.
 """
 
 from woadyard.testing.processes.faults import Parcel, Way, Ways, Weather
