Give copies upstream the outbox table that sharing needs

Cause: the rig's copies had `shared` alone, while the settings ask for store, edge and classes too. Change: one table serves both. Nothing measured.

--- a/tests/outboxing.py
+++ b/tests/outboxing.py
@@ -381,17 +381,20 @@
         host, port = self.datagrams.real[number]
         peers = {"peer_listen": f"{host}:{port}", "peers": self.datagrams.peers_of(number)}
         platform = self._platform(node, {"me": number, "instances": self._counts[1]})
-        outbox = {"shared": True, "secret_file": str(self._secret)}
+        outbox = {**self._table(node), "shared": True}
         accord = {**ACCORD, "seats": self._counts[1], "store_path": str(node.folder / "accord")}
         node.program.write({**platform, **peers}, {"accord": accord, "outbox": outbox})
 
     def _write_edge(self, node: Node) -> None:
-        table = {
+        upstream = {"upstream": "copies"} if self._counts[1] else {}
+        table = {**self._table(node), **upstream, **self._outbox}
+        node.program.write(self._platform(node, {}), {"outbox": table})
+
+    def _table(self, node: Node) -> dict[str, Any]:
+        return {
             "store_path": str(node.store), "edge": node.name, "secret_file": str(self._secret),
             "cut_ms": 100, "back_ms": 10, "classes": CLASSES,
-            **({"upstream": "copies"} if self._counts[1] else {}), **self._outbox,
         }  # fmt: skip
-        node.program.write(self._platform(node, {}), {"outbox": table})
 
     async def twin(self, edge: Node) -> Node:
         """Another process on a copy of the edge's disk, which must not be in use. Not started."""
