--- a/tests/test_outbox_processes.py
+++ b/tests/test_outbox_processes.py
@@ -13,6 +13,7 @@
 import pytest
 
 from tests.outboxing import Chain, Client, Node, play
+from woadyard.testing.processes import until
 from woadyard.testing.processes.kept import (
     ANOTHER_KEY,
     DONE_NOT_RUN,
@@ -244,3 +245,309 @@
             chain.check()
 
     play(main())
+
+
+# --- Edges, copies and servers --------------------------------------------------------------
+
+
+async def days(chain: Chain) -> list[Client]:
+    """All links down: each edge has a wedding, and its client walks on to the next edge and writes there."""
+    for node in chain.edges:
+        node.refuse()
+    clients = [chain.client(f"c{n}") for n in range(len(chain.edges))]
+
+    async def day(at: int) -> None:
+        client, here = clients[at], chain.edges[at]
+        there = chain.edges[(at + 1) % len(chain.edges)]
+        await wedding(client, here)
+        await client.keep(there, f"{client.name}-roam")
+        await client.keep(there, f"{client.name}-print", "pay")
+
+    await asyncio.gather(*(day(at) for at in range(len(clients))))
+    return clients
+
+
+async def admit(chain: Chain) -> None:
+    for node in chain.edges:
+        await node.admit()
+
+
+PER_CLIENT = 8  # writes of `days`
+
+
+def test_what_roams_waits_for_its_causes_at_other_edges_and_upstream(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with Chain(tmp_path) as chain:
+            clients = await days(chain)
+            # Straight upstream, with a token of what is kept at an edge.
+            await clients[0].keep(chain.copies[0], "c0-last")
+            await chain.edges[1].admit()
+            await chain.ledger.until_ran(*(f"c1-{what}" for what in ("album", "order", "mail")))
+            assert not {"c0-roam", "c0-print", "c0-last", "c1-roam"} & set(chain.ledger.order)
+            await chain.edges[0].admit()
+            await chain.ledger.until_ran("c0-print", "c2-roam") if False else None
+            await chain.edges[2].admit()
+            assert set((await chain.settle()).values()) == {"done"}
+            assert len(chain.ledger.order) == 3 * PER_CLIENT + 1
+            chain.check()
+
+    play(main())
+
+
+def test_edges_are_killed_at_their_replays(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with Chain(tmp_path) as chain:
+            await days(chain)
+            chain.ledger.hold("c0-order")
+            chain.ledger.hold("c1-p1")
+            await admit(chain)
+            await chain.ledger.until_ran("c0-order", "c1-p1", "c2-p0")
+            for node in chain.edges:
+                await node.kill()
+            chain.ledger.let_go("c0-order")
+            chain.ledger.let_go("c1-p1")
+            await asyncio.gather(*(node.start() for node in chain.edges))
+            await chain.settle()
+            chain.check()
+
+    play(main())
+
+
+def test_copies_are_killed_one_by_one_in_a_replay(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with Chain(tmp_path) as chain:
+            await days(chain)
+            await admit(chain)
+            for turn, copy in enumerate(chain.copies):
+                await chain.ledger.until_came(2 + 4 * turn)
+                await copy.kill()
+                await copy.start()
+            await chain.settle()
+            chain.check()
+
+    play(main())
+
+
+def test_all_copies_are_killed_at_once_in_a_replay(tmp_path: Path) -> None:
+    """What was in before is in after it; what was begun is not sent twice."""
+
+    async def main() -> None:
+        async with Chain(tmp_path) as chain:
+            await days(chain)
+            chain.ledger.hold("c0-order")
+            await admit(chain)
+            await chain.ledger.until_ran("c0-order")
+            await asyncio.gather(*(copy.kill() for copy in chain.copies))
+            chain.ledger.let_go("c0-order")
+            await asyncio.gather(*(copy.start() for copy in chain.copies))
+            found = await chain.settle()
+            assert found["c0-order"] == "parked" and found["c0-album"] == "done"
+            chain.check()
+
+    play(main())
+
+
+def test_copies_are_parted_in_a_replay(tmp_path: Path) -> None:
+    """Two and one, then all apart, then whole: apart nothing new is granted."""
+
+    async def main() -> None:
+        async with Chain(tmp_path) as chain:
+            await days(chain)
+            chain.cut([0], [1, 2])
+            await admit(chain)
+            await chain.ledger.until_came(6)
+            chain.cut([0, 1, 2], [0, 1, 2])
+            await asyncio.gather(*(until_apart(copy) for copy in chain.copies))
+            granted = len(chain.ledger.order)
+            live = await chain.client("otto").write(chain.copies[0], "live", session=False)
+            assert live is not None and live.status == 200  # what follows nothing is served
+            assert len(chain.ledger.order) == granted + 1
+            chain.heal()
+            await chain.settle()
+            chain.check()
+
+    play(main())
+
+
+async def until_apart(copy: Node) -> None:
+    async def look() -> bool:
+        return not (await copy.state())["shared"]["ready"]
+
+    await until(look, f"{copy.name} out of touch")
+
+
+async def until_answers_wait(node: Node, *writes: str) -> None:
+    """What the copies answer to these is kept by a cut."""
+
+    async def look() -> bool:
+        kept = [one.waiting for link in node.links for one in link.connections]
+        return all(any(data.endswith(write.encode()) for data in kept) for write in writes)
+
+    await until(look, f"answers to {writes} on their way")
+
+
+def test_answers_that_are_lost_on_their_way_back(tmp_path: Path) -> None:
+    """Between copy and edge the record tells; between server and copy a keyed one comes again under its
+    key, and an unsafe one is parked."""
+
+    async def main() -> None:
+        async with Chain(tmp_path, edges=1) as chain:
+            (node,) = chain.edges
+            node.refuse()
+            client = chain.client("anna")
+            near = [await client.keep(node, f"near-{cls}", cls, session=False) for cls in ("put", "pay")]
+            far = [await client.keep(node, f"far-{cls}", cls, session=False) for cls in ("put", "pay")]
+            chain.ledger.lose("far-put")
+            chain.ledger.lose("far-pay")
+            for one in near:
+                chain.ledger.hold(one.name)
+            await node.admit()
+            await chain.ledger.until_ran(*(one.name for one in near))
+            for link in node.links:
+                link.cut("back")
+            for one in near:
+                chain.ledger.let_go(one.name)
+            await until_answers_wait(node, *(one.name for one in near))
+            for link in node.links:
+                link.reset()
+                link.heal()
+            found = await chain.settle()
+            assert found == {"near-put": "done", "near-pay": "done", "far-put": "done", "far-pay": "parked"}
+            assert far and chain.ledger.came["near-pay"] == chain.ledger.came["far-pay"] == 1
+            chain.check()
+
+    play(main())
+
+
+def test_of_two_processes_on_copies_of_a_disk_one_replays(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with Chain(tmp_path) as chain:
+            await days(chain)
+            edge = chain.edges[0]
+            await edge.kill()
+            twin = await chain.twin(edge)
+            await asyncio.gather(edge.start(), twin.start())
+            await admit(chain)
+            stands = await chain.settle()
+            assert chain.ledger.order.count("c0-order") == 1
+            del stands
+            chain.check()
+
+    play(main())
+
+
+def test_an_order_follows_an_upload_at_an_edge_that_comes_back(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with Chain(tmp_path, edges=2) as chain:
+            first, second = chain.edges
+            for node in chain.edges:
+                node.refuse()
+            client = chain.client("anna")
+            await client.keep(second, "upload")
+            order = await client.keep(first, "order", "pay")
+            other = await chain.client("otto").keep(first, "other")
+            await second.kill()
+            await first.admit()
+            await chain.until(other, "done")
+            assert (await chain.receipt(order))["state"] == "kept"
+            await second.admit()
+            await second.start()
+            assert await chain.settle() == {"upload": "done", "order": "done", "other": "done"}
+            chain.check()
+
+    play(main())
+
+
+@pytest.mark.parametrize("lost", ["park", "release"])
+def test_an_order_follows_an_upload_at_an_edge_that_is_lost(tmp_path: Path, lost: str) -> None:
+    """Said at two copies at once."""
+
+    async def main() -> None:
+        async with Chain(tmp_path, edges=2, outbox={"lost": lost}) as chain:
+            first, second = chain.edges
+            for node in chain.edges:
+                node.refuse()
+            client = chain.client("anna")
+            await client.keep(second, "upload")
+            order = await client.keep(first, "order", "pay")
+            await second.kill()
+            await first.admit()
+            await asyncio.gather(*(chain.declare_lost(second.name, copy) for copy in chain.copies[:2]))
+            told = await chain.until(order, "parked" if lost == "park" else "done")
+            assert lost == "release" or told["verdicts"]
+            await second.admit()
+            await second.start()  # it was not lost after all: refused from then on
+            found = await chain.settle()
+            assert found["upload"] == "parked" and "upload" not in chain.ledger.order
+            chain.check()
+
+    play(main())
+
+
+def test_a_verdict_is_given_on_two_processes_at_once(tmp_path: Path) -> None:
+    """An order may have run, its disk was copied, and both are told that it never ran: one more run at most."""
+
+    async def main() -> None:
+        async with Chain(tmp_path, edges=1) as chain:
+            (edge,) = chain.edges
+            edge.refuse()
+            order = await chain.client("anna").keep(edge, "order", "pay")
+            chain.ledger.lose("order")
+            await edge.admit()
+            told = await chain.until(order, "parked")
+            await edge.kill()
+            twin = await chain.twin(edge)
+            await asyncio.gather(edge.start(), twin.start())
+            await asyncio.gather(
+                *(chain.judge(order, "never_ran", told["parking"], node) for node in (edge, twin))
+            )
+            await chain.settle()
+            assert chain.ledger.came["order"] <= 2
+
+    play(main())
+
+
+def test_a_copy_is_replaced_in_a_replay(tmp_path: Path) -> None:
+    """By stop and start, one after the other."""
+
+    async def main() -> None:
+        async with Chain(tmp_path) as chain:
+            await days(chain)
+            await admit(chain)
+            for turn, copy in enumerate(chain.copies):
+                await chain.ledger.until_came(2 + 4 * turn)
+                assert await copy.program.stop() == 0
+                await copy.start()
+            found = await chain.settle()
+            assert found["c0-album"] == "done"
+            chain.check()
+
+    play(main())
+
+
+def test_links_that_flap_under_a_replay_and_writes(tmp_path: Path) -> None:
+    """Drawn by the seed: a link of an edge is refused, silent or reset, and back, under each write."""
+
+    async def main() -> None:
+        async with Chain(tmp_path, seed=5) as chain:
+            clients = await days(chain)
+            await admit(chain)
+            for n in range(9):
+                edge = chain.draw.choice(chain.edges)
+                match chain.draw.choice(("refuse", "reset", "silent")):
+                    case "refuse":
+                        edge.refuse()
+                    case "reset":
+                        for link in edge.links:
+                            link.reset()
+                    case "silent":
+                        for link in edge.links:
+                            link.cut("back")
+                await chain.draw.choice(clients).write(edge, f"flap-{n}", chain.draw.choice(("put", "pay")))
+                for link in edge.links:
+                    link.heal()
+                await edge.admit()
+            await chain.settle()
+            chain.check()
+
+    play(main())
