--- a/woadyard/testing/processes/kept.py
+++ b/woadyard/testing/processes/kept.py
@@ -5,8 +5,9 @@
 however often it tries. `Stands` is what its receipt says when all faults are healed and nothing moves any
 more. Each violation names the write:
 
-1. `not brought`: a write told as kept took effect, or stands parked, or was ended by an operator, or was at
-   an edge that one declared lost. `not over`: it stands in a state that ends.
+1. `not brought`: a write told as kept took effect, or stands parked or waits behind one that does, or was
+   ended by an operator, or was at an edge that one declared lost. `not over`: it stands in a state that ends,
+   or so behind another.
 2. `run twice`: no write takes effect twice; nor does a key.
 3. `out of order`: for all a before b: b takes effect after a. b follows a if its client was told of a (kept,
    or served) before it asked for b and named it, or something that follows it. What an operator ended (it
@@ -103,11 +104,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Stands:
-    """What its receipt says in the end."""
+    """What its receipt says in the end. `behind`: the write that it waits for, at another edge."""
 
     write: str
     state: str
     reason: str = ""
+    behind: str = ""
 
 
 KeptEvent = Wrote | Kept | Ended | Came | Judged | LostEdge | Stands
@@ -164,14 +166,24 @@
         for write, kept in self.kept.items():
             stands = self.stands.get(write, ())
             for one in stands:
-                if one.state not in OVER:
+                if one.state not in OVER and not self._parked(write):
                     yield _broken(NOT_OVER, write, f"it stands {one.state}")
-            parked = any(one.state == "parked" for one in stands)
-            if not (self.ran.get(write) or parked or self._ended(write)):
+            if not (self.ran.get(write) or self._parked(write) or self._ended(write)):
                 states = ", ".join(one.state for one in stands) or "nothing is told of it"
                 where = ", ".join(one.edge for one in kept)
                 yield _broken(NOT_BROUGHT, write, f"kept at {where}; {states}")
 
+    def _parked(self, write: str) -> bool:
+        """Itself, or what it waits for."""
+        seen: set[str] = set()
+        while write and write not in seen:
+            seen.add(write)
+            stands = self.stands.get(write, ())
+            if any(one.state == "parked" for one in stands):
+                return True
+            write = next((one.behind for one in stands), "")
+        return False
+
     def _twice(self) -> Iterator[Violation]:
         """Rule 2."""
         for write, times in self.ran.items():
