Ask upstream's copies also while cut off: nothing else may be there to see the link by

Cause: a parked write whose fate alone was wanted, or one that follows a foreign write, sends nothing; a quiet edge then stayed cut off after its link was back, and asked nothing. Measured: an unsafe write whose answer was lost between copy and edge stood parked for 20 s and on, though the record had it in; now it is done with the next ask. Asks keep their own pause, up to 8 s.

--- a/woadyard/outbox/shared/asking.py
+++ b/woadyard/outbox/shared/asking.py
@@ -177,10 +177,11 @@
     # --- Asking -----------------------------------------------------------------------
 
     def turn(self) -> None:
-        """Once a second, and when something has happened."""
+        """Once a second, and when something has happened. Also while cut off: what waits for others' writes
+        or for a fate alone sends nothing else by which a link that is back could be seen."""
         driver = self.driver
         self.remote.follow(self.outbox.followed())
-        if driver.cutoff.off or driver.closing or driver.engine is None:
+        if driver.closing or driver.engine is None:
             return
         if self.unnamed and not self.naming:
             self.naming = True
