Test at the engine which uploads a keeper is offered, and how long one in hand has

Cause: of ten faults put into the keeping of bodies, one (a begun upload offered to the keeper) was found by no test. Change: two tests at the engine.

--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -8,6 +8,7 @@
 
 from tests.fakes import Answers, ManualClock, PlayedUpstream, Sent, entry
 from woadyard.engine import Answer, Call, Ending, Engine
+from woadyard.engine.flow import Flow
 from woadyard.engine.given import GivenMembers
 from woadyard.engine.names import Names
 from woadyard.engine.ports import Recorded
@@ -146,3 +147,39 @@
     world.engine.settle(late, Answer(Ending.SERVED, 202))
     world.engine.admit(late)
     assert world.told == [504] and not world.sent and not world.engine.calls
+
+
+class Coming:
+    """The source of an upload of which more is to come."""
+
+    def hold(self) -> None: ...
+
+    def go_on(self) -> None: ...
+
+    def unwanted(self) -> None: ...
+
+
+@pytest.mark.parametrize("begun", [False, True])
+def test_an_upload_is_offered_unless_an_endpoint_had_its_beginning(begun: bool) -> None:
+    world = World(Notes())
+    call = Call(0, world.clock.now() + 2_000_000, b"POST /pay", b"", b"", world.front, b"r1")
+    call.upload = Flow(Coming(), 100_000)
+    world.engine.take(call)
+    world.play(False, RESET, written=begun)
+    world.clock.advance(5_000_000)
+    assert [each for each, _ in world.keeper.asked] == ([] if begun else [call])
+    assert len(world.told) == 1 and world.keeper.gone == ([] if begun else [call])
+
+
+def test_an_upload_in_hand_has_its_time_from_its_last_byte_and_the_module_hears_nothing_of_it() -> None:
+    world = World(Notes(first=True))
+    call = Call(0, world.clock.now() + 600_000_000, b"POST /pay", b"", b"", world.front, b"r1")
+    call.upload, call.span = Flow(Coming(), 100_000), 2_000_000
+    world.engine.take(call)
+    world.clock.advance(60_000_000)
+    assert world.told == [] and not world.sent
+    world.engine.whole(call)
+    world.clock.advance(1_999_999)
+    assert world.told == []
+    world.clock.advance(1)
+    assert world.told == [504] and world.keeper.gone == [call]
