--- a/tests/test_shared_own.py
+++ b/tests/test_shared_own.py
@@ -133,6 +133,20 @@
     play(test)
 
 
+def test_a_line_of_this_very_life_that_a_copy_of_its_disk_claims_is_fenced_with_one_line() -> None:
+    async def test(world: World) -> None:
+        world.begin()
+        world.sharer.land(Hold(MINE, 99, MINE.incarnation, 0))
+        await world.turn(3 * TURN_US)
+        assert not world.frontier.holds(MINE) and len(world.lines) == 1 and "fenced" in world.lines[0]
+        assert world.frontier.force(MINE)
+        await world.turn()
+        await world.land()
+        assert world.frontier.holds(MINE)
+
+    play(test)
+
+
 def test_what_becomes_of_own_writes_is_told_until_the_record_says_so() -> None:
     async def test(world: World) -> None:
         dots = [Dot(*MINE, number) for number in (1, 2, 3)]
--- a/woadyard/outbox/shared/own.py
+++ b/woadyard/outbox/shared/own.py
@@ -61,7 +61,7 @@
         self.sharer: Sharing | None = None
         self.life = 0
         self.changed: Callable[[], None] = lambda: None
-        self.claims: dict[Line, Claim] = {}  # of all former lives
+        self.claims: dict[Line, Claim] = {}  # of all lives
         self.wanted: set[Line] = set()
         self.fenced: set[Line] = set()
         self.said: dict[Cause, tuple[Dot, Fate]] = {}
@@ -76,7 +76,10 @@
         self.life = line.incarnation
         self.changed = changed
         known = tuple(one.incarnation for one in lines if one != line)
-        self.claims = {one: Claim(one, self.life, known) for one in lines if one != line}
+        self.claims = {one: Claim(one, self.life, known) for one in lines}
+        # Its own needs no claim; that another life has claimed it is to be seen.
+        self.claims[line] = Claim(line, self.life, ())
+        self.wanted.add(line)
         self._turn()
 
     def close(self) -> None:
