Tell "it never ran" only of what this life sent, and drain what is followed

Cause: on copies of one disk the word could take back a BEGIN of the other process, told again after a restart or after a claim by force: the write could then run twice. It is told by the life alone that was given it, and dropped once the line was another's; the write then comes back as one that may have run, and is judged again.

What is said of a fenced line is kept, as room allows, for when it is claimed: given up ones were lost before. The list of foreign writes followed grew where upstream is servers, as nobody read it.

--- a/tests/test_shared_edge.py
+++ b/tests/test_shared_edge.py
@@ -345,6 +345,20 @@
     assert one.record.begun(dot, 7, 6) is Begun.OPEN
 
 
+def test_that_it_never_ran_is_not_told_once_the_line_was_anothers() -> None:
+    one = Asker()
+    dot = Dot(*OWN, 1)
+    one.remote.unbegin(dot)
+    one.record.agree(one.record.claim_entry(Claim(OWN, 8, (OWN.incarnation,))))
+    one.record.agree(Begin(dot, 8, 5))  # the other process sends it
+    assert one.remote.lost(OWN)
+    one.remote.claim(OWN, (7, 8), force=True)
+    for _ in range(3):
+        one.until_still()
+        one.now += AGAIN_US
+    assert one.remote.holds(OWN) and one.record.begun(dot, 7, 6) is Begun.OTHERS
+
+
 def test_what_is_said_of_a_line_waits_until_it_is_held() -> None:
     one = Asker()
     one.remote.tell(Dot(*FORMER, 1), Fate.PARKED)
--- a/woadyard/outbox/driver.py
+++ b/woadyard/outbox/driver.py
@@ -439,7 +439,9 @@
         for change in self.outbox.due(self._now()):
             self._spawn(self._step(change))
         self._tell_over()
+        followed = self.outbox.followed()
         if self.sharing is not None:
+            self.sharing.remote.follow(followed)
             self.sharing.turn()
         if forgettable := self.outbox.forgettable(self._now()):
             self._spawn(self._forget(forgettable))
--- a/woadyard/outbox/outbox.py
+++ b/woadyard/outbox/outbox.py
@@ -474,6 +474,7 @@
         place = self._line_places.get(line, -1)
         if place >= 0 and place not in self._fenced:
             self._fenced.add(place)
+            self.release_line(line)
             self._to_fence.extend(self._rows_of(place, (State.KEPT, State.READY)))
 
     def unfence(self, line: Line) -> None:
@@ -500,6 +501,10 @@
         """`heard` is to follow."""
         self._withheld.discard(self._pack(dot))
 
+    def release_line(self, line: Line) -> None:
+        place = self._line_places.get(line, -1)
+        self._withheld = {packed for packed in self._withheld if packed >> NUMBERS != place}
+
     def unsafe(self, dot: Dot) -> bool:
         """It may be sent once, ever."""
         row = self._row(dot)
--- a/woadyard/outbox/shared/asking.py
+++ b/woadyard/outbox/shared/asking.py
@@ -5,7 +5,9 @@
 1. An ask is a request of its own through the engine, of a class that is kept, with `ASK_US` at most. Its
    answer counts only if it was sealed as the answer to this very ask.
 2. A line of a former life is claimed only once the store has this life among those that its disk has known.
-3. An operator's "it never ran" is told upstream before the write is sent again.
+3. An operator's "it never ran" is told upstream before the write is sent again. It is the word on what this
+   life sent: of a disk that was copied, another may have sent it since. So a later life does not tell it, nor
+   one whose line was another's; if the record did not hear it, the write comes back as one that may have run.
 4. A write that may have run is parked at once, so that a crash finds it so, and its fate is asked; where that
    is in, it is done.
 """
@@ -21,7 +23,7 @@
 from woadyard.outbox.causes import Cause
 from woadyard.outbox.dots import Dot, Line
 from woadyard.outbox.errors import OutboxError
-from woadyard.outbox.journal import Event, KeptWrite, State, Verdict
+from woadyard.outbox.journal import Event, KeptWrite, State
 from woadyard.outbox.shared.edge import News, RemoteFrontier, bounded
 from woadyard.outbox.shared.seal import Seal
 from woadyard.outbox.shared.terms import KEPT_HEADER, SHARED_PATH, Ask, Replayed
@@ -82,13 +84,6 @@
                 self.driver.by_gate.add(write.dot)
             elif moved.state is State.PARKED:
                 self._wonder(write.dot)
-            elif moved.verdict == Verdict.NEVER_RAN and moved.state is not State.OUT and not write.keyed:
-                self._unbegin(write.dot)
-
-    def _unbegin(self, dot: Dot) -> None:
-        """Rule 3."""
-        self.outbox.withhold(dot)
-        self.remote.unbegin(dot)
 
     def _wonder(self, dot: Dot) -> None:
         cause = Cause(*dot)
@@ -100,6 +95,7 @@
             return False
         self.holders.setdefault(line, (line.incarnation,))
         self.unnamed[line] = True
+        self.outbox.release_line(line)  # rule 3
         self.driver._wake()
         return True
 
@@ -127,7 +123,8 @@
     def before(self, change: Change) -> None:
         """A change is durable, and not applied yet."""
         if change.event is Event.NEVER_RAN and self.outbox.unsafe(change.dot):
-            self._unbegin(change.dot)
+            self.outbox.withhold(change.dot)
+            self.remote.unbegin(change.dot)
         elif change.event in (Event.ANSWERED, Event.FOUND_IN):
             self.driver.by_gate.add(change.dot)
 
@@ -179,7 +176,6 @@
     def turn(self) -> None:
         """Once a second, and when something has happened."""
         driver = self.driver
-        self.remote.follow(self.outbox.followed())
         if driver.closing or driver.engine is None:
             return
         if driver.cutoff.off:
--- a/woadyard/outbox/shared/edge.py
+++ b/woadyard/outbox/shared/edge.py
@@ -151,6 +151,7 @@
         others = list(bounded(others))
         if force:
             self._fenced.discard(line)
+            self._drop_unbegun(line)
         if line not in self._fenced:
             self._open_claims[line] = Claim(line, self.life, tuple(others), force)
             self._claims.add(line)
@@ -175,17 +176,18 @@
         self._claimed.pop(line, None)
         self._open_claims.pop(line, None)
         self._claims.drop(line)
-        for cause in [cause for cause in self._said if cause.line == line]:
-            if not self._said[cause].unbegin:  # the write waits for that
-                self._unsay(cause)
+        self._drop_unbegun(line)
+
+    def _drop_unbegun(self, line: Line) -> None:
+        """The word was on what this process sent. Another may have sent it since."""
+        for cause in [cause for cause, told in self._said.items() if told.unbegin and cause.line == line]:
+            self._unsay(cause)
 
     # --- What is to be told -----------------------------------------------------------
 
     def tell(self, dot: Dot, fate: Fate) -> bool:
         """What became of an own write: UNKNOWN if it is parked no more. False if there is no room."""
         cause = Cause(*dot)
-        if dot.line in self._fenced:
-            return True  # nobody would believe it
         if fate is Fate.IN and dot.number <= self._told_low.get(dot.line, 0):
             self._unsay(cause)
             return True
@@ -223,14 +225,15 @@
         )
 
     def _room(self, cause: Cause, fate: Fate) -> bool:
-        """Final ones make room for themselves among those parked; those given up that all know go as well."""
+        """Final ones make room for themselves among those parked, those given up that the record knows, and
+        those of a fenced line, of which it would believe nothing."""
         if cause in self._said or len(self._said) < SAID_MOST:
             return True
         if fate not in FINAL_FATES:
             return False
         for one, told in self._said.items():
             known = one not in self._untold and told.fate is Fate.GONE
-            if known or (told.fate is Fate.PARKED and not told.unbegin):
+            if known or told.fate is Fate.PARKED or one.line in self._fenced:
                 self._unsay(one)
                 return True
         return False
