Keep growing arrays from leaving holes in the heap while writes are kept

Cause: 156 bytes were allocated a kept write, 226 to 246 resident: glibc raises its mmap threshold as large blocks are freed, and grown arrays leave holes. Change: the threshold is set where the outbox is on. Ruled out: the allocator of Python.

--- a/woadyard/outbox/driver.py
+++ b/woadyard/outbox/driver.py
@@ -43,6 +43,7 @@
     UnknownWriteError,
 )
 from woadyard.outbox.journal import FINAL, Event, KeptWrite, State, Verdict
+from woadyard.outbox.memory import keep_blocks_apart
 from woadyard.outbox.options import OutboxSettings
 from woadyard.outbox.outbox import Bounds, Change, End, KeptClass, Offer, Outbox, Ticket
 from woadyard.outbox.receipts import Receipt, show
@@ -137,6 +138,7 @@
     ) -> OutboxDriver:
         """With all that earlier lives kept. `StoreError` or `OutboxError` if that can't be read, OSError
         or ValueError if the secret can't be."""
+        keep_blocks_apart()
         store = await KeptStore.open(settings.store_path, settings.max_bytes, log)
         try:
             secret = await store.secret() if not settings.secret_file else _read_secret(settings.secret_file)
