Show that due, bodies that end and sends beside live requests do what they say

Need: three changes for speed had no test of their own. Change: tests that count the rows looked at, the bodies that went, and the sends between live requests.

--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import json
+import random
 import tracemalloc
 
 import pytest
 
+from woadyard.outbox.ages import Ages
+from woadyard.outbox.aside import Aside
 from woadyard.outbox.causes import CAUSES_MOST, TOKEN_MOST, Cause, Fate, Tokens, merge
 from woadyard.outbox.cutoff import CutOff, CutOffRule
 from woadyard.outbox.dots import Dot, Line, check_edge, read_dot
@@ -41,7 +45,7 @@
 from woadyard.outbox.outbox import Bounds, Change, End, KeptClass, Offer, Outbox
 from woadyard.outbox.receipts import REASONS, Receipt, show
 from woadyard.outbox.replay import Pace, Turns
-from woadyard.outbox.rows import Places, short
+from woadyard.outbox.rows import Numbers, Places, short
 
 SECOND = 1_000_000
 HOUR = 3_600 * SECOND
@@ -672,8 +676,6 @@
 
 
 def test_places_are_found_after_any_order_of_changes() -> None:
-    import random
-
     draw, places, real = random.Random(1), Places(), dict[int, int]()
     for _ in range(20_000):
         key = draw.randrange(1, 400)
@@ -688,8 +690,6 @@
 
 
 def test_the_graph_counts_what_sticks_as_a_walk_would() -> None:
-    import random
-
     draw, graph = random.Random(2), Graph()
     nodes: list[int] = []
     for _ in range(1_000):
@@ -725,3 +725,85 @@
     finally:
         tracemalloc.stop()
     assert size / count < 200
+
+
+def test_what_is_due_costs_by_what_is_due() -> None:
+    looked: list[int] = []
+
+    class Counted(Outbox):
+        def _expired(self, row: int, now: int) -> Reason:
+            looked.append(row)
+            return super()._expired(row, now)
+
+    desk = Desk(bounds=Bounds(replay_most=1, tenant_share=1.0))
+    desk.outbox = Counted(ASH, CLASSES, desk.bounds, TOKENS, desk.known)
+    kept = [desk.keep("print" if number % 2 else "album", key=b"k%d" % number) for number in range(500)]
+    looked.clear()
+    assert len(desk.due()) == 1
+    for _ in range(10):
+        assert desk.due() == []
+    assert len(looked) < 50
+    desk.now = desk.bounds.age_us + 1
+    rounds = 0
+    while any(desk.outbox.receipt(dot).state is not State.PARKED for dot in kept[1:]):
+        desk.due()
+        rounds += 1
+    assert rounds <= 4 and desk.outbox.receipt(kept[0]).state is State.OUT
+    desk.end(kept[0], End.NOT_RUN)
+    desk.due()
+    assert desk.outbox.receipt(kept[0]).state is State.PARKED
+
+
+def test_the_oldest_of_a_class_is_first_after_any_order_of_changes() -> None:
+    draw, ages = random.Random(5), Ages(2)
+    model: list[list[int]] = [[], []]
+    free = list(range(50))
+    for _ in range(5_000):
+        cls = draw.randrange(2)
+        if draw.random() < 0.5 and free:
+            row = free.pop(draw.randrange(len(free)))
+            ages.add(cls, row)
+            model[cls].append(row)
+        elif model[cls]:
+            row = model[cls].pop(draw.randrange(len(model[cls])))
+            ages.drop(cls, row)
+            ages.drop(cls, row)  # gone already
+            free.append(row)
+        assert [ages.first(one) for one in (0, 1)] == [(rows or [-1])[0] for rows in model]
+
+
+def test_numbers_are_found_after_any_order_of_changes() -> None:
+    draw, numbers, model = random.Random(6), Numbers(), dict[int, int]()
+    for step in range(10_000):
+        name = draw.randrange(2) << 48 | draw.randrange(300)
+        if draw.random() < 0.5:
+            numbers.put(name, step)
+            model[name] = step
+        else:
+            numbers.drop(name)
+            model.pop(name, None)
+        assert numbers.get(name) == model.get(name, -1)
+    for name in model:
+        numbers.drop(name)
+    assert not numbers._pages
+
+
+def test_sends_go_one_at_a_time_and_rest_while_live_requests_come() -> None:
+    async def main() -> None:
+        aside, loop, order = Aside(), asyncio.get_running_loop(), list[str]()
+        slept: list[float] = []
+        loop.call_later = lambda delay, call: (slept.append(delay), loop.call_soon(call))  # type: ignore
+
+        async def send(name: str) -> None:
+            async with aside:
+                order.append(name)
+            loop.call_soon(order.append, "others")
+
+        await asyncio.gather(*(send(name) for name in "ab"))
+        assert order[:3] == ["a", "others", "b"] and not slept
+        aside.live = True
+        await send("c")
+        await send("d")
+        assert len(slept) == 1 and slept[0] > 0.0 and not aside.live
+
+    asyncio.run(main())
--- a/tests/test_outbox_store.py
+++ b/tests/test_outbox_store.py
@@ -13,8 +13,8 @@
 
 import pytest
 
-from woadyard.outbox.journal import KeptWrite
-from woadyard.outbox.store import FailedToKeepError, KeptStore
+from woadyard.outbox.journal import KeptWrite, Moved, State
+from woadyard.outbox.store import FailedToKeepError, KeptStore, key_of
 from woadyard.store import Disk, FolderDisk
 from woadyard.testing.contracts.outbox import Lives, WriteStoreContract, made
 from woadyard.testing.disk import SimulatedDisk
@@ -199,3 +199,51 @@
         assert found[0][0] != found[1][0] and found[0][1] == found[1][1] and len(found[0][1]) >= 16
 
     asyncio.run(main())
+
+
+def test_a_body_that_a_crash_left_behind_its_final_state_goes_in_the_next_life(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def main() -> None:
+        disk = SimulatedDisk()
+        store = await KeptStore.open(disk, MOST)
+        await store.load()
+        await store.keep(*made(1, 100_000))
+        await store.move(Moved(made(1, 0)[0].dot, State.DONE))
+        await store.close()  # before its body went
+        monkeypatch.setattr("woadyard.outbox.store.END_S", 0.0)
+        again = await KeptStore.open(disk, MOST)
+        await again.load()
+        if again._ending is not None:
+            await again._ending
+        await again.close()
+        third = await KeptStore.open(disk, MOST)
+        size = len((await third.store.get(key_of(b"k", made(1, 0)[0].dot))) or b"")
+        assert 0 < size < 1_000 and not [key for key in third.store.index.where if key[:1] == b"p"]
+        await third.close()
+
+    asyncio.run(main())
+
+
+def test_a_write_forgotten_while_its_body_goes_does_not_come_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("woadyard.outbox.store.END_S", 0.0)
+
+    async def main(turns: int) -> None:
+        disk = SimulatedDisk()
+        store = await KeptStore.open(disk, MOST)
+        await store.load()
+        write, body = made(1, 1_000)
+        await store.keep(write, body)
+        await store.move(Moved(write.dot, State.DONE))
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        assert await store.forget(write.dot, 0)
+        if store._ending is not None:
+            await store._ending
+        await store.close()
+        again = await KeptStore.open(disk, MOST)
+        assert (await again.load()).writes == []
+        await again.close()
+
+    for turns in range(12):
+        asyncio.run(main(turns))
--- a/woadyard/outbox/aside.py
+++ b/woadyard/outbox/aside.py
@@ -30,9 +30,9 @@
     async def __aexit__(
         self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
     ) -> None:
+        loop = asyncio.get_running_loop()
         if self.live:
             self.live = False
-            rest = REST * (time.perf_counter() - self._began)
-            asyncio.get_running_loop().call_later(rest, self._lock.release)
+            loop.call_later(REST * (time.perf_counter() - self._began), self._lock.release)
         else:
-            self._lock.release()
+            loop.call_soon(self._lock.release)  # the loop looks at its sockets first
