--- a/woadyard/outbox/driver.py
+++ b/woadyard/outbox/driver.py
@@ -48,6 +48,7 @@
 )
 from woadyard.outbox.frontier import Teller
 from woadyard.outbox.journal import FINAL, Event, KeptWrite, State, Verdict
+from woadyard.outbox.memory import keep_blocks_apart
 from woadyard.outbox.options import OutboxSettings
 from woadyard.outbox.outbox import Bounds, Change, End, KeptClass, Offer, Outbox, Ticket
 from woadyard.outbox.receipts import Receipt, show
@@ -158,6 +159,7 @@
     ) -> OutboxDriver:
         """With all that earlier lives kept. `StoreError` or `OutboxError` if that can't be read, OSError
         or ValueError if the secret can't be. `frontier`: that of a copy upstream which shares."""
+        keep_blocks_apart()
         store = await KeptStore.open(settings.store_path, settings.max_bytes, log)
         try:
             secret = await store.secret() if not settings.secret_file else _read_secret(settings.secret_file)
@@ -521,15 +523,18 @@
             self.log(f"outbox: {change.dot}: not written: {error}")
             self.outbox.undo(change, self._now())
             return
-        self._apply(change)
-        if change.event is Event.SEND:
+        goes = self._apply(change)
+        if change.event is Event.SEND and goes:
             await self._send(change.dot)
+        elif change.event is Event.SEND:  # the disk took longer than its window
+            await self._end(change.dot, End.NOT_RUN, Answer(Ending.FAILED, 502))
         self._wake()
 
-    def _apply(self, change: Change) -> None:
+    def _apply(self, change: Change) -> bool:
+        """False as `Outbox.apply`."""
         if self.sharing is not None:
             self.sharing.before(change)
-        self.outbox.apply(change, self._now())
+        goes = self.outbox.apply(change, self._now())
         state = change.moved.state
         if self.teller is not None and (state is State.PARKED or change.event in UNPARKED):
             self.teller.tell(change.dot, Fate.PARKED if state is State.PARKED else Fate.UNKNOWN)
@@ -544,6 +549,7 @@
             self.again.discard(change.dot)
         if self.sharing is not None:
             self.sharing.applied(change)
+        return goes
 
     async def _send(self, dot: Dot) -> None:
         """Upstream with it, and its end written down."""
