Give a port to one test process of a machine at a time

Cause: a port of a process that is down for a restart was free to another test run beside it; a request of one run came to a server of the other, and a process handed its address over to a stranger. Seen about once in thirty tests with four runs at a time. A lock on one byte of a common file is held until the process ends.

--- a/tests/test_testing.py
+++ b/tests/test_testing.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import subprocess
+import sys
 from collections.abc import Coroutine
 from typing import Any
 
@@ -27,6 +29,7 @@
     status,
     whole_list,
 )
+from woadyard.testing.messages import PORTS, free_port
 
 
 def run(test: Coroutine[Any, Any, None]) -> None:
@@ -127,3 +130,13 @@
         assert whole_list(generation=2) == {"generation": 2, "reset": True, "instances": []}
 
     run(main())
+
+
+def test_a_port_that_one_process_was_given_is_given_to_no_other() -> None:
+    port = free_port()
+    words = "import sys; from woadyard.testing.messages import reserve; print(reserve(int(sys.argv[1])))"
+    for number, told in ((port, "False"), (PORTS.stop, "True")):
+        found = subprocess.run(
+            [sys.executable, "-c", words, str(number)], check=True, capture_output=True, text=True
+        )
+        assert found.stdout.strip() == told
--- a/woadyard/testing/messages.py
+++ b/woadyard/testing/messages.py
@@ -5,8 +5,12 @@
 
 import asyncio
 import contextlib
+import fcntl
+import functools
+import os
 import random
 import socket
+import tempfile
 from dataclasses import dataclass
 
 Reader = asyncio.StreamReader
@@ -60,9 +64,10 @@
 
 
 def free_port() -> int:
-    """A port that nobody listens at, for a process that must be told one; none twice."""
+    """A port that nobody listens at, for a process that must be told one; none twice, and none that another
+    process of this user was given here: it may be down just now."""
     for port in random.SystemRandom().sample(PORTS, len(PORTS)):
-        if port in _given:
+        if port in _given or not reserve(port):
             continue
         with socket.socket() as found, contextlib.suppress(OSError):
             found.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -70,3 +75,19 @@
             _given.add(port)
             return port
     raise OSError("no port is free")
+
+
+def reserve(port: int) -> bool:
+    """Whether this process has it now: a lock on one byte of a common file, until the process ends."""
+    try:
+        fcntl.lockf(_common_file(), fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+    except OSError:
+        return False
+    return True
+
+
+@functools.cache
+def _common_file() -> int:
+    """Open to the end: to close it would give up all locks."""
+    path = os.path.join(tempfile.gettempdir(), f"laurelstep-ports-{os.getuid()}")
+    return os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
