Tell that a write never ran by its parking, and only once no try of it can be on its way

Cause: seen in made schedules of the record: a word that came late cleared what had begun since, and one that came while a try was still under way let a second one begin beside it. The word names its parking now, and waits for the longest deadline since the parking; a restart counts from itself. A test fails without the wait.

--- a/tests/test_shared_edge.py
+++ b/tests/test_shared_edge.py
@@ -335,10 +335,10 @@
     one.record.agree(Begin(dot, 7, 5))
     one.remote.tell(dot, Fate.PARKED)
     one.until_still()
-    one.remote.unbegin(dot)
+    one.remote.unbegin(dot, 1)
     one.remote.tell(dot, Fate.UNKNOWN)  # says less
     ask = one.must()
-    assert ask.told == (Told(dot, Fate.UNKNOWN, 7, unbegin=True),)
+    assert ask.told == (Told(dot, Fate.UNKNOWN, 7, unbegin=True, parking=1),)
     assert not one.remote.answered(Answered((), (), (False,)), one.now).unbegun
     one.now += MOST_US
     assert one.until_still().unbegun == [dot]
@@ -348,7 +348,7 @@
 def test_that_it_never_ran_is_not_told_once_the_line_was_anothers() -> None:
     one = Asker()
     dot = Dot(*OWN, 1)
-    one.remote.unbegin(dot)
+    one.remote.unbegin(dot, 1)
     one.record.agree(one.record.claim_entry(Claim(OWN, 8, (OWN.incarnation,))))
     one.record.agree(Begin(dot, 8, 5))  # the other process sends it
     assert one.remote.lost(OWN)
@@ -675,6 +675,8 @@
             await one.until(first, State.PARKED, Reason.MAY_HAVE_RUN)
             assert not one.copies.ran
             one.copies.silent = True
+            assert one.driver.sharing is not None
+            parked_at = one.driver.sharing.parked_at[first]
             one.judge(first, Verdict.NEVER_RAN)
             await one.until(first, State.READY)
             asked = len(one.copies.asks)
@@ -683,6 +685,8 @@
             one.copies.silent = False
             await one.until(first, State.DONE)
             assert one.copies.sent == [first, first] and one.copies.ran == [first]
+            # Not before the last try's time was over: it might have run yet.
+            assert one.driver.clock.now() >= parked_at + one.driver.settings.send_us
 
     run(main())
 
--- a/woadyard/outbox/shared/asking.py
+++ b/woadyard/outbox/shared/asking.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from woadyard.engine.call import Answer, Call, Ending
+from woadyard.engine.call import Answer, Call, Ending, Handle
 from woadyard.net.message import lines as lines_of
 from woadyard.outbox.causes import Cause
 from woadyard.outbox.dots import Dot, Line
@@ -66,6 +66,8 @@
         self.holders: dict[Line, tuple[int, ...]] = {self.remote.line: (self.remote.life,)}
         self.unnamed: dict[Line, bool] = {}  # lines to be claimed, with force or without
         self.naming = False
+        self.parked_at: dict[Dot, int] = {}  # those that are parked, since when
+        self.delayed: dict[Dot, Handle] = {}  # "it never ran", to be told once no try can be on its way
         self.asking: asyncio.Future[Answer] | None = None
         self.asked = 0
 
@@ -83,6 +85,7 @@
             if moved.state is State.DONE and moved.status:
                 self.driver.by_gate.add(write.dot)
             elif moved.state is State.PARKED:
+                self.parked_at[write.dot] = self.driver.clock.now()
                 self._wonder(write.dot)
 
     def _wonder(self, dot: Dot) -> None:
@@ -124,13 +127,31 @@
         """A change is durable, and not applied yet."""
         if change.event is Event.NEVER_RAN and self.outbox.unsafe(change.dot):
             self.outbox.withhold(change.dot)
-            self.remote.unbegin(change.dot)
+            self._take_back(change.dot, change.moved.judged)
         elif change.event in (Event.ANSWERED, Event.FOUND_IN):
             self.driver.by_gate.add(change.dot)
 
     def applied(self, change: Change) -> None:
         if change.moved.state is State.PARKED:
+            self.parked_at[change.dot] = self.driver.clock.now()
             self._wonder(change.dot)
+        else:
+            self.parked_at.pop(change.dot, None)
+
+    def _take_back(self, dot: Dot, parking: int) -> None:
+        """Told once the last try's time is over: one that is still on its way may run, and no record sees it."""
+        now = self.driver.clock.now()
+        due = self.parked_at.get(dot, now) + self.driver.settings.send_us
+        if due <= now:
+            self._take_back_now(dot, parking)
+        else:
+            self.delayed[dot] = self.driver.clock.at(due, self._take_back_now, dot, parking)
+
+    def _take_back_now(self, dot: Dot, parking: int) -> None:
+        self.delayed.pop(dot, None)
+        if self.remote.holds(dot.line):  # else another process may have sent it since
+            self.remote.unbegin(dot, parking)
+            self.driver._wake()
 
     def name(self, call: Call, write: KeptWrite) -> None:
         """Make it a replay to a copy upstream."""
@@ -192,6 +213,8 @@
             self.driver._spawn(self._ask(ask))
 
     def close(self) -> None:
+        for handle in self.delayed.values():
+            handle.cancel()
         if self.asking is not None:
             self.asking.cancel()
 
--- a/woadyard/outbox/shared/edge.py
+++ b/woadyard/outbox/shared/edge.py
@@ -201,9 +201,9 @@
         self._say(cause, Told(dot, fate, self.life))
         return True
 
-    def unbegin(self, dot: Dot) -> None:
-        """An operator says that it never ran. `News.unbegun` has it once the record says so too."""
-        self._say(Cause(*dot), Told(dot, Fate.UNKNOWN, self.life, unbegin=True))
+    def unbegin(self, dot: Dot, parking: int) -> None:
+        """An operator says of a parking that it never ran. `News.unbegun` has it once the record says so."""
+        self._say(Cause(*dot), Told(dot, Fate.UNKNOWN, self.life, unbegin=True, parking=parking))
 
     def low(self, line: Line, number: int) -> bool:
         """All of an own line up to a number are over."""
