--- a/woadyard/outbox/shared/asking.py
+++ b/woadyard/outbox/shared/asking.py
@@ -139,7 +139,7 @@
             self.parked_at.pop(change.dot, None)
 
     def _take_back(self, dot: Dot, parking: int) -> None:
-        """Told once the last try's time is over: one that is still on its way may run, and no record sees it."""
+        """Told once the last try's time is over: one still on its way may run, and no record sees it."""
         now = self.driver.clock.now()
         due = self.parked_at.get(dot, now) + self.driver.settings.send_us
         if due <= now:
