Write nothing into a connection that a relay has reset meanwhile

Cause: a piece that waited between its two sides while the test reset both was written into a closed transport, which uvloop tells as a RuntimeError in the log.

--- a/woadyard/testing/processes/relays.py
+++ b/woadyard/testing/processes/relays.py
@@ -303,6 +303,8 @@
             while data := await reader.read(1 << 16):
                 tail = self._look(tail, data)
                 await self.there.pass_on()
+                if far.transport.is_closing():
+                    return  # reset meanwhile
                 far.write(data)
                 await far.drain()
             await self.there.pass_on()
@@ -317,6 +319,8 @@
                 connection.waiting = data
                 await self.back.pass_on()
                 connection.waiting = b""
+                if near.transport.is_closing():
+                    return
                 near.write(data)
                 await near.drain()
                 connection.passed_back += len(data)
