Mend what a reading of the whole change found, each with a test

Found by somebody who had not written it, most of them with a course played: a word that it never ran outlived the line's being another's, so a write ran twice; such a word was dropped where the line was not claimed yet, and the write stood for ever; what was given up was forgotten before upstream knew, and counted as in; a claim that held while a fence was being written left the write parked; a write judged while fenced broke the list of ages; bodies that could not be read as they were to go stayed until the next start; an edge that left after an attempt was over had its begin taken back. The loop over closed receipts could also run for ever where more than the most are held by their followers: it looks at each once.

--- a/tests/test_outbox_store.py
+++ b/tests/test_outbox_store.py
@@ -8,7 +8,7 @@
 import random
 import shutil
 import tempfile
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from pathlib import Path
 
 import pytest
@@ -16,7 +16,7 @@
 from tests.once import once
 from woadyard.outbox.journal import KeptWrite, Moved, State
 from woadyard.outbox.store import FailedToKeepError, KeptStore, key_of
-from woadyard.store import Disk, FolderDisk
+from woadyard.store import Disk, FolderDisk, StoreError
 from woadyard.testing.contracts.outbox import Lives, WriteStoreContract, made
 from woadyard.testing.disk import SimulatedDisk
 
@@ -228,6 +228,36 @@
     asyncio.run(main())
 
 
+def test_a_body_that_could_not_be_read_as_it_was_to_go_goes_later(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("woadyard.outbox.store.END_S", 0.0)
+
+    async def main() -> None:
+        disk = SimulatedDisk()
+        store = await KeptStore.open(disk, MOST)
+        await store.load()
+        some, failed = store.store.some, 0
+
+        def fail_once(keys: Iterable[bytes]) -> AsyncIterator[tuple[bytes, bytes]]:
+            nonlocal failed
+            failed += 1
+            if failed == 1:
+                raise StoreError("a segment that is no more")
+            return some(keys)
+
+        monkeypatch.setattr(store.store, "some", fail_once)
+        for number in (1, 2):
+            await store.keep(*made(number, 100_000))
+            await store.move(Moved(made(number, 0)[0].dot, State.DONE))
+        while store._ending is not None:
+            await asyncio.sleep(0)
+        await store.close()
+        again = await KeptStore.open(disk, MOST)
+        assert failed > 1 and not [key for key in again.store.index.where if key[:1] == b"p"]
+        await again.close()
+
+    asyncio.run(main())
+
+
 def test_a_write_forgotten_while_its_body_goes_does_not_come_back(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("woadyard.outbox.store.END_S", 0.0)
 
--- a/tests/test_shared_edge.py
+++ b/tests/test_shared_edge.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 import shutil
 from collections.abc import AsyncIterator, Callable
@@ -20,7 +21,7 @@
 from woadyard.outbox.dots import Dot, Line
 from woadyard.outbox.driver import OutboxDriver
 from woadyard.outbox.errors import UnknownWriteError
-from woadyard.outbox.journal import Reason, State, Verdict
+from woadyard.outbox.journal import Event, Reason, State, Verdict
 from woadyard.outbox.options import KeptClass, OutboxSettings
 from woadyard.outbox.receipts import Receipt
 from woadyard.outbox.shared.edge import (
@@ -33,7 +34,7 @@
     News,
     RemoteFrontier,
 )
-from woadyard.outbox.shared.entries import Begin, Entry, In, pack
+from woadyard.outbox.shared.entries import Begin, Entry, Hold, In, Unbegin, pack
 from woadyard.outbox.shared.record import Record
 from woadyard.outbox.shared.seal import Seal
 from woadyard.outbox.shared.terms import (
@@ -691,6 +692,127 @@
     run(main())
 
 
+def test_a_word_that_waits_is_dropped_where_the_line_was_anothers(tmp_path: Path) -> None:
+    """Guards against taking back what the other process has begun since."""
+
+    async def main() -> None:
+        async with studio(tmp_path) as one:
+            record, sharing = one.copies.record, one.driver.sharing
+            assert sharing is not None
+            first = await one.keep("pay")
+            record.agree(Begin(first, first.incarnation, 99))
+            one.link(True)
+            await one.until(first, State.PARKED, Reason.MAY_HAVE_RUN)
+            record.agree(Unbegin(first, 99))  # as if its try had been lost before the gate
+            one.judge(first, Verdict.NEVER_RAN)
+            await one.until(first, State.READY)
+            # The process on a copy of the disk sends it; the answer is not agreed yet.
+            record.agree(Hold(first.line, 5, first.incarnation, 0, True))
+            record.agree(Begin(first, 5, 77))
+            one.link(False)
+            other = await one.keep("put")
+            one.link(True)
+            await one.until(other, State.PARKED, Reason.FENCED)
+            await one.until(first, State.PARKED, Reason.FENCED)
+            assert one.driver.claim(first.line)
+            await one.until(first, State.PARKED, Reason.MAY_HAVE_RUN)
+            assert not sharing.words and not sharing.timers and first not in one.copies.ran
+            assert record.begun(first, first.incarnation, 1) is Begun.OTHERS
+
+    run(main())
+
+
+def test_a_word_given_before_the_line_is_claimed_is_told_once_it_is_held(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            copies = Copies()
+            await stack.enter_async_context(copies.endpoint)
+            async with studio(tmp_path, copies=copies) as one:
+                first = await one.keep("pay")
+                copies.record.agree(Begin(first, first.incarnation, 99))
+                one.link(True)
+                await one.until(first, State.PARKED, Reason.MAY_HAVE_RUN)
+            async with studio(tmp_path, copies=copies) as one:
+                assert one.driver.sharing is not None
+                one.driver.settings = dataclasses.replace(one.driver.settings, send_us=0)
+                one.judge(first, Verdict.NEVER_RAN)
+                await one.until(first, State.READY)
+                assert first in one.driver.sharing.words and not copies.ran
+                one.link(True)
+                await one.until(first, State.DONE)
+                assert copies.ran == [first] and not one.driver.sharing.words
+
+    run(main())
+
+
+def test_a_claim_that_holds_while_a_fence_is_being_written_undoes_it(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with studio(tmp_path) as one:
+            first = await one.keep("pay")
+            outbox, now = one.driver.outbox, one.driver.clock.now()
+            assert one.driver.turning is not None
+            one.driver.turning.cancel()
+            outbox.fence(first.line)
+            (change,) = [change for change in outbox.due(now) if change.dot == first]
+            outbox.unfence(first.line)
+            outbox.apply(change, now)
+            assert one.receipt(first).reason is Reason.FENCED
+            (change,) = outbox.due(now)
+            assert change.event is Event.CLAIMED
+            outbox.apply(change, now)
+            assert one.receipt(first).state is State.READY
+
+    run(main())
+
+
+def test_what_was_judged_while_it_was_fenced_has_one_age(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with studio(tmp_path) as one:
+            dots = [await one.keep("pay") for _ in range(3)]
+            outbox, now = one.driver.outbox, one.driver.clock.now()
+            assert one.driver.turning is not None
+            one.driver.turning.cancel()
+            outbox.fence(dots[0].line)
+            for change in outbox.due(now):
+                outbox.apply(change, now)
+            judged = outbox.judge(dots[0], one.receipt(dots[0]).parking, Verdict.NEVER_RAN, 1)
+            assert judged is not None
+            outbox.apply(judged, now)
+            outbox.unfence(dots[0].line)
+            for change in outbox.due(now):
+                outbox.apply(change, now)
+            later = now + 1_000 * outbox.bounds.age_us
+            expired = {change.dot for change in outbox.due(later) if change.event is Event.EXPIRED}
+            assert expired == set(dots[1:])  # the first is out
+
+    run(main())
+
+
+def test_what_was_given_up_is_not_forgotten_before_upstream_knows(tmp_path: Path) -> None:
+    """Guards against a number that says of it that it is in."""
+
+    async def main() -> None:
+        async with studio(tmp_path) as one:
+            outbox = one.driver.outbox
+            outbox.bounds = dataclasses.replace(outbox.bounds, receipt_us=0)
+            first = await one.keep("pay")
+            parked = outbox._change(outbox._must_row(first), Event.EXPIRED, Reason.AGE)
+            await one.driver._step(parked)
+            one.judge(first, Verdict.GIVE_UP)
+            await one.until(first, State.GIVEN_UP)
+            assert one.driver.turning is not None
+            one.driver.turning.cancel()
+            one.driver._tell_over()
+            now = one.driver.clock.now()
+            assert not outbox.forgettable(now, one.driver._telling)
+            one.link(True)
+            await until(lambda: one.copies.record.fate(Cause(*first)) is Fate.GONE)
+            await until(lambda: not one.driver._telling(first))
+            assert outbox.forgettable(one.driver.clock.now(), one.driver._telling) in ([first], [])
+
+    run(main())
+
+
 def test_a_refusal_by_a_copy_says_that_an_unsafe_write_has_not_run(tmp_path: Path) -> None:
     async def main() -> None:
         async with studio(tmp_path) as one:
@@ -869,6 +991,9 @@
         self.lows[line] = number
         return True
 
+    def telling(self, dot: Dot) -> bool:
+        return self.full
+
 
 def test_a_copy_that_shares_keeps_no_other_edges_replay_and_tells_what_becomes_of_its_own(
     tmp_path: Path,
--- a/tests/test_shared_gate.py
+++ b/tests/test_shared_gate.py
@@ -620,6 +620,22 @@
     play(test)
 
 
+def test_an_edge_that_leaves_after_an_attempt_that_may_have_run_was_over_leaves_it_begun() -> None:
+    """What is over is not among the call's attempts any more as the gate hears of the leaving."""
+
+    async def test(world: World) -> None:
+        call = await world.take()
+        await world.land()
+        world.upstream.write(world.sent[0], True)
+        world.sent[0].attempt.out = False  # its outcome came, and nobody has answered yet
+        world.engine.gone(call)
+        await world.turn()
+        assert not call.attempts and call.tried == 1
+        assert world.sharer.asked == [] and world.begun() is Begun.OTHERS
+
+    play(test)
+
+
 def test_an_edge_that_leaves_while_its_in_is_agreed_finds_it_in() -> None:
     async def test(world: World) -> None:
         call = await world.take()
--- a/woadyard/outbox/driver.py
+++ b/woadyard/outbox/driver.py
@@ -482,7 +482,7 @@
         if self.sharing is not None:
             self.sharing.remote.follow(followed)
             self.sharing.turn()
-        if forgettable := self.outbox.forgettable(self._now()):
+        if forgettable := self.outbox.forgettable(self._now(), self._telling):
             self._spawn(self._forget(forgettable))
 
     def _tell_over(self) -> None:
@@ -506,6 +506,12 @@
             elif teller.tell(dot, fate) is False:
                 self.untold.append((dot, fate))
 
+    def _telling(self, dot: Dot) -> bool:
+        """Others are still to hear that it was given up."""
+        return self.teller is not None and (
+            self.teller.telling(dot) or any(one == dot for one, _ in self.untold)
+        )
+
     async def _forget(self, dots: list[Dot]) -> None:
         """Numbers first: what is forgotten must not look as if it were still to come."""
         try:
--- a/woadyard/outbox/frontier.py
+++ b/woadyard/outbox/frontier.py
@@ -27,6 +27,9 @@
     def low(self, line: Line, number: int) -> bool:
         """All of an own line up to a number are over. Those given up were told before."""
 
+    def telling(self, dot: Dot) -> bool:
+        """What was told of an own write is not known to the others yet."""
+
 
 class LocalFrontier:
     """A `Frontier` without others. Its driver keeps what is declared, and calls `Outbox.heard` after it."""
--- a/woadyard/outbox/outbox.py
+++ b/woadyard/outbox/outbox.py
@@ -27,7 +27,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
 import msgspec
@@ -401,6 +401,8 @@
         if state is State.PARKED:
             if event is not Event.FENCED:  # one that is claimed goes on with the age that it has
                 self._ages.drop(rows.cls[row], row)
+            elif rows.line[row] not in self._fenced:  # claimed while this was being written
+                self._to_claim.append(row)
             self._graph.halt(row)
         elif state in FINAL:
             self._close(row, now)
@@ -409,6 +411,7 @@
         elif event is Event.NEVER_RAN:
             rows.since[row] = now
             rows.set(row, SENT, False)
+            self._ages.drop(rows.cls[row], row)  # it may be there with the age that it had
             if not rows.has(row, JOIN):
                 self._ages.add(rows.cls[row], row)
             if moved.reason is Reason.ORPHANED:
@@ -630,20 +633,24 @@
         row = self._row(dot)
         return self._rows.has(row, DURABLE) if row >= 0 else self.receipt(dot).state in FINAL
 
-    def forgettable(self, now: int) -> list[Dot]:
-        """Those whose receipt's time is over: make `lines` durable, delete their records, `forget` them."""
+    def forgettable(self, now: int, telling: Callable[[Dot], bool] = lambda dot: False) -> list[Dot]:
+        """Those whose receipt's time is over: make `lines` durable, delete their records, `forget` them.
+        Nothing that was given up while `telling` says that others do not know of it: a later life would
+        have only its number, which says that it is in."""
         found: list[Dot] = []
-        while self._closed and len(found) < SWEEP:
+        for _ in range(min(SWEEP, len(self._closed))):
             packed, until, key = self._closed[0]
             if until > now and len(self._closed) <= self.bounds.receipts_most:
                 break
             self._closed.popleft()
-            if self._open.get(packed) >= 0:  # its followers still wait for its causes
+            dot = Dot(*self._lines[packed >> NUMBERS], packed & NUMBER_MASK)
+            # Its followers still wait for its causes, or others are to hear of it.
+            if self._open.get(packed) >= 0 or (packed in self._given_up and telling(dot)):
                 self._closed.append((packed, now + self.bounds.receipt_us, key))
                 continue
             if key and self._keys.get(key) == packed:
                 self._keys.drop(key)
-            found.append(Dot(*self._lines[packed >> NUMBERS], packed & NUMBER_MASK))
+            found.append(dot)
         return found
 
     def forget(self, dot: Dot) -> None:
--- a/woadyard/outbox/shared/asking.py
+++ b/woadyard/outbox/shared/asking.py
@@ -5,9 +5,10 @@
 1. An ask is a request of its own through the engine, of a class that is kept, with `ASK_US` at most. Its
    answer counts only if it was sealed as the answer to this very ask.
 2. A line of a former life is claimed only once the store has this life among those that its disk has known.
-3. An operator's "it never ran" is told upstream before the write is sent again. It is the word on what this
-   life sent: of a disk that was copied, another may have sent it since. So a later life does not tell it, nor
-   one whose line was another's; if the record did not hear it, the write comes back as one that may have run.
+3. An operator's "it never ran" is told upstream before the write is sent again, by the life that it was
+   given to, once the line is held. Of a disk that was copied, another may have sent it since: so a later
+   life does not tell one that was not heard, nor one whose line was another's; the write comes back as one
+   that may have run.
 4. A write that may have run is parked at once, so that a crash finds it so, and its fate is asked; where that
    is in, it is done.
 """
@@ -67,7 +68,9 @@
         self.unnamed: dict[Line, bool] = {}  # lines to be claimed, with force or without
         self.naming = False
         self.parked_at: dict[Dot, int] = {}  # those that are parked, since when
-        self.delayed: dict[Dot, Handle] = {}  # "it never ran", to be told once no try can be on its way
+        # "It never ran": of which parking, and from when on it may be told.
+        self.words: dict[Dot, tuple[int, int]] = {}
+        self.timers: dict[Dot, Handle] = {}
         self.asking: asyncio.Future[Answer] | None = None
         self.asked = 0
 
@@ -98,6 +101,7 @@
             return False
         self.holders.setdefault(line, (line.incarnation,))
         self.unnamed[line] = True
+        self._drop_words(line)
         self.outbox.release_line(line)  # rule 3
         self.driver._wake()
         return True
@@ -139,19 +143,29 @@
             self.parked_at.pop(change.dot, None)
 
     def _take_back(self, dot: Dot, parking: int) -> None:
-        """Told once the last try's time is over: one still on its way may run, and no record sees it."""
+        """Told once the last try's time is over: one still on its way may run, and no record sees it. And
+        once the line is held."""
         now = self.driver.clock.now()
         due = self.parked_at.get(dot, now) + self.driver.settings.send_us
-        if due <= now:
-            self._take_back_now(dot, parking)
-        else:
-            self.delayed[dot] = self.driver.clock.at(due, self._take_back_now, dot, parking)
+        self.words[dot] = parking, due
+        self.timers[dot] = self.driver.clock.at(due, self._tell_words)
+
+    def _tell_words(self) -> None:
+        now = self.driver.clock.now()
+        for dot, (parking, due) in list(self.words.items()):
+            if due <= now and self.remote.holds(dot.line):
+                self._drop_word(dot)
+                self.remote.unbegin(dot, parking)
+                self.driver._wake()
+
+    def _drop_words(self, line: Line) -> None:
+        """Another process may have sent them since."""
+        for dot in [dot for dot in self.words if dot.line == line]:
+            self._drop_word(dot)
 
-    def _take_back_now(self, dot: Dot, parking: int) -> None:
-        self.delayed.pop(dot, None)
-        if self.remote.holds(dot.line):  # else another process may have sent it since
-            self.remote.unbegin(dot, parking)
-            self.driver._wake()
+    def _drop_word(self, dot: Dot) -> None:
+        del self.words[dot]
+        self.timers.pop(dot).cancel()
 
     def name(self, call: Call, write: KeptWrite) -> None:
         """Make it a replay to a copy upstream."""
@@ -185,6 +199,7 @@
         return True
 
     def _fence(self, line: Line) -> None:
+        self._drop_words(line)
         self.outbox.fence(line)
         if line in self.holders:
             name = f"{line.edge}/{line.incarnation:016x}"
@@ -213,7 +228,7 @@
             self.driver._spawn(self._ask(ask))
 
     def close(self) -> None:
-        for handle in self.delayed.values():
+        for handle in self.timers.values():
             handle.cancel()
         if self.asking is not None:
             self.asking.cancel()
@@ -268,6 +283,8 @@
             # Whoever comes after on this disk comes after this life.
             self.holders[line] = (line.incarnation, self.remote.life)
             driver._spawn(self._held(line))
+        if news.held:
+            self._tell_words()
         for dot in news.unbegun:
             self.outbox.release(dot)
         for dot in news.own_in:
--- a/woadyard/outbox/shared/edge.py
+++ b/woadyard/outbox/shared/edge.py
@@ -218,6 +218,9 @@
             self._say(cause, told, urgent=False)
         return True
 
+    def telling(self, dot: Dot) -> bool:
+        return Cause(*dot) in self._untold
+
     def _has_told_gone(self, line: Line) -> bool:
         return any(
             told.fate is Fate.GONE and told.dot.line == line and cause not in self._untold
--- a/woadyard/outbox/shared/gate.py
+++ b/woadyard/outbox/shared/gate.py
@@ -306,7 +306,9 @@
             self.clock.at(self.clock.now(), self._left, hand, tuple(call.attempts))
 
     def _left(self, hand: Hand, attempts: tuple[Attempt, ...]) -> None:
-        if not _may_have_run(hand.call, attempts):
+        """Attempts that are all over are not here any more: they may have run."""
+        is_known = bool(attempts) or not hand.call.tried
+        if is_known and not _may_have_run(hand.call, attempts):
             self._take_back_later(hand)
 
     # --- Asked by edges -----------------------------------------------------------------
--- a/woadyard/outbox/shared/own.py
+++ b/woadyard/outbox/shared/own.py
@@ -112,6 +112,9 @@
         self._want(line)
         return True
 
+    def telling(self, dot: Dot) -> bool:
+        return Cause(*dot) in self.said
+
     def force(self, line: Line) -> bool:
         """An operator says that this disk is the right one. False if it holds the line; KeyError if it never
         knew it."""
--- a/woadyard/outbox/store.py
+++ b/woadyard/outbox/store.py
@@ -243,12 +243,21 @@
                 await asyncio.sleep(END_S)
                 for _ in range(-(-len(self._ended) // ENDED_MOST)):
                     some = [self._ended.popleft() for _ in range(min(ENDED_MOST, len(self._ended)))]
-                    with contextlib.suppress(StoreError, KeptRecordError):
-                        async for key, value in self.store.some([key_of(KEPT, dot) for dot in some]):
-                            self._end_body(key, value)
+                    await self._end_some({key_of(KEPT, dot): dot for dot in some})
         finally:
             self._ending = None
 
+    async def _end_some(self, left: dict[bytes, Dot]) -> None:
+        """What could not be read, or moved meanwhile, has its turn again."""
+        with contextlib.suppress(StoreError):
+            async for key, value in self.store.some(list(left)):
+                del left[key]
+                with contextlib.suppress(KeptRecordError):
+                    self._end_body(key, value)
+        self._ended.extend(
+            dot for key, dot in left.items() if key in self.store and dot not in self._forgetting
+        )
+
     def _end_body(self, key: bytes, value: bytes) -> None:
         """What this fails to write is done as the store is opened."""
         write, first = _split(value)
