--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -405,6 +405,26 @@
     play(main())
 
 
+def test_a_relay_that_refuses_resets_what_it_was_about_to_join() -> None:
+    async def main() -> None:
+        async with Endpoint() as endpoint:
+            relay = StreamRelay(("127.0.0.1", endpoint.port))
+            await relay.start()
+            reader, writer = await asyncio.open_connection("127.0.0.1", relay.port)
+            while not relay._tasks:
+                await asyncio.sleep(0)
+            assert not relay.connections  # accepted, and not joined
+            relay.refuse()
+            with contextlib.suppress(ConnectionError):
+                writer.write(request(rid="late"))
+                assert await reader.read() == b""
+            writer.close()
+            assert endpoint.count == 0
+            relay.close()
+
+    play(main())
+
+
 def test_a_relay_finds_ids_that_reads_cut_through_once() -> None:
     async def main() -> None:
         sent: list[str] = []
--- a/woadyard/testing/processes/relays.py
+++ b/woadyard/testing/processes/relays.py
@@ -215,6 +215,7 @@
         self.connections: set[Connection] = set()
         self.port = 0
         self._listener: asyncio.Server | None = None
+        self._refusals = 0
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -253,6 +254,7 @@
         if self._listener is not None:
             self._listener.close()
             self._listener = None
+        self._refusals += 1
         self.reset()
 
     async def admit(self) -> None:
@@ -286,7 +288,13 @@
             near.close()
 
     async def _join(self, reader: Reader, near: Writer) -> None:
+        refusals = self._refusals
         far_reader, far = await asyncio.open_connection(*self.target)
+        if self._refusals != refusals or self._listener is None:
+            # It was accepted before the relay refused, and was none of those that were open.
+            reset_connection(near)
+            far.transport.abort()
+            return
         connection = Connection(near, far)
         self.connections.add(connection)
         try:
