Name what the copies share once: one protocol of the node, one of the record

Seen on reading the whole change again: the node was described three times (parts, keeper, sharer), the record and its sharer twice (gate, own), and one name, Sharing, stood for two things. Change: they stand in accord/parts.py and outbox/shared/ports.py; the edge's is EdgeSharing; the frontier of an edge alone moves out of the driver to its room, one that tests alone used goes to them; two methods of the daemon say what they make. Left: the driver and the outbox's core are long, and no cut was found that makes them simpler.

--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -28,7 +28,6 @@
     UnknownWriteError,
     VerdictError,
 )
-from woadyard.outbox.frontier import LocalFrontier
 from woadyard.outbox.graph import Graph
 from woadyard.outbox.journal import (
     TABLE,
@@ -50,6 +49,41 @@
 
 pytestmark = once
 
+
+class LocalFrontier:
+    """A `Frontier` that knows what it was told. What is declared lost is gone, and never taken back; `IN` and
+    `GONE` stay. All lines are its own."""
+
+    def __init__(self) -> None:
+        self.lost_edges: set[str] = set()
+        self.lost_lines: set[Line] = set()
+        self._told: dict[Dot, Fate] = {}
+
+    def declare_lost(self, edge: str, incarnation: int | None = None) -> bool:
+        """False if that was said before."""
+        if incarnation is None:
+            known = edge in self.lost_edges
+            self.lost_edges.add(edge)
+        else:
+            known = Line(edge, incarnation) in self.lost_lines
+            self.lost_lines.add(Line(edge, incarnation))
+        return not known
+
+    def tell(self, dot: Dot, fate: Fate) -> None:
+        if self._told.get(dot) not in (Fate.IN, Fate.GONE):
+            self._told[dot] = fate
+
+    def fate(self, cause: Cause) -> Fate:
+        told = Fate.UNKNOWN if cause.before else self._told.get(cause.dot, Fate.UNKNOWN)
+        if told is Fate.IN:
+            return told
+        gone = cause.edge in self.lost_edges or cause.line in self.lost_lines
+        return Fate.GONE if gone else told
+
+    def holds(self, line: Line) -> bool:
+        return True
+
+
 SECOND = 1_000_000
 HOUR = 3_600 * SECOND
 YEAR = 365 * 24 * HOUR
--- a/woadyard/accord/parts.py
+++ b/woadyard/accord/parts.py
@@ -10,21 +10,17 @@
 from collections.abc import Callable
 from typing import Any, Final, Protocol
 
-__all__ = ["Part", "Parts", "Whole"]
+__all__ = ["Accord", "Agreement", "Part", "Parts"]
 
 
-class Whole(Protocol):
-    """The node, as its parts need it."""
+class Agreement(Protocol):
+    """What copies share, as whoever only brings entries to agreement needs it."""
 
+    # Called on the leader with each word: peer, incarnation, data.
     heard: Callable[[int, int, bytes], None]
+    # Called after entries were applied, and when it is known, led or in touch otherwise.
     on_change: Callable[[], None]
 
-    @property
-    def me(self) -> int: ...
-    @property
-    def peers(self) -> int: ...
-    @property
-    def incarnation(self) -> int: ...
     @property
     def era(self) -> object: ...
     @property
@@ -36,9 +32,22 @@
     @property
     def in_touch(self) -> bool: ...
 
-    def propose(self, data: bytes) -> None: ...
+    def propose(self, data: bytes) -> None:
+        """NotLeadingError, BusyError."""
+
+    def word(self, data: bytes) -> None:
+        """To whoever leads, also if that is this process; it may be lost. BusyError."""
 
-    def word(self, data: bytes) -> None: ...
+
+class Accord(Agreement, Protocol):
+    """The same with who is who: a node (`woadyard.accord.node`), or a part of one."""
+
+    @property
+    def me(self) -> int: ...
+    @property
+    def peers(self) -> int: ...
+    @property
+    def incarnation(self) -> int: ...
 
     def status(self) -> dict[str, Any]: ...
 
@@ -49,7 +58,7 @@
 class Part:
     """The node as one part has it: all is the node's, but the two calls are the part's own."""
 
-    def __init__(self, whole: Whole) -> None:
+    def __init__(self, whole: Accord) -> None:
         self._whole: Final = whole
         self.heard: Callable[[int, int, bytes], None] = _nothing
         self.on_change: Callable[[], None] = _nothing
@@ -99,7 +108,7 @@
 class Parts:
     """See the rules. Takes the node's `heard` and `on_change`."""
 
-    def __init__(self, whole: Whole) -> None:
+    def __init__(self, whole: Accord) -> None:
         self._whole = whole
         self._parts: dict[int, Part] = {}
         self.ignored = 0
--- a/woadyard/daemon.py
+++ b/woadyard/daemon.py
@@ -105,10 +105,10 @@
         orders = None
         if config.orders is not None:
             orders = await open_recorder(config.orders, config.names.classes, log)
-        self.shared = self._sharing()
+        self.shared = self._outbox_shared()
         self.outbox = await self._outbox()
         self.upkeep = self._upkeep()
-        self.node = self._shared()
+        self.node = self._accord_node()
         recorder = self._recorder(orders)
         holding = None if self.upkeep is None else self.upkeep.hold
         self.parts = Assembly(self.loop, config, log, recorder, collector=Collector(), holding=holding)
@@ -175,7 +175,7 @@
 
     # --- What the copies of the tier share ----------------------------------------------
 
-    def _shared(self) -> Node | None:
+    def _accord_node(self) -> Node | None:
         """This process's part in it, not yet begun, with all that rests on it; None where it is off."""
         settings = self.config.accord
         if settings is None:
@@ -223,7 +223,7 @@
 
             self.upkeep.begin(self.node_parts.part(KIND), self.parts.engine, self._is_alone)
 
-    def _sharing(self) -> Shared | None:
+    def _outbox_shared(self) -> Shared | None:
         """What upstream's copies share of edges' kept writes, not yet begun; None where it is off."""
         if self.config.outbox is None or not self.config.outbox.shared:
             return None
--- a/woadyard/outbox/driver.py
+++ b/woadyard/outbox/driver.py
@@ -35,7 +35,7 @@
 from woadyard.orders.book import another_body, may_have_run
 from woadyard.outbox.aside import Aside
 from woadyard.outbox.bodies import Bodies
-from woadyard.outbox.causes import Cause, Causes, Fate, Frontier, Tokens
+from woadyard.outbox.causes import Causes, Fate, Frontier, Tokens
 from woadyard.outbox.cutoff import CutOff, CutOffRule
 from woadyard.outbox.dots import Dot, Line, read_dot
 from woadyard.outbox.errors import (
@@ -46,7 +46,7 @@
     TokenError,
     UnknownWriteError,
 )
-from woadyard.outbox.frontier import Teller
+from woadyard.outbox.frontier import Alone, Teller
 from woadyard.outbox.journal import FINAL, Event, KeptWrite, State, Verdict
 from woadyard.outbox.memory import keep_blocks_apart
 from woadyard.outbox.options import OutboxSettings
@@ -57,7 +57,7 @@
 from woadyard.store import StoreError
 
 if TYPE_CHECKING:
-    from woadyard.outbox.shared.asking import Sharing
+    from woadyard.outbox.shared.asking import EdgeSharing
 
 JSON: Final = (b"content-type", b"application/json")
 RECEIPTS: Final = b"/outbox/receipts/"
@@ -78,19 +78,6 @@
 SHOWN_MOST: Final = 100
 
 
-class Alone:
-    """The frontier of an edge that hears of no other: it replays its own lines."""
-
-    def __init__(self, edge: str) -> None:
-        self.edge = edge
-
-    def fate(self, cause: Cause) -> Fate:
-        return Fate.UNKNOWN
-
-    def holds(self, line: Line) -> bool:
-        return line.edge == self.edge
-
-
 @dataclass(eq=False)
 class Replay:
     """A kept write on its way upstream: the front of its call."""
@@ -138,7 +125,7 @@
         self.aside = Aside()
         self.again: set[Dot] = set()  # sent before, without a known end
         self.parked: dict[Dot, int] = {}  # the number of the parking
-        self.sharing: Sharing | None = None  # where upstream is copies of this program
+        self.sharing: EdgeSharing | None = None  # where upstream is copies of this program
         self.teller = outbox.frontier if isinstance(outbox.frontier, Teller) else None
         self.untold: list[tuple[Dot, Fate]] = []  # over, and the frontier had no room for it
         self.by_gate: set[Dot] = set()  # done by an answer: upstream knows, and need not be told
@@ -187,9 +174,9 @@
             outbox = Outbox(line, kept, bounds, tokens, frontier or Alone(settings.edge))
             self = cls(store, outbox, tokens, settings, classes, tenants, log)
             if asks:
-                from woadyard.outbox.shared.asking import Sharing
+                from woadyard.outbox.shared.asking import EdgeSharing
 
-                self.sharing = Sharing(self, secret)
+                self.sharing = EdgeSharing(self, secret)
             await self._restore()
         except BaseException:
             await store.close()
--- a/woadyard/outbox/shared/asking.py
+++ b/woadyard/outbox/shared/asking.py
@@ -35,7 +35,7 @@
 if TYPE_CHECKING:
     from woadyard.outbox.driver import OutboxDriver, Replay
 
-__all__ = ["Sharing"]
+__all__ = ["EdgeSharing"]
 
 ASK_US: Final = 2_000_000
 REMEDY: Final = "stop one of the two; on the one that is to go on, claim the line"
@@ -52,7 +52,7 @@
             self.over.set_result(answer)
 
 
-class Sharing:
+class EdgeSharing:
     """Of one `OutboxDriver` whose upstream is copies of this program."""
 
     def __init__(self, driver: OutboxDriver, secret: bytes) -> None:
--- a/woadyard/outbox/shared/gate.py
+++ b/woadyard/outbox/shared/gate.py
@@ -23,16 +23,17 @@
 
 import asyncio
 import secrets
-from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from dataclasses import dataclass
-from typing import Any, Final, Protocol
+from typing import Any, Final
 
 from woadyard.accord.errors import EntryError
 from woadyard.engine.call import Answer, Attempt, Call, Ending
 from woadyard.engine.ports import Clock, Log, Recorded, Recorder
 from woadyard.outbox.causes import Cause, Fate
 from woadyard.outbox.dots import Dot, Line
-from woadyard.outbox.shared.entries import Begin, Entry, Hold, In, Lost, Said, Unbegin
+from woadyard.outbox.shared.entries import Begin, Entry, In, Lost, Unbegin
+from woadyard.outbox.shared.ports import Ledger, Sharing
 from woadyard.outbox.shared.seal import Seal, SealError
 from woadyard.outbox.shared.terms import (
     FATE_HEADER,
@@ -41,11 +42,10 @@
     Begun,
     Claim,
     Claimed,
-    Frontiers,
     Told,
 )
 
-__all__ = ["Gate", "Ledger", "Sharing"]
+__all__ = ["Gate"]
 
 # What is agreed within a call waits so long at most; a leader is replaced in less.
 AGREE_US: Final = 5_000_000
@@ -66,27 +66,6 @@
 TEXT: Final = (b"content-type", b"text/plain")
 
 
-class Ledger(Frontiers, Protocol):
-    """The agreed record (`shared.record.Record`), with what would have to be agreed next."""
-
-    def undone(self, ask: int) -> bool: ...
-
-    def claim_entry(self, claim: Claim) -> Hold | None: ...
-
-    def said_entry(self, told: Told) -> Said | None: ...
-
-    def status(self) -> dict[str, int]: ...
-
-
-class Sharing(Protocol):
-    """Brings entries to agreement: `shared.sharer.Sharer`."""
-
-    @property
-    def ready(self) -> bool: ...
-
-    def agree(self, entry: Entry, done: Callable[[], bool], until: int) -> Awaitable[bool]: ...
-
-
 @dataclass(eq=False)
 class Hand:
     """One replay in hand."""
--- a/woadyard/outbox/shared/own.py
+++ b/woadyard/outbox/shared/own.py
@@ -17,15 +17,16 @@
 
 import asyncio
 from collections.abc import Callable, Hashable, Iterable
-from typing import Final, Protocol
+from typing import Final
 
 import msgspec
 
 from woadyard.engine.ports import Clock, Handle, Log
 from woadyard.outbox.causes import Cause, Fate
 from woadyard.outbox.dots import Dot, Line
-from woadyard.outbox.shared.entries import Entry, Hold, Said
-from woadyard.outbox.shared.terms import Claim, Claimed, Frontiers, Told
+from woadyard.outbox.shared.entries import Entry
+from woadyard.outbox.shared.ports import Ledger, Sharing
+from woadyard.outbox.shared.terms import Claim, Claimed, Told
 
 __all__ = ["OwnFrontier"]
 
@@ -38,19 +39,6 @@
 SOON_US: Final = 20_000
 
 
-class Ledger(Frontiers, Protocol):
-    def claim_entry(self, claim: Claim) -> Hold | None: ...
-
-    def said_entry(self, told: Told) -> Said | None: ...
-
-
-class Sharing(Protocol):
-    @property
-    def ready(self) -> bool: ...
-
-    def agree(self, entry: Entry, done: Callable[[], bool], until: int) -> asyncio.Future[bool]: ...
-
-
 class OwnFrontier:
     """A `Frontier` and a `Teller`. Made before the outbox is opened; `begin` once it is."""
 
--- a/woadyard/outbox/shared/sharer.py
+++ b/woadyard/outbox/shared/sharer.py
@@ -12,9 +12,10 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Final, Protocol
+from typing import Final
 
 from woadyard.accord.errors import BusyError, NotLeadingError
+from woadyard.accord.parts import Agreement
 from woadyard.engine.ports import Clock, Handle
 from woadyard.outbox.shared.entries import KIND, Entry, pack, unpack_word
 from woadyard.outbox.shared.record import Record
@@ -28,30 +29,6 @@
 _FLIGHTS_MOST: Final = 1_024
 
 
-class Accord(Protocol):
-    """What copies share, as it is needed here: a `woadyard.accord.parts.Part`, or a node of its own."""
-
-    heard: Callable[[int, int, bytes], None]
-    on_change: Callable[[], None]
-
-    @property
-    def era(self) -> object: ...
-    @property
-    def leading(self) -> bool: ...
-    @property
-    def leader(self) -> int | None: ...
-    @property
-    def known(self) -> bool: ...
-    @property
-    def in_touch(self) -> bool: ...
-
-    def propose(self, data: bytes) -> None:
-        """NotLeadingError, BusyError."""
-
-    def word(self, data: bytes) -> None:
-        """To whoever leads, also if that is this process; it may be lost. BusyError."""
-
-
 class _Telling:
     """One entry that somebody here waits for."""
 
@@ -80,7 +57,7 @@
     `on_change` of its own is called after entries were applied, and when it is known, led or in touch
     otherwise."""
 
-    def __init__(self, accord: Accord, record: Record, clock: Clock) -> None:
+    def __init__(self, accord: Agreement, record: Record, clock: Clock) -> None:
         self.accord = accord
         self.record = record
         self.clock = clock
--- a/woadyard/upkeep/assembly.py
+++ b/woadyard/upkeep/assembly.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from woadyard.accord.parts import Accord
 from woadyard.accord.ports import Machine
 from woadyard.engine import Engine
 from woadyard.engine.ports import Clock, Log, MemberSource
@@ -15,7 +16,7 @@
 from woadyard.upkeep.calls import reply_about
 from woadyard.upkeep.desk import UpkeepDesk
 from woadyard.upkeep.entries import KIND
-from woadyard.upkeep.keeper import Accord, Keeper
+from woadyard.upkeep.keeper import Keeper
 from woadyard.upkeep.options import UpkeepSettings
 from woadyard.upkeep.roll import Roll
 from woadyard.upkeep.source import UpkeepSource
--- a/woadyard/upkeep/keeper.py
+++ b/woadyard/upkeep/keeper.py
@@ -13,9 +13,10 @@
 import contextlib
 from collections import deque
 from collections.abc import Callable
-from typing import Any, Final, Protocol
+from typing import Final
 
 from woadyard.accord.errors import BusyError, NotLeadingError
+from woadyard.accord.parts import Accord
 from woadyard.engine.ports import Clock, Handle, Log
 from woadyard.upkeep.entries import Ask, Confirm, Entry, Here, Step, Word, pack, unpack_word
 from woadyard.upkeep.options import UpkeepSettings
@@ -37,40 +38,6 @@
 ASKS_MOST: Final = 16
 
 
-class Accord(Protocol):
-    """What the copies share, as upkeep needs it."""
-
-    # Called on the leader with each word: peer, incarnation, data.
-    heard: Callable[[int, int, bytes], None]
-    # Called after entries were applied, and when it is known, led or in touch otherwise.
-    on_change: Callable[[], None]
-
-    @property
-    def me(self) -> int: ...
-    @property
-    def peers(self) -> int: ...
-    @property
-    def incarnation(self) -> int: ...
-    @property
-    def era(self) -> object: ...
-    @property
-    def leading(self) -> bool: ...
-    @property
-    def leader(self) -> int | None: ...
-    @property
-    def known(self) -> bool: ...
-    @property
-    def in_touch(self) -> bool: ...
-
-    def propose(self, data: bytes) -> None:
-        """NotLeadingError, BusyError."""
-
-    def word(self, data: bytes) -> None:
-        """To whoever leads, also if that is this process; it may be lost. BusyError."""
-
-    def status(self) -> dict[str, Any]: ...
-
-
 class Asking:
     """What a call asked for, until the record has it."""
 
