Ask again for lists well before a change counts as told

A log of every call showed why: watches are reset or end instead of telling, and `Balancer.members` waited 1.25 to 3.75 s (a quarter of ask-within-us, drawn) after each such failure. Two in a row are more than the 6 s after which a change counts as told whatever happened. Ruled out: the lists themselves (each that came was applied in the turn in which it came) and the drain's clock in `Members` (counted from the list).

Change: the mean back-off is 0.4 s, or a quarter of ask-within-us where that is less; still drawn from 0.5 to 1.5 of it, so that a fleet does not ask in step.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -250,6 +250,36 @@
     assert len(balancer.order.ring) == 6
 
 
+# What a call for lists costs where it fails: an answer that ends at once, or nothing for 2 s, which
+# is spread by 0.3 s and asked again at once by the side that noticed.
+ENDS_AT_ONCE, SILENT_TWICE = 150 * MS, 2 * (2_000 + 300) * MS
+
+
+@pytest.mark.parametrize("fails", [[ENDS_AT_ONCE] * 4, [SILENT_TWICE]])
+def test_lists_are_asked_for_again_before_a_change_counts_as_told(fails: list[int]) -> None:
+    """tide-quotes, join and herd: calls that ended instead of telling were each asked again after 1.25
+    to 3.75 s, and drains were told meanwhile: 6 s after discovery had them."""
+    slow = 0
+    for seed in range(200):
+        balancer = started(seed=seed, settings=replace(SETTINGS, asks_discovery=True))
+        now = SECOND  # the watch is lost, and a change comes
+        for call in [0, *fails]:
+            actions = balancer.members(now + call, LIST_FAILED, [])
+            (timer,) = [one for one in actions if isinstance(one, Timer)]
+            now += call + timer.delay_us
+        slow = max(slow, now + ENDS_AT_ONCE - SECOND)
+    assert slow <= 6 * SECOND, "the call that tells of it is answered in time"
+
+
+def test_copies_that_lose_their_lists_together_ask_apart() -> None:
+    asked = []
+    for seed in range(200):
+        balancer = started(seed=seed, settings=replace(SETTINGS, asks_discovery=True))
+        asked += [one.delay_us for one in balancer.members(SECOND, LIST_FAILED, []) if isinstance(one, Timer)]
+    assert min(asked) > 0
+    assert max(asked) - min(asked) > 300 * MS
+
+
 ORDERED = RequestClass(UNSAFE, aim_us=500 * MS, deadline_us=SECOND, sequential=True)
 IN_ORDER = replace(SETTINGS, classes=(ORDERED, replace(ORDERED, effect=SAFE)), key_rest_us=50 * MS)
 
--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -179,6 +179,10 @@
 # A handshake costs at least this part of a request's worth, priced or not.
 HANDSHAKE_LEAST: Final = 0.01
 
+# Mean back-off after a failed call for lists, µs. A change counts as told 6 s after discovery had
+# it: one call that is silent for 2 s, and asked again, or four that fail at once, must fit into that.
+LIST_BACK_OFF: Final = 400_000
+
 TIMER_HOLD: Final = 0
 TIMER_WATCH: Final = 1
 TIMER_KINDS: Final = 2
@@ -699,7 +703,7 @@
         if mode == LIST_FAILED:
             # Guards against a lost subscription: ask again, spread out.
             if self.s.asks_discovery:
-                spread = (0.5 + self.rng.random()) * self.s.ask_within_us / 4
+                spread = (0.5 + self.rng.random()) * min(self.s.ask_within_us / 4, LIST_BACK_OFF)
                 self._timer(TIMER_WATCH, 0, int(spread))
             return self._taken(now)
         changed = False
