Judge what a cold endpoint bears by the answers of the own arc alone

Seen: a made fleet with nine tenths of the traffic at one copy, half of the endpoints starting.

Cause: `_praise` counted every answer, and `_cold_budget` divided the sum by the arc. A copy whose arc is cold, full or spent serves from the whole ring (`_pick`), so a hot one took what forty endpoints answered for what its four bear. Ruled out: the drawn phases and what is saved up (both as stated), further tries (same with one attempt), lists of different age (only spans count of which over two thirds came from copies that knew).

Change: an answer counts where its endpoint is on the arc.

--- /dev/null
+++ b/tests/test_cold_fleets.py
@@ -0,0 +1,244 @@
+"""What whole fleets send to cold endpoints where the copies' parts of it are far from alike.
+
+The bound is the acceptance page's: of requests of mean work, a cold endpoint stands N + 2 x root of N + 2
+within any span of `tip_for_us`, N by what the settings allow it at the span's beginning, the least
+(docs/design/cold.md). Every send that reaches it weighs, refused ones and further tries too. It is a break
+where over two thirds of such a span came from copies that knew of the start. Time and draws are made: one
+seed is one course.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, replace
+from heapq import heapify
+from math import sqrt
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.test_cold import SETTINGS, VIEW, WARM_UP, Case, Fleet, Server
+from woadyard.interface import NO_CONNECT, READY, TIMEOUT, Entry, Outcome, Send, Settings
+from woadyard.policy import Balancer
+
+SECOND = 1_000_000
+MS = 1_000
+
+
+@dataclass(frozen=True)
+class Uneven(Case):
+    """`hot` copies get `part` of all traffic (0: what all get), the others alike what is left."""
+
+    hot: int = 1
+    part: float = 0.0
+    listed: int = 0  # copies in the settings, where those alive are more or fewer
+    in_row: bool = False  # those that start are neighbours in the shared order, as in a rack or zone
+    others: int = -1  # how each attempt at an endpoint that does not start ends from the start on
+
+
+class Stand(Server):
+    """An endpoint under the page's bound; before its start another process served in its place."""
+
+    def __init__(self, boot: int, capacity: float) -> None:
+        super().__init__(boot, capacity)
+        self.former = Server(0, capacity)
+        self.told: list[bool] = []  # of each that it got: whether its sender knew of the start
+
+    def take(self, now: int, work: float, settings: Settings) -> int | None:
+        if now < self.boot:
+            return self.former.take(now, work, settings)
+        return super().take(now, work, settings)
+
+    def allowed(self, now: int, settings: Settings) -> float:
+        number = settings.tip_multiple * self.warmth(now, settings) * self.capacity
+        number *= settings.tip_for_us / SECOND
+        return number + 2.0 * sqrt(number) + 2.0
+
+    def fullest(self, settings: Settings) -> float:
+        """The most that it got within a span, as a part of what it stood then; only spans of which
+        over two thirds came from those that knew."""
+        span: deque[tuple[int, bool]] = deque()
+        knew, worst = 0, 0.0
+        for at, told in zip(self.got, self.told, strict=True):
+            span.append((at, told))
+            knew += told
+            while span[0][0] <= at - settings.tip_for_us:
+                knew -= span.popleft()[1]
+            if 3 * knew > 2 * len(span):
+                worst = max(worst, len(span) / self.allowed(at - settings.tip_for_us, settings))
+        return worst
+
+
+class UnevenFleet(Fleet):
+    case: Uneven
+    sender = 0
+
+    def _copy(self, me: int) -> Balancer:
+        settings = replace(self.case.settings, me=me, instances=self.case.listed or self.case.copies)
+        return Balancer(self.rng.getrandbits(32), settings)
+
+    def _server(self, number: int, boot: int) -> Entry:
+        capacities = self.case.capacities
+        self.servers[number] = Stand(boot, capacities[number % len(capacities)])
+        return Entry(number, READY, boot, 1.0, number, 0, 0)
+
+    def _shares(self) -> list[float]:
+        case = self.case
+        part = case.part or case.hot / case.copies
+        others = (1.0 - part) / max(1, case.copies - case.hot)
+        shares = [part / case.hot if me < case.hot else others for me in range(case.copies)]
+        self.rng.shuffle(shares)
+        return shares
+
+    def _arrivals(self) -> None:
+        case = self.case
+        rate = case.load * sum(server.capacity for server in self.servers.values()) / SECOND
+        shares, now, number, surged = self._shares(), 0.0, 0, False
+        while (now := now + self.rng.expovariate(rate)) < WARM_UP + case.span_us:
+            if now >= WARM_UP and not surged:
+                surged, rate = True, rate * case.surge
+            number += 1
+            (copy,) = self.rng.choices(range(case.copies), weights=shares)
+            self.due.append((int(now), -number, copy, number))
+        heapify(self.due)
+
+    def _replace(self) -> None:
+        """In a row they keep their numbers, as after the loss of a zone."""
+        case = self.case
+        if not case.in_row:
+            super()._replace()
+            return
+        ring = [endpoint.id for _, endpoint in self.copies[0].order.ring] * 2
+        first = self.rng.randrange(case.endpoints)
+        back = ring[first : first + case.replaced]
+        listed = [self._server(number, WARM_UP) for number in back]
+        self.listed = [one for one in self.listed if one.endpoint not in back] + listed
+        for copy in range(case.copies):
+            self._at(WARM_UP + self.rng.randrange(case.late_us + 1), copy, listed)
+
+    def _carry_out(self, now: int, copy: int, actions: list[object]) -> None:  # type: ignore[override]
+        self.sender = copy
+        super()._carry_out(now, copy, actions)  # type: ignore[arg-type]
+
+    def _sent(self, now: int, send: Send) -> tuple[int, Outcome]:
+        server = self.servers[send.endpoint]
+        assert isinstance(server, Stand)
+        if server.boot == 0 and now >= WARM_UP and self.case.others >= 0:
+            expires, _ = self.asked[send.request]
+            attempt = self.tries[send.request]
+            self.tries[send.request] += 1
+            at = expires if self.case.others == TIMEOUT else now + MS
+            return at, Outcome(send.request, attempt, send.endpoint, self.case.others, at - now)
+        before = len(server.got)
+        sent = super()._sent(now, send)
+        if len(server.got) > before:
+            known = self.copies[self.sender].endpoints[send.endpoint]
+            server.told.append(known.boot == server.boot)
+        return sent
+
+
+def played(case: Uneven) -> tuple[float, float]:
+    """How full the fullest span of a cold endpoint was, and the part of the requests that was served."""
+    fleet = UnevenFleet(case)
+    return max(fleet.play()), fleet.ended["served"] / len(fleet.asked)
+
+
+def holds(case: Uneven, least_served: float = 0.25) -> None:
+    fullest, served = played(case)
+    assert fullest <= 1.0, f"a span held {fullest:.2f} of what a cold endpoint stands"
+    assert served >= least_served, "a fleet that sends nothing proves nothing"
+
+
+def test_a_span_counts_where_over_two_thirds_came_from_those_that_knew() -> None:
+    """At the start 7.8 requests a span are allowed, so 15 stand and 16 do not."""
+    for number, knew, stands in ((15, 15, True), (16, 16, False), (16, 11, False), (16, 10, True)):
+        server = Stand(WARM_UP, 20.0)
+        server.got = [WARM_UP + k for k in range(number)]
+        server.told = [k < knew for k in range(number)]
+        assert (server.fullest(SETTINGS) <= 1.0) == stands
+
+
+@pytest.mark.parametrize("in_row", [True, False], ids=["row", "spread"])
+@pytest.mark.parametrize(("copies", "endpoints"), [(10, 10), (30, 20), (60, 40), (200, 40)])
+def test_a_hot_copy_among_idle_ones(copies: int, endpoints: int, in_row: bool) -> None:
+    """It fills its arc and serves the rest from the whole ring. All of that counted as what its arc
+    bears, and cold endpoints there got 1.5 times what they stand."""
+    some = Uneven(copies, endpoints, endpoints // 2, load=0.5, part=0.9, in_row=in_row, span_us=3 * SECOND)
+    holds(some, 0.95)
+
+
+def test_two_hot_copies_and_a_burst() -> None:
+    some = Uneven(60, 40, 20, load=0.4, part=0.6, hot=2, surge=1.5, in_row=True, span_us=3 * SECOND)
+    holds(some, 0.95)
+
+
+def test_a_hot_copy_before_endpoints_of_speeds_three_to_one() -> None:
+    holds(Uneven(30, 20, 10, load=0.7, part=0.8, capacities=(10.0, 30.0), span_us=3 * SECOND), 0.8)
+
+
+@pytest.mark.parametrize("listed", [1, 10, 200])
+def test_other_numbers_of_copies_than_the_settings_say(listed: int) -> None:
+    copies = 20 if listed == 200 else 60
+    holds(Uneven(copies, 20, 10, load=0.7, listed=listed, span_us=3 * SECOND), 0.9)
+
+
+@pytest.mark.parametrize("part", [0.0, 0.9], ids=["equal", "hot"])
+def test_one_warm_endpoint_is_left(part: float) -> None:
+    holds(Uneven(30, 10, 9, load=0.3, part=part, span_us=3 * SECOND), 0.7)
+
+
+@pytest.mark.parametrize("endpoints", [1, 2, 3])
+def test_a_tier_of_few_endpoints(endpoints: int) -> None:
+    holds(Uneven(30, endpoints, 1, load=0.6, part=0.5, surge=1.5, span_us=3 * SECOND))
+
+
+@pytest.mark.parametrize("others", [NO_CONNECT, TIMEOUT], ids=["refusing", "silent"])
+def test_all_warm_endpoints_fail_beside_cold_ones(others: int) -> None:
+    """Each further try goes to the cold ones, or nowhere."""
+    some = Uneven(60, 20, 10, load=0.7, surge=1.5, others=others, span_us=4 * SECOND)
+    holds(some, 0.1)
+    holds(replace(some, part=0.7, in_row=True), 0.1)
+
+
+def test_overload_under_lists_of_different_age() -> None:
+    """Some hear of the start up to 2 s later; it is dated in the past then."""
+    some = Uneven(60, 20, 10, load=1.0, surge=1.5, late_us=2 * SECOND, in_row=True, span_us=4 * SECOND)
+    holds(some, 0.5)
+
+
+def test_a_hot_copy_while_all_others_are_new() -> None:
+    holds(Uneven(30, 20, 10, load=0.7, part=0.8, restarted=0.9, span_us=3 * SECOND), 0.8)
+
+
+FLEETS = st.builds(
+    Uneven,
+    copies=st.integers(1, 40),
+    endpoints=st.just(12),
+    replaced=st.integers(1, 6),
+    load=st.sampled_from((0.3, 0.7, 1.2)),
+    late_us=st.sampled_from((0, SECOND)),
+    surge=st.sampled_from((1.0, 1.5)),
+    lost=st.sampled_from((0, 0, 5)),
+    restarted=st.sampled_from((0.0, 0.0, 0.7)),
+    part=st.sampled_from((0.0, 0.5, 0.95)),
+    listed=st.sampled_from((0, 0, 5, 100)),
+    in_row=st.booleans(),
+    span_us=st.just(2 * SECOND),
+    seed=st.integers(0, 2**32),
+    settings=st.builds(
+        replace,
+        st.just(SETTINGS),
+        cold_share=st.sampled_from((0.05, 0.13, 0.5, 0.9)),
+        cold_us=st.sampled_from((5 * SECOND, 23 * SECOND)),
+        tip_multiple=st.sampled_from((1.5, 3.0, 5.0)),
+        tip_for_us=st.sampled_from((500 * MS, SECOND, 1500 * MS)),
+        max_attempts=st.sampled_from((1, 3, 6)),
+    ),
+)
+
+
+@settings(max_examples=25)
+@given(FLEETS)
+def test_drawn_fleets(case: Uneven) -> None:
+    holds(case, 0.0)
--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -688,7 +688,8 @@
     # --- Membership and groups --------------------------------------------
 
     def start(self, now: int) -> list[Action]:
-        self.sends, self.served = Rate(self.rate_memory, now), Rate(self.rate_memory, now)
+        self.sends = Rate(self.rate_memory, now)
+        self.served = Rate(max(self.rate_memory, self.s.cold_us), now)
         if self.s.asks_discovery:
             # Copies started together must not ask together.
             spread = self.rng.random() * self.s.ask_within_us / 4
@@ -934,7 +935,7 @@
             health = self._health(now, endpoint, kind)
             health += REPAIR * (1.0 - health)
             endpoint.health[kind] = 1.0 if health > 0.99 else health, now, endpoint.health[kind][2] / 2.0
-        self.served.add(now, endpoint.ready / self.own)
+        self.served.add(now, self._on_arc(endpoint) / self.own)
         usual = self.latencies[request.kind]
         usual.add(delay_us)
         self.latency.add(delay_us)
@@ -959,6 +960,9 @@
         age = max(0, now - endpoint.boot) / self.s.cold_us
         return self.s.cold_share + (1.0 - self.s.cold_share) * age
 
+    def _on_arc(self, endpoint: Endpoint) -> bool:
+        return any([group.holds(endpoint) for group in self.groups])
+
     def _cold_budget(self, now: int, endpoint: Endpoint) -> float:
         """Guards cold endpoints: this copy's part of what all may send.
 
@@ -968,10 +972,11 @@
         to full or choked endpoints, tells nothing of what one can bear.
         Answers count by the list under which they came: when many leave it,
         those left bear no more for it, and more copies have each on their arc.
+        Those of endpoints off the arc, which serve where it is spent, tell nothing of it.
         """
-        usual = min(self.sends.get(now), self.served.get(now) * self.own) / self.arc_size
-        if not any([group.holds(endpoint) for group in self.groups]):
+        if not self._on_arc(endpoint):
             return 0.0  # only copies that have it on their arc share its budget
+        usual = min(self.sends.get(now), self.served.get(now) * self.own) / self.arc_size
         rate = usual * COLD_SAFETY * self.s.tip_multiple * self._warmth(now, endpoint)
         # Guards against a start where all is cold: nothing sent, so nothing
         # earned. One request an aim, from all copies together, is always due.
