Let what is always due to a cold endpoint follow what the settings allow it

Seen: aims of 0.1 s, a cold share of 0.05 and a multiple of 1.5, all endpoints starting: 1.68 of what one stands, 1.02 where half start.

Cause: the floor in `_cold_budget`, half a request an aim from all copies together, held whatever the multiple and the warm share were.

The test fails without the change (two of its cases).

--- a/tests/test_cold_fleets.py
+++ b/tests/test_cold_fleets.py
@@ -211,6 +211,16 @@
     holds(Uneven(30, 20, 10, load=0.7, part=0.8, restarted=0.9, span_us=3 * SECOND), 0.8)
 
 
+SHORT = replace(SETTINGS, classes=(replace(VIEW, aim_us=100 * MS),), cold_share=0.05, tip_multiple=1.5)
+
+
+@pytest.mark.parametrize(("copies", "replaced"), [(30, 5), (30, 10), (200, 10)])
+def test_short_aims_before_endpoints_that_start_at_little(copies: int, replaced: int) -> None:
+    """One request an aim was always due, however little the settings allowed: ten a second, where
+    an endpoint that has just started stands six."""
+    holds(Uneven(copies, 10, replaced, load=0.7, settings=SHORT, span_us=3 * SECOND))
+
+
 FLEETS = st.builds(
     Uneven,
     copies=st.integers(1, 40),
--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -977,10 +977,10 @@
         if not self._on_arc(endpoint):
             return 0.0  # only copies that have it on their arc share its budget
         usual = min(self.sends.get(now), self.served.get(now) * self.own) / self.arc_size
+        # Guards against a start where all is cold: nothing sent, so nothing earned. What is of
+        # any use serves one request an aim, from all copies together, once it is warm.
+        usual = max(usual, self.own / (self.arc_size * self.longest_aim))
         rate = usual * COLD_SAFETY * self.s.tip_multiple * self._warmth(now, endpoint)
-        # Guards against a start where all is cold: nothing sent, so nothing
-        # earned. One request an aim, from all copies together, is always due.
-        rate = max(rate, COLD_SAFETY * self.own / (self.arc_size * self.longest_aim))
         elapsed, endpoint.budget_at = now - endpoint.budget_at, now
         endpoint.budget += rate * elapsed
         # Guards against copies that saved up while others were drawn and then all
