Take a start for one whatever the clocks say: dated ahead, or before our own began

Found by a referee of the four rules (tests/test_crossings_module.py), which plays events in any legal order under settings drawn widely: short and long deadlines and windows, one class, no zones, tenants of no share, 1 to 200 copies, one attempt, cold_us of 0.

Cause: `_is_cold` asked for boot > 0 and now - boot < cold_us. - A start dated ahead of this clock counted as cold where cold_us is 0, the default, and `_warmth` divided by it: each request ended in an exception (the engine answers 500). - The engine dates starts by its monotonic clock, so one before that clock's beginning is negative (woadyard/engine/members.py, `_boot`) and counted as long ago: on a machine that is up for less than cold_us, cold endpoints got a full part of the traffic.

Change: 0 alone is long ago, and an age is never negative.

--- /dev/null
+++ b/tests/test_crossings_module.py
@@ -0,0 +1,359 @@
+"""The four rules at the crossings of one request's events, under settings drawn widely.
+
+`Referee` knows the rules from the wire's page alone and sees only what the module is told and what it
+does: never its state. Any legal order of outcomes, timers, lists, heads and leaving clients may come.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.helpers import Driver, fleet, sends, started
+from woadyard.interface import (
+    CANCELLED,
+    DRAINING,
+    ERROR,
+    FULL,
+    GONE,
+    KEYED,
+    LIST_CACHED,
+    LIST_DELTA,
+    LIST_FAILED,
+    LIST_FULL,
+    LIST_PART,
+    MOOT,
+    NO_CONNECT,
+    OK,
+    READY,
+    RESET,
+    SAFE,
+    SCOPE_ALL,
+    SCOPE_CELL,
+    SCOPE_ZONE,
+    TIMEOUT,
+    UNSAFE,
+    Action,
+    Arrival,
+    Cancel,
+    Entry,
+    Fail,
+    Fetch,
+    Goal,
+    Outcome,
+    Probe,
+    Refuse,
+    RequestClass,
+    Send,
+    Settings,
+    Tell,
+    Timer,
+    Watch,
+)
+from woadyard.policy import Balancer
+
+MS = 1_000
+SECOND = 1_000_000
+
+
+@dataclass
+class Try:
+    endpoint: int
+    cell: int  # of the endpoint as it was sent
+    zone: int
+    at: int
+    ended: int | None = None
+    begun: bool = False  # its answer is a stream that flows
+
+
+@dataclass
+class Asked:
+    cls: RequestClass
+    expires: int
+    coming: bool
+    tries: list[Try] = field(default_factory=list)
+    ends: int = 0  # final answers, an answer that was passed on among them
+    left: bool = False
+
+    @property
+    def over(self) -> bool:
+        return self.ends > 0 or self.left
+
+
+class Referee:
+    def __init__(self, seed: int, config: Settings) -> None:
+        self.config, self.now = config, SECOND
+        self.entries: dict[int, Entry] = {}
+        self.ready: set[int] = set()
+        self.parted = False  # a list is not whole yet
+        self.asked: dict[int, Asked] = {}
+        self.timers: list[tuple[int, int]] = []
+        self.proofs = {NO_CONNECT, MOOT} if config.full_unproven else {NO_CONNECT, MOOT, FULL}
+        self.balancer = Balancer(seed, config)
+        self.take(self.balancer.start(self.now))
+
+    # What the module does
+
+    def take(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self.sent(action)
+            elif isinstance(action, Refuse | Fail):
+                self.answered(action)
+            elif isinstance(action, Cancel):
+                assert self.config.can_cancel, "cancels are not allowed here"
+                tried = self.asked[action.request].tries[action.copy]
+                assert not tried.begun, "no cancel of a stream that flows"
+            elif isinstance(action, Timer):
+                assert 0 <= action.delay_us < 71 * 60 * SECOND
+                self.timers.append((self.now + max(1, action.delay_us), action.token))
+            elif isinstance(action, Watch | Fetch):
+                assert self.config.asks_discovery, "nobody asks where lists are pushed"
+            else:
+                assert not isinstance(action, Probe) or self.config.can_probe
+                assert not isinstance(action, Tell) or self.config.can_tell
+
+    def group(self, cls: RequestClass, cell: int, zone: int) -> int:
+        return {SCOPE_ALL: 0, SCOPE_ZONE: zone, SCOPE_CELL: cell}[cls.scope]
+
+    def sent(self, action: Send) -> None:
+        one, config = self.asked[action.request], self.config
+        assert not one.over, "nothing is sent after the end"
+        assert action.endpoint in self.ready, "nothing is sent to one that drains or is gone"
+        assert 0 < action.timeout_us <= one.expires - self.now, "no longer than the client waits"
+        assert len(one.tries) < config.max_attempts
+        assert not any(tried.begun for tried in one.tries), "bound to its stream"
+        assert config.second_copies or all(tried.ended is not None for tried in one.tries), "one at a time"
+        entry = self.entries[action.endpoint]
+        maybe = [tried for tried in one.tries if tried.ended is None or tried.ended not in self.proofs]
+        if maybe and one.cls.effect == KEYED:
+            first = maybe[0]
+            assert self.now - first.at <= one.cls.window_us, "past the window"
+            assert self.group(one.cls, entry.cell, entry.zone) == self.group(
+                one.cls, first.cell, first.zone
+            ), "out of scope"
+        assert not maybe or one.cls.effect != UNSAFE, "no effect twice"
+        one.tries.append(Try(action.endpoint, entry.cell, entry.zone, self.now))
+
+    def answered(self, action: Refuse | Fail) -> None:
+        one = self.asked[action.request]
+        assert not one.over, "one end"
+        assert self.now <= one.expires + self.config.answer_slack_us or one.coming, "in time"
+        assert not any(tried.begun for tried in one.tries), "a stream that flows is its answer"
+        if isinstance(action, Refuse):
+            harmless = one.cls.effect == SAFE or (one.cls.effect == KEYED and one.cls.scope == SCOPE_ALL)
+            assert harmless or all(tried.ended in self.proofs for tried in one.tries), "no refusal in doubt"
+            assert self.config.retry_after or not action.retry_after_us
+        one.ends += 1
+
+    # What the module is told
+
+    def members(self, mode: int, entries: list[Entry]) -> None:
+        entries = [replace_zone(entry, self.config.zones) for entry in entries]
+        if mode in (LIST_FULL, LIST_CACHED):
+            entries = [entry for entry in entries if entry.phase != GONE]
+            self.ready = set()
+        for entry in entries if mode != LIST_FAILED else ():
+            self.entries[entry.endpoint] = entry
+            (self.ready.add if entry.phase == READY else self.ready.discard)(entry.endpoint)
+        self.take(self.balancer.members(self.now, mode, entries if mode != LIST_FAILED else ()))
+
+    def request(self, cls: int, patience: int, tenant: int, marks: int) -> None:
+        rid = len(self.asked) + 1
+        cls %= len(self.config.classes)
+        kind = self.config.classes[cls]
+        expires = self.now + max(1, patience * kind.deadline_us // 10)
+        self.asked[rid] = Asked(kind, expires, coming=marks == 2)
+        work = 1000 * (rid % 5)
+        event = Arrival(rid, cls, expires, tenant, rid % 3, work, repeated=marks == 1, coming=marks == 2)
+        self.take(self.balancer.request(self.now, event))
+
+    def whole(self, pick: int) -> None:
+        some = [rid for rid, one in self.asked.items() if one.coming and not one.over]
+        if some:
+            one = self.asked[rid := some[pick % len(some)]]
+            one.coming, one.expires = False, min(one.expires, self.now + one.cls.deadline_us)
+            self.take(self.balancer.whole(self.now, rid, one.expires))
+
+    def out(self) -> list[tuple[int, int]]:
+        return [
+            (rid, copy)
+            for rid, one in self.asked.items()
+            for copy, tried in enumerate(one.tries)
+            if tried.ended is None
+        ]
+
+    def head(self, pick: int) -> None:
+        some = [(rid, copy) for rid, copy in self.out() if self.asked[rid].cls.stream]
+        some = [(rid, copy) for rid, copy in some if not self.asked[rid].over]
+        if some:
+            rid, copy = some[pick % len(some)]
+            tried = self.asked[rid].tries[copy]
+            tried.begun = True
+            self.take(self.balancer.head(self.now, Outcome(rid, copy, tried.endpoint, OK, MS)))
+
+    def outcome(self, pick: int, outcome: int) -> None:
+        if out := self.out():
+            self.end(*out[pick % len(out)], outcome)
+
+    def storm(self, outcome: int, rounds: int) -> None:
+        """All that is out ends alike, and so does what is sent again."""
+        for _ in range(rounds):
+            for rid, copy in self.out():
+                self.end(rid, copy, outcome)
+
+    def end(self, rid: int, copy: int, outcome: int) -> None:
+        one, tried = self.asked[rid], self.asked[rid].tries[copy]
+        tried.ended = outcome
+        if not one.over and (outcome == OK or tried.begun):
+            one.ends += 1
+        done = Outcome(rid, copy, tried.endpoint, outcome, self.now - tried.at, one.over)
+        self.take(self.balancer.outcome(self.now, done))
+
+    def leave(self, pick: int) -> None:
+        if held := [rid for rid, one in self.asked.items() if not one.over]:
+            rid = held[pick % len(held)]
+            self.asked[rid].left = True
+            actions = self.balancer.gone(self.now, rid) + self.balancer.gone(self.now, rid)
+            assert all(isinstance(one, Send | Cancel | Timer | Refuse | Fail) for one in actions)
+            self.take(actions)
+
+    def pass_time(self, span: int) -> None:
+        end = self.now + span
+        while due := [event for event in self.due() if event[0] <= end]:
+            at, kind, which, copy = min(due)
+            self.now = max(self.now, at)
+            if kind == 0:
+                self.timers.remove((at, which))
+                self.take(self.balancer.timer(self.now, which))
+            else:
+                self.end(which, copy, TIMEOUT)
+        self.now = end
+
+    def due(self) -> Iterator[tuple[int, int, int, int]]:
+        yield from ((at, 0, token, 0) for at, token in self.timers)
+        for rid, copy in self.out():
+            one = self.asked[rid]
+            yield one.expires + 10 * SECOND * one.tries[copy].begun, 1, rid, copy
+
+
+def replace_zone(entry: Entry, zones: int) -> Entry:
+    return replace(entry, zone=entry.zone % zones)
+
+
+def entries(most: int) -> st.SearchStrategy[list[Entry]]:
+    one = st.builds(
+        Entry,
+        endpoint=st.integers(1, 6),
+        phase=st.sampled_from((READY, READY, READY, DRAINING, GONE)),
+        boot=st.sampled_from((-5 * SECOND, 0, 0, SECOND, 2 * SECOND)),
+        rating=st.sampled_from((0.0, 1.0, 4.0)),
+        cell=st.integers(0, 2),
+        zone=st.integers(0, 2),
+        kind=st.just(0),
+    )
+    return st.lists(one, max_size=most, unique_by=lambda entry: entry.endpoint)
+
+
+MODES = (LIST_FULL, LIST_DELTA, LIST_DELTA, LIST_CACHED, LIST_FAILED, LIST_PART)
+OUTCOMES = (OK, ERROR, FULL, TIMEOUT, NO_CONNECT, RESET, CANCELLED, MOOT)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("members"), st.sampled_from(MODES), entries(4)),
+        st.tuples(
+            st.just("request"),
+            st.integers(0, 7),
+            st.sampled_from((0, 1, 10, 10)),
+            st.integers(0, 3),
+            st.integers(0, 3),
+        ),
+        st.tuples(st.just("outcome"), st.integers(0, 50), st.sampled_from(OUTCOMES)),
+        st.tuples(st.just("storm"), st.sampled_from(OUTCOMES), st.integers(1, 4)),
+        st.tuples(st.just("head"), st.integers(0, 50)),
+        st.tuples(st.just("whole"), st.integers(0, 50)),
+        st.tuples(st.just("leave"), st.integers(0, 50)),
+        st.tuples(st.just("pass_time"), st.sampled_from((1, 5 * MS, 80 * MS, 500 * MS))),
+    ),
+    min_size=5,
+    max_size=50,
+)
+TIMES = st.sampled_from(((100 * MS, 100 * MS), (60 * MS, 400 * MS), (SECOND, 3 * SECOND), (8 * SECOND,) * 2))
+CLASSES = st.builds(
+    lambda effect, scope, window, times, stream, sequential: RequestClass(
+        effect, scope, window, times[0], deadline_us=times[1], stream=stream, sequential=sequential
+    ),
+    st.sampled_from((SAFE, KEYED, KEYED, UNSAFE)),
+    st.sampled_from((SCOPE_ALL, SCOPE_ZONE, SCOPE_CELL)),
+    st.sampled_from((0, MS, 10 * MS, 300 * MS, 10 * SECOND)),
+    TIMES,
+    st.sampled_from((False, False, True)),
+    st.sampled_from((False, False, True)),
+)
+CONFIGS = st.builds(
+    Settings,
+    classes=st.lists(CLASSES, min_size=1, max_size=4).map(tuple),
+    me=st.sampled_from((0, 2, 150)),
+    instances=st.sampled_from((1, 3, 200)),
+    zones=st.integers(1, 3),
+    stage=st.integers(0, 1),
+    tenants=st.sampled_from(((), (0.0,), (5.0, 1.0, 0.5))),
+    over_share_worth=st.sampled_from((0.0, 0.1, 1.0)),
+    asks_discovery=st.booleans(),
+    can_cancel=st.booleans(),
+    second_copies=st.booleans(),
+    retry_after=st.booleans(),
+    max_attempts=st.sampled_from((1, 2, 3, 6)),
+    streams=st.sampled_from((1, 4)),
+    idle_us=st.sampled_from((0, SECOND)),
+    resolution_us=st.sampled_from((1, 2000, 50_000)),
+    key_rest_us=st.sampled_from((0, 50 * MS)),
+    full_unproven=st.booleans(),
+    cold_share=st.sampled_from((0.05, 0.3, 0.9)),
+    cold_us=st.sampled_from((0, SECOND, 30 * SECOND)),
+    tip_multiple=st.sampled_from((1.5, 3.0, 5.0)),
+    goal=st.sampled_from((Goal(), Goal(0.5, worst_class=0.3, punctual=0.2, miss_allowed=0.01))),
+    cross_zone_price=st.sampled_from((0.0, 0.5)),
+    handshake_price=st.sampled_from((0.0, 2.0)),
+    answer_slack_us=st.just(8 * MS),
+)
+
+
+@settings(max_examples=400)
+@given(seed=st.integers(0, 2**32), config=CONFIGS, first=entries(6), steps=STEPS)
+def test_rules_hold_at_every_crossing_under_any_settings(
+    seed: int, config: Settings, first: list[Entry], steps: list[tuple[str, *tuple[object, ...]]]
+) -> None:
+    referee = Referee(seed, config)
+    referee.members(LIST_CACHED, first)
+    for name, *arguments in steps:
+        getattr(referee, name)(*arguments)
+    referee.pass_time(60 * SECOND)
+    for one in referee.asked.values():
+        assert one.over, "each request ends"
+        assert one.ends <= 1
+    balancer = referee.balancer
+    assert not balancer.requests and not balancer.ended and not balancer.partial
+    assert not any(turn.line or turn.out for turn in balancer.turns.values())
+    assert all(endpoint.inflight == 0 for endpoint in balancer.endpoints.values())
+
+
+@pytest.mark.parametrize("cold_us", [0, 20 * SECOND])
+def test_a_start_that_is_dated_ahead_is_a_start_just_now(cold_us: int) -> None:
+    """Its clock goes ahead of ours. Where nothing is cold (the default) the module failed on each request."""
+    balancer = started(2, cold_us=cold_us)
+    balancer.members(SECOND, LIST_FULL, fleet(2, boot=3 * SECOND))
+    assert [balancer._is_cold(SECOND, one) for one in balancer.endpoints.values()] == [cold_us > 0] * 2
+    _, actions = Driver(balancer).ask(SECOND)
+    assert sends(actions) or cold_us
+
+
+def test_a_start_before_our_own_clock_began_is_a_start() -> None:
+    """The engine dates it by a monotonic clock that may be younger than the endpoint."""
+    balancer = started(2)
+    balancer.members(SECOND, LIST_FULL, fleet(2, boot=-2 * SECOND))
+    for now, cold in ((SECOND, True), (17 * SECOND, True), (18 * SECOND, False)):
+        assert [balancer._is_cold(now, one) for one in balancer.endpoints.values()] == [cold] * 2
--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -951,7 +951,7 @@
     # --- Slow start ------------------------------------------------------------
 
     def _is_cold(self, now: int, endpoint: Endpoint) -> bool:
-        return endpoint.boot > 0 and now - endpoint.boot < self.s.cold_us
+        return endpoint.boot != 0 and max(0, now - endpoint.boot) < self.s.cold_us
 
     def _warmth(self, now: int, endpoint: Endpoint) -> float:
         """Share of its capacity a starting endpoint is sure to have by now."""
