Keep repeats in scope where an endpoint has moved to another cell or zone

Seen: a keyed request of scope cell failed at one endpoint of cell 0; the other one of it came back in cell 1 under its number; the repeat went there, where the key is not known. So with zones.

Cause: `Endpoint` took cell, zone and place in the shared order as it was made, and `_apply` left them as they were for one that it still knew: listed, or gone with calls in flight. The guard `_in_scope` compared with the old ones. Ruled out: the attempt keeps cell and zone of its own time, as it must.

Change: an endpoint that has moved leaves its place in the order and enters at its new one, with its calls in flight kept; also within a list that comes in parts.

--- a/tests/test_crossings_module.py
+++ b/tests/test_crossings_module.py
@@ -13,7 +13,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.helpers import Driver, fleet, sends, started
+from tests.helpers import SETTINGS, Driver, fleet, sends, started
 from woadyard.interface import (
     CANCELLED,
     DRAINING,
@@ -357,3 +357,39 @@
     balancer.members(SECOND, LIST_FULL, fleet(2, boot=-2 * SECOND))
     for now, cold in ((SECOND, True), (17 * SECOND, True), (18 * SECOND, False)):
         assert [balancer._is_cold(now, one) for one in balancer.endpoints.values()] == [cold] * 2
+
+
+@pytest.mark.parametrize("scope", [SCOPE_CELL, SCOPE_ZONE], ids=["cell", "zone"])
+def test_a_repeat_stays_in_scope_where_an_endpoint_has_moved(scope: int) -> None:
+    """An endpoint that came back elsewhere under its number was still taken for one of its old cell."""
+    cls = RequestClass(KEYED, scope, window_us=SECOND, aim_us=200 * MS, deadline_us=SECOND)
+    config = replace(SETTINGS, classes=(cls,), zones=3)
+    referee = Referee(1, config)
+    first, moved = Entry(1, READY, 0, 1.0, 0, 0, 0), Entry(2, READY, 0, 1.0, 0, 0, 0)
+    referee.members(LIST_FULL, [first, moved])
+    referee.request(0, 10, 0, 0)
+    tried = referee.asked[1].tries[0].endpoint
+    other = moved if tried == 1 else first
+    referee.members(LIST_DELTA, [replace(other, cell=1, zone=1)])
+    referee.outcome(0, ERROR)
+    referee.pass_time(SECOND)
+    assert len(referee.asked[1].tries) == 1 and referee.asked[1].over
+    assert [one.id for _, one in referee.balancer.order.ring] == sorted(
+        (1, 2), key=lambda n: referee.balancer.endpoints[n].key
+    )
+
+
+def test_a_moved_endpoint_keeps_its_calls_in_flight_and_its_budget_of_a_start() -> None:
+    balancer = started(4, zones=3)
+    _, actions = Driver(balancer).ask(SECOND)
+    (sent,) = sends(actions)
+    entry = next(one for one in fleet(4) if one.endpoint == sent.endpoint)
+    balancer.members(SECOND, LIST_DELTA, [replace(entry, cell=9, zone=2)])
+    endpoint = balancer.endpoints[sent.endpoint]
+    assert (endpoint.cell, endpoint.zone, endpoint.inflight) == (9, 2, 1)
+    assert len(balancer.order.ring) == 4 and len(balancer.order.zones[2]) == 1
+    balancer.members(SECOND, LIST_PART, [replace(entry, cell=8, zone=1)])
+    balancer.members(SECOND, LIST_DELTA, [])
+    assert (endpoint.cell, endpoint.zone, endpoint.inflight) == (8, 1, 1)
+    balancer.outcome(SECOND, Outcome(1, 0, sent.endpoint, OK, MS, over=True))
+    assert endpoint.inflight == 0 and len(balancer.order.ring) == 4 and not balancer.order.zones[2]
--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -196,8 +196,7 @@
     def __init__(self, entry: Entry, kinds: int) -> None:
         self.id = entry.endpoint
         self.kinds = kinds  # of requests
-        self.key = ring_key(entry.cell, entry.endpoint)
-        self.cell, self.zone = entry.cell, entry.zone
+        self.move(entry)
         self.boot = entry.boot
         self.rating = entry.rating
         self.ready = False
@@ -206,6 +205,10 @@
         self.staged = False  # it waits for the end of the list that it came with
         self.renew()
 
+    def move(self, entry: Entry) -> None:
+        self.key = ring_key(entry.cell, entry.endpoint)
+        self.cell, self.zone = entry.cell, entry.zone
+
     def renew(self) -> None:
         """What is learned of one process."""
         self.slowness = 1.0  # observed latency over the peers' mean
@@ -722,10 +725,14 @@
         endpoint = self.endpoints.get(entry.endpoint)
         if entry.phase != READY:
             return self._remove(endpoint) if endpoint else False
+        moved = False
         if endpoint is None:
-            endpoint = self.endpoints[entry.endpoint] = Endpoint(
-                entry, len(self.s.classes) * max(1, len(self.s.tenants))
-            )
+            endpoint = Endpoint(entry, len(self.s.classes) * max(1, len(self.s.tenants)))
+        elif (endpoint.cell, endpoint.zone) != (entry.cell, entry.zone):
+            # Guards repeats: they stay with the cell or zone that it is in by now.
+            moved = self._remove(endpoint)
+            endpoint.move(entry)
+        self.endpoints[endpoint.id] = endpoint
         endpoint.rating = entry.rating if entry.rating > 0 else 1.0
         if entry.boot != endpoint.boot or not endpoint.ready:
             if entry.boot != endpoint.boot:
@@ -744,7 +751,7 @@
             self.coming.add(endpoint)
             self.staged.append(endpoint)
             endpoint.staged = True
-            return False
+            return moved
         endpoint.ready = True
         self.order.add(endpoint)
         if self.coming is not None:
