Let one through after ten refused on end and a second, so that no copy holds itself shut

Seen in made plays (6 endpoints, aim 2.5 s, 40 s in which answers were late, timed out or were refused, all well after): copies with 4 requests a second sent nothing for up to 15 s, ones with 20 a second for up to 4.9 s.

Cause: `Admission.admits`. The trial that shows recovery is the share ADMIT_MIN, by chance: at 4 a second nothing passes in 4 s in one case of five, for the least worthy class in one of two. And `_full` is shut for as long as requests that hang fill the least bound (2 where copies are many), until `_stuck` takes them out, which waits for six deviations of what may be seconds. Ruled out: retry tokens, health and crowding (each lets a send pass within a usual latency), an empty list that comes back (sent at the next request).

Change: after ten refused on end and a second without one let through, the next is a trial. Ten and not a second alone: one that gets one request a second would shed none of it. At most one a second and copy more than before.

--- a/tests/test_crossings_module.py
+++ b/tests/test_crossings_module.py
@@ -445,3 +445,33 @@
     balancer.members(20, LIST_FULL, fleet(4))
     assert [balancer.timer(30, token) for token in timers] == [[]] * len(timers)
     assert not balancer.requests and not balancer.ended and not balancer.turns
+
+
+def longest_pause(seed: int, gap: int, trouble: tuple[int, int], copies: int) -> int:
+    """µs without a send, at most, once all endpoints answer again after 40 s in which each attempt
+    ended with this outcome after this time."""
+    settings = replace(SETTINGS, classes=(PATIENT,))
+    driver = Driver(started(6, seed=seed, settings=settings, instances=copies))
+    due: list[tuple[int, Outcome]] = []
+    well, end, last, worst = 60 * SECOND, 80 * SECOND, 60 * SECOND, 0
+    for now in range(gap, end, gap):
+        for at, done in [one for one in due if one[0] <= now]:
+            driver.balancer.outcome(at, done)
+        due = [one for one in due if one[0] > now]
+        rid, actions = driver.ask(now)
+        for sent in sends(actions):
+            worst, last = max(worst, now - max(well, last)), now
+            outcome, took = trouble if 20 * SECOND <= now < well else (OK, 300 * MS)
+            due.append((now + took, Outcome(rid, 0, sent.endpoint, outcome, took, over=True)))
+        due.sort(key=lambda one: one[0])
+    return max(worst, end - last)
+
+
+@pytest.mark.parametrize("copies", [1, 33])
+@pytest.mark.parametrize("trouble", [(TIMEOUT, 6 * SECOND), (OK, 5 * SECOND), (FULL, MS)])
+@pytest.mark.parametrize("gap", [50 * MS, 250 * MS])
+def test_a_copy_does_not_hold_itself_shut(gap: int, trouble: tuple[int, int], copies: int) -> None:
+    """What is left of bad times let nothing through for up to 15 s, with all endpoints well: one in ten is
+    a matter of chance, and requests that hang filled the bound. At most one in eleven is, or one a second."""
+    pauses = [longest_pause(seed, gap, trouble, copies) for seed in range(8)]
+    assert max(pauses) <= max(SECOND, 11 * gap) + gap
--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -164,8 +164,12 @@
 WORTHLESS_PART: Final = 0.5
 # A tenant may save up its part of the allowance for this long, in aims.
 ALLOW_FOR: Final = 2.0
-# Share let through however bad it looks: the trial that shows recovery.
+# Share let through however bad it looks: the trial that shows recovery. By chance it may be
+# none for many seconds, and what hangs below may fill the bound: after so many refused on end,
+# and so long (µs), the next is let through.
 ADMIT_MIN: Final = 0.1
+TRIAL_AFTER: Final = 10
+TRIAL_EVERY: Final = 1_000_000
 
 # A lost attempt makes the copy wary of connections that rested this part as long:
 # each halving on the way down would cost another loss.
@@ -444,9 +448,7 @@
         self.sum += amount
 
     def get(self, now: int) -> float:
-        seen = 1.0 - exp((self.began - now) / self.memory)
-        if seen < 0.02:  # too short a look to tell a rate from chance
-            seen = 0.02
+        seen = max(0.02, 1.0 - exp((self.began - now) / self.memory))  # less tells only chance
         return self.sum * exp((self.at - now) / self.memory) / (self.memory * seen)
 
 
@@ -459,9 +461,9 @@
     """
 
     __slots__ = (
-        "answers", "at", "base", "began", "bounded", "busy_at", "calm", "calm_at", "count", "early",
-        "early_end", "first", "haste", "least", "results", "settled", "share", "since", "standing",
-        "taken", "took", "vain",
+        "answers", "at", "base", "began", "bounded", "busy_at", "calm", "calm_at", "count", "denied",
+        "early", "early_end", "first", "haste", "least", "let_at", "results", "settled", "share", "since",
+        "standing", "taken", "took", "vain",
     )  # fmt: skip
 
     def __init__(self, aim_us: float) -> None:
@@ -472,6 +474,7 @@
         self.count = self.taken = 0  # results, and requests let through
         self.results = self.answers = 0.0  # within the present look
         self.began = self.at = 0
+        self.denied = self.let_at = 0  # so many on end, since one was let through
         self.early, self.early_end = (0, 0.0), -1  # of the first taken: results and time, and the last
         self.settled = False
         self.calm_at = self.busy_at = 0  # when few were last held, and many
@@ -522,9 +525,12 @@
         alike = max(1e-9, 1.0 - less - more)
         share = min(1.0, self.share)
         part = max(WORTHLESS_PART * share, min(1.0, (share - more) / alike))
-        if chance >= part or self._full(now, held / (1.0 + WORTHY_MORE * less)):
+        full = self._full(now, held / (1.0 + WORTHY_MORE * less))
+        trial = self.denied >= TRIAL_AFTER and now - self.let_at >= TRIAL_EVERY
+        if (chance >= part or full) and not trial:
+            self.denied += 1
             return False
-        self.began = self.began or now
+        self.began, self.let_at, self.denied = self.began or now, now, 0
         self.taken += 1
         if self.taken == BASE_SAMPLES:
             self.early_end = now
@@ -1002,15 +1008,12 @@
         maybe = request.first_maybe()
         if maybe is None or request.cls.scope == SCOPE_ALL:
             return True
-        if request.cls.scope == SCOPE_ZONE:
-            return endpoint.zone == maybe.zone
-        return endpoint.cell == maybe.cell
+        in_zone, in_cell = endpoint.zone == maybe.zone, endpoint.cell == maybe.cell
+        return in_zone if request.cls.scope == SCOPE_ZONE else in_cell
 
     def _may_repeat(self, now: int, request: Request) -> bool:
         """Whether a further attempt is allowed at all, wherever it goes."""
-        if len(request.attempts) >= self.s.max_attempts or request.streaming:
-            return False
-        if now >= request.expires:
+        if len(request.attempts) >= self.s.max_attempts or request.streaming or now >= request.expires:
             return False
         if not self.s.second_copies and request.outstanding():
             return False
@@ -1177,10 +1180,9 @@
         """
         stuck = 0
         for request in self.requests.values():  # the oldest first
-            held = now - request.arrived
             if request.coming:
                 continue
-            if not self._hangs(held):
+            if not self._hangs(now - request.arrived):
                 break
             stuck += 1
         return stuck
@@ -1310,11 +1312,8 @@
         value, kind = divmod(token, TIMER_KINDS)
         if kind == TIMER_WATCH and self.s.asks_discovery:
             self.out.append(Watch(True))
-            return self._taken(now)
-        request = self.requests.get(value)
-        if request is None or request.outstanding():
-            return self._taken(now)
-        self._try(now, request)
+        elif (request := self.requests.get(value)) and not request.outstanding():
+            self._try(now, request)
         return self._taken(now)
 
     def _timer(self, kind: int, value: int, delay_us: int) -> None:
