Ask for lists again within 1.5 s of a failed call, whatever the site's limit is

Seen: with ask_within_us of 10 s the module paused for 1.25 to 3.75 s after a failed call, with 60 s for up to 22 s, and asked for the first time up to 2.5 s and 15 s after its start. A call may run for 2 s before it is given up (woadyard/net/discovery.py), and the next takes its time too.

Cause: `start` and `members` drew the pause as a part of ask_within_us. Where lists are asked for, the daemon's discovery leaves the pause to the module (`lost`, `list_failed`).

--- a/tests/test_crossings_module.py
+++ b/tests/test_crossings_module.py
@@ -475,3 +475,33 @@
     a matter of chance, and requests that hang filled the bound. At most one in eleven is, or one a second."""
     pauses = [longest_pause(seed, gap, trouble, copies) for seed in range(8)]
     assert max(pauses) <= max(SECOND, 11 * gap) + gap
+
+
+@pytest.mark.parametrize("within", [SECOND, 10 * SECOND, 60 * SECOND, 600 * SECOND])
+@pytest.mark.parametrize("seed", range(20))
+def test_a_failed_call_for_lists_is_followed_by_another_in_time(seed: int, within: int) -> None:
+    """A call may run for 2 s before it is given up, and the next takes as long: with the pause between them
+    that has to lie within 6 s, whatever ask_within_us is. It was up to 3/8 of that."""
+    balancer = Balancer(seed, replace(SETTINGS, asks_discovery=True, ask_within_us=within))
+    (first,) = balancer.start(0)
+    assert isinstance(first, Timer) and first.delay_us <= min(1_500 * MS, within)
+    now, asked = first.delay_us, balancer.timer(first.delay_us, first.token)
+    for _ in range(50):
+        assert asked == [Watch(True)]
+        (again,) = balancer.members(now, LIST_FAILED, ())
+        assert isinstance(again, Timer)
+        assert 2 * SECOND + again.delay_us + 2 * SECOND <= 6 * SECOND - 500 * MS
+        assert again.delay_us <= within
+        now += again.delay_us
+        asked = balancer.timer(now, again.token)
+
+
+def test_copies_do_not_ask_together() -> None:
+    delays = []
+    for seed in range(200):
+        balancer = Balancer(seed, replace(SETTINGS, asks_discovery=True))
+        balancer.start(0)
+        (again,) = balancer.members(SECOND, LIST_FAILED, ())
+        assert isinstance(again, Timer)
+        delays.append(again.delay_us // (100 * MS))
+    assert max(delays.count(one) for one in delays) < 40
--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -183,6 +183,10 @@
 # A handshake costs at least this part of a request's worth, priced or not.
 HANDSHAKE_LEAST: Final = 0.01
 
+# µs in the mean between a failed call for lists and the next: one to one and a half, with 2 s for
+# a call that is given up and 2 s for the next, lie within the 6 s after which a change is told.
+ASK_AGAIN: Final = 1_000_000
+
 TIMER_HOLD: Final = 0
 TIMER_WATCH: Final = 1
 TIMER_KINDS: Final = 2
@@ -686,6 +690,7 @@
         if goal.punctual > 0.0 and 0.0 < goal.miss_allowed < 1.0:
             self.good_part = min(1.0, log(1.0 - ADMIT_GOOD) / log(goal.miss_allowed))
         self.worth = Worth(settings, self.longest_aim)
+        self.ask_again = min(settings.ask_within_us // 4, ASK_AGAIN)
         self.crossing = Crossing(CROSS_MEMORY * self.longest_aim)
 
     def _taken(self, now: int) -> list[Action]:
@@ -701,16 +706,14 @@
         self.served = Rate(max(self.rate_memory, self.s.cold_us), now)
         if self.s.asks_discovery:
             # Copies started together must not ask together.
-            spread = self.rng.random() * self.s.ask_within_us / 4
-            self._timer(TIMER_WATCH, 0, int(spread))
+            self._timer(TIMER_WATCH, 0, int(self.rng.random() * self.ask_again))
         return self._taken(now)
 
     def members(self, now: int, mode: int, entries: Sequence[Entry]) -> list[Action]:
         if mode == LIST_FAILED:
             # Guards against a lost subscription: ask again, spread out.
             if self.s.asks_discovery:
-                spread = (0.5 + self.rng.random()) * self.s.ask_within_us / 4
-                self._timer(TIMER_WATCH, 0, int(spread))
+                self._timer(TIMER_WATCH, 0, int((0.5 + self.rng.random()) * self.ask_again))
             return self._taken(now)
         changed = False
         if mode not in (LIST_DELTA, LIST_PART):
@@ -1157,9 +1160,8 @@
         self.retry_tokens = min(RETRY_CAP, self.retry_tokens + RETRY_EARN)
         # Nothing was spent on a request yet where it enters; further down, a
         # refusal would waste what the tiers above have done for it.
-        if self.s.stage == 0 and not self._admits(now, event):
-            self._end(now, request)
-        elif not request.key or self._queue(now, request):
+        admitted = self.s.stage > 0 or self._admits(now, event)
+        if admitted and (not request.key or self._queue(now, request)):
             self._try(now, request)
         else:
             self._end(now, request)
