Hold the module to sending again after trouble, and the referee to seeing breaks

Plays 100 answers, then ten seconds in which each attempt fails alike (or the list is empty), then all is well: something is sent within a second, at the entry and further down.

--- a/tests/test_crossings_module.py
+++ b/tests/test_crossings_module.py
@@ -13,6 +13,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from tests.conftest import plain_only
 from tests.helpers import SETTINGS, Driver, fleet, sends, started
 from woadyard.interface import (
     CANCELLED,
@@ -505,3 +506,76 @@
         assert isinstance(again, Timer)
         delays.append(again.delay_us // (100 * MS))
     assert max(delays.count(one) for one in delays) < 40
+
+
+@pytest.mark.parametrize("stage", [0, 1])
+@pytest.mark.parametrize("outcome", [ERROR, FULL, TIMEOUT, NO_CONNECT, RESET, None], ids=str)
+def test_the_first_request_after_any_trouble_goes_out_within_what_it_waits(
+    outcome: int | None, stage: int
+) -> None:
+    """No endpoint's health, crowding or missing room, nor spent tokens, nor an empty list (None) keeps a
+    copy from sending once all is well: what comes then goes out at once, or as an endpoint is free again."""
+    settings = replace(SETTINGS, classes=(PATIENT,), stage=stage, stages=2)
+    driver = Driver(balancer := started(6, settings=settings))
+    assert all(driver.serve(k * 50 * MS, 100 * MS) for k in range(100))
+    if outcome is None:
+        balancer.members(5 * SECOND, LIST_FULL, [])
+    for k in range(200):
+        now = 6 * SECOND + k * 50 * MS
+        rid, actions = driver.ask(now)
+        copy = 0
+        while sent := sends(actions):
+            assert outcome is not None
+            done = Outcome(rid, copy, sent[0].endpoint, outcome, MS, over=False)
+            actions, copy = balancer.outcome(now + MS, done), copy + 1
+    if outcome is None:
+        balancer.members(17 * SECOND, LIST_FULL, fleet(6))
+    began = now = 17 * SECOND
+    while now - began <= SECOND:
+        rid, actions = driver.ask(now)
+        timers = [(now + one.delay_us, one.token) for one in actions if isinstance(one, Timer)]
+        while timers and not sends(actions) and timers[0][0] - began <= SECOND:
+            now, token = timers.pop()
+            actions = balancer.timer(now, token)
+            timers = [(now + one.delay_us, one.token) for one in actions if isinstance(one, Timer)]
+        if sends(actions):
+            return
+        now += 50 * MS
+    raise AssertionError("nothing was sent for a second")
+
+
+@plain_only
+@pytest.mark.parametrize(
+    ("guard", "broken", "effect", "why"),
+    [
+        ("_may_repeat", True, UNSAFE, "no effect twice"),
+        ("_in_scope", True, KEYED, "out of scope"),
+        ("_remove", False, SAFE, "nothing is sent to one that drains"),
+        ("_end", None, SAFE, "each request ends"),
+        ("_forget", None, SAFE, "one end|nothing is sent after the end"),
+    ],
+)
+def test_the_referee_sees_each_rule_broken(
+    monkeypatch: pytest.MonkeyPatch, guard: str, broken: bool | None, effect: int, why: str
+) -> None:
+    """A checker that can't fail proves nothing: take one guard away at a time."""
+
+    def play() -> None:
+        cls = RequestClass(effect, SCOPE_CELL, 8 * SECOND, 200 * MS, deadline_us=SECOND)
+        referee = Referee(1, replace(SETTINGS, classes=(cls,), max_attempts=6))
+        ready = [Entry(n, READY, 0, 1.0, n % 2, 0, 0) for n in range(1, 7)]
+        referee.members(LIST_FULL, ready)
+        referee.members(LIST_DELTA, [replace(entry, phase=DRAINING) for entry in ready[4:]])
+        for n in range(12):
+            referee.request(0, 10, 0, 0)
+            referee.storm(ERROR if n % 2 else NO_CONNECT, 6)
+        referee.leave(0)
+        referee.pass_time(3 * SECOND)
+        assert all(one.over for one in referee.asked.values()), "each request ends"
+
+    play()
+    if guard == "_in_scope":  # what the pick narrows it to, too
+        monkeypatch.setattr(Balancer, "_pick", lambda one, now, asked: one._choose(now, asked, one.groups))
+    monkeypatch.setattr(Balancer, guard, lambda *_: broken)
+    with pytest.raises(AssertionError, match=why):
+        play()
