--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -164,8 +164,12 @@
 WORTHLESS_PART: Final = 0.5
 # A tenant may save up its part of the allowance for this long, in aims.
 ALLOW_FOR: Final = 2.0
-# Share let through however bad it looks: the trial that shows recovery.
+# Share let through however bad it looks: the trial that shows recovery. By chance it may be
+# none for many seconds, and what hangs below may fill the bound: after so many refused on end,
+# and so long (µs), the next is let through.
 ADMIT_MIN: Final = 0.1
+TRIAL_AFTER: Final = 10
+TRIAL_EVERY: Final = 1_000_000
 
 # A lost attempt makes the copy wary of connections that rested this part as long:
 # each halving on the way down would cost another loss.
@@ -200,8 +204,7 @@
     def __init__(self, entry: Entry, kinds: int) -> None:
         self.id = entry.endpoint
         self.kinds = kinds  # of requests
-        self.key = ring_key(entry.cell, entry.endpoint)
-        self.cell, self.zone = entry.cell, entry.zone
+        self.move(entry)
         self.boot = entry.boot
         self.rating = entry.rating
         self.ready = False
@@ -210,6 +213,10 @@
         self.staged = False  # it waits for the end of the list that it came with
         self.renew()
 
+    def move(self, entry: Entry) -> None:
+        self.key = ring_key(entry.cell, entry.endpoint)
+        self.cell, self.zone = entry.cell, entry.zone
+
     def renew(self) -> None:
         """What is learned of one process."""
         self.slowness = 1.0  # observed latency over the peers' mean
@@ -445,9 +452,7 @@
         self.sum += amount
 
     def get(self, now: int) -> float:
-        seen = 1.0 - exp((self.began - now) / self.memory)
-        if seen < 0.02:  # too short a look to tell a rate from chance
-            seen = 0.02
+        seen = max(0.02, 1.0 - exp((self.began - now) / self.memory))  # less tells only chance
         return self.sum * exp((self.at - now) / self.memory) / (self.memory * seen)
 
 
@@ -460,9 +465,9 @@
     """
 
     __slots__ = (
-        "answers", "at", "base", "began", "bounded", "busy_at", "calm", "calm_at", "count", "early",
-        "early_end", "first", "haste", "least", "results", "settled", "share", "since", "standing",
-        "taken", "took", "vain",
+        "answers", "at", "base", "began", "bounded", "busy_at", "calm", "calm_at", "count", "denied",
+        "early", "early_end", "first", "haste", "least", "let_at", "results", "settled", "share", "since",
+        "standing", "taken", "took", "vain",
     )  # fmt: skip
 
     def __init__(self, aim_us: float) -> None:
@@ -473,6 +478,7 @@
         self.count = self.taken = 0  # results, and requests let through
         self.results = self.answers = 0.0  # within the present look
         self.began = self.at = 0
+        self.denied = self.let_at = 0  # so many on end, since one was let through
         self.early, self.early_end = (0, 0.0), -1  # of the first taken: results and time, and the last
         self.settled = False
         self.calm_at = self.busy_at = 0  # when few were last held, and many
@@ -523,9 +529,11 @@
         alike = max(1e-9, 1.0 - less - more)
         share = min(1.0, self.share)
         part = max(WORTHLESS_PART * share, min(1.0, (share - more) / alike))
-        if chance >= part or self._full(now, held / (1.0 + WORTHY_MORE * less)):
+        trial = self.denied >= TRIAL_AFTER and now - self.let_at >= TRIAL_EVERY
+        if not trial and (chance >= part or self._full(now, held / (1.0 + WORTHY_MORE * less))):
+            self.denied += 1
             return False
-        self.began = self.began or now
+        self.began, self.let_at, self.denied = self.began or now, now, 0
         self.taken += 1
         if self.taken == BASE_SAMPLES:
             self.early_end = now
@@ -681,6 +689,7 @@
         if goal.punctual > 0.0 and 0.0 < goal.miss_allowed < 1.0:
             self.good_part = min(1.0, log(1.0 - ADMIT_GOOD) / log(goal.miss_allowed))
         self.worth = Worth(settings, self.longest_aim)
+        self.ask_again = min(settings.ask_within_us // 4, LIST_BACK_OFF)
         self.crossing = Crossing(CROSS_MEMORY * self.longest_aim)
 
     def _taken(self, now: int) -> list[Action]:
@@ -692,19 +701,18 @@
     # --- Membership and groups --------------------------------------------
 
     def start(self, now: int) -> list[Action]:
-        self.sends, self.served = Rate(self.rate_memory, now), Rate(self.rate_memory, now)
+        self.sends = Rate(self.rate_memory, now)
+        self.served = Rate(max(self.rate_memory, self.s.cold_us), now)
         if self.s.asks_discovery:
             # Copies started together must not ask together.
-            spread = self.rng.random() * self.s.ask_within_us / 4
-            self._timer(TIMER_WATCH, 0, int(spread))
+            self._timer(TIMER_WATCH, 0, int(self.rng.random() * self.ask_again))
         return self._taken(now)
 
     def members(self, now: int, mode: int, entries: Sequence[Entry]) -> list[Action]:
         if mode == LIST_FAILED:
             # Guards against a lost subscription: ask again, spread out.
             if self.s.asks_discovery:
-                spread = (0.5 + self.rng.random()) * min(self.s.ask_within_us / 4, LIST_BACK_OFF)
-                self._timer(TIMER_WATCH, 0, int(spread))
+                self._timer(TIMER_WATCH, 0, int((0.5 + self.rng.random()) * self.ask_again))
             return self._taken(now)
         changed = False
         if mode not in (LIST_DELTA, LIST_PART):
@@ -725,10 +733,14 @@
         endpoint = self.endpoints.get(entry.endpoint)
         if entry.phase != READY:
             return self._remove(endpoint) if endpoint else False
+        moved = False
         if endpoint is None:
-            endpoint = self.endpoints[entry.endpoint] = Endpoint(
-                entry, len(self.s.classes) * max(1, len(self.s.tenants))
-            )
+            endpoint = Endpoint(entry, len(self.s.classes) * max(1, len(self.s.tenants)))
+        elif (endpoint.cell, endpoint.zone) != (entry.cell, entry.zone):
+            # Guards repeats: they stay with the cell or zone that it is in by now.
+            moved = self._remove(endpoint)
+            endpoint.move(entry)
+        self.endpoints[endpoint.id] = endpoint
         endpoint.rating = entry.rating if entry.rating > 0 else 1.0
         if entry.boot != endpoint.boot or not endpoint.ready:
             if entry.boot != endpoint.boot:
@@ -747,7 +759,7 @@
             self.coming.add(endpoint)
             self.staged.append(endpoint)
             endpoint.staged = True
-            return False
+            return moved
         endpoint.ready = True
         self.order.add(endpoint)
         if self.coming is not None:
@@ -938,7 +950,7 @@
             health = self._health(now, endpoint, kind)
             health += REPAIR * (1.0 - health)
             endpoint.health[kind] = 1.0 if health > 0.99 else health, now, endpoint.health[kind][2] / 2.0
-        self.served.add(now, endpoint.ready / self.own)
+        self.served.add(now, self._on_arc(endpoint) / self.own)
         usual = self.latencies[request.kind]
         usual.add(delay_us)
         self.latency.add(delay_us)
@@ -954,7 +966,7 @@
     # --- Slow start ------------------------------------------------------------
 
     def _is_cold(self, now: int, endpoint: Endpoint) -> bool:
-        return endpoint.boot > 0 and now - endpoint.boot < self.s.cold_us
+        return endpoint.boot != 0 and max(0, now - endpoint.boot) < self.s.cold_us
 
     def _warmth(self, now: int, endpoint: Endpoint) -> float:
         """Share of its capacity a starting endpoint is sure to have by now."""
@@ -963,6 +975,9 @@
         age = max(0, now - endpoint.boot) / self.s.cold_us
         return self.s.cold_share + (1.0 - self.s.cold_share) * age
 
+    def _on_arc(self, endpoint: Endpoint) -> bool:
+        return any([group.holds(endpoint) for group in self.groups])
+
     def _cold_budget(self, now: int, endpoint: Endpoint) -> float:
         """Guards cold endpoints: this copy's part of what all may send.
 
@@ -972,14 +987,15 @@
         to full or choked endpoints, tells nothing of what one can bear.
         Answers count by the list under which they came: when many leave it,
         those left bear no more for it, and more copies have each on their arc.
+        Those of endpoints off the arc, which serve where it is spent, tell nothing of it.
         """
-        usual = min(self.sends.get(now), self.served.get(now) * self.own) / self.arc_size
-        if not any([group.holds(endpoint) for group in self.groups]):
+        if not self._on_arc(endpoint):
             return 0.0  # only copies that have it on their arc share its budget
+        usual = self.served.get(now) * self.own / self.arc_size
+        # Guards against a start where all is cold: nothing sent, so nothing earned. What is of
+        # any use serves one request an aim, from all copies together, once it is warm.
+        usual = max(usual, self.own / (self.arc_size * self.longest_aim))
         rate = usual * COLD_SAFETY * self.s.tip_multiple * self._warmth(now, endpoint)
-        # Guards against a start where all is cold: nothing sent, so nothing
-        # earned. One request an aim, from all copies together, is always due.
-        rate = max(rate, COLD_SAFETY * self.own / (self.arc_size * self.longest_aim))
         elapsed, endpoint.budget_at = now - endpoint.budget_at, now
         endpoint.budget += rate * elapsed
         # Guards against copies that saved up while others were drawn and then all
@@ -994,15 +1010,12 @@
         maybe = request.first_maybe()
         if maybe is None or request.cls.scope == SCOPE_ALL:
             return True
-        if request.cls.scope == SCOPE_ZONE:
-            return endpoint.zone == maybe.zone
-        return endpoint.cell == maybe.cell
+        in_zone, in_cell = endpoint.zone == maybe.zone, endpoint.cell == maybe.cell
+        return in_zone if request.cls.scope == SCOPE_ZONE else in_cell
 
     def _may_repeat(self, now: int, request: Request) -> bool:
         """Whether a further attempt is allowed at all, wherever it goes."""
-        if len(request.attempts) >= self.s.max_attempts or request.streaming:
-            return False
-        if now >= request.expires:
+        if len(request.attempts) >= self.s.max_attempts or request.streaming or now >= request.expires:
             return False
         if not self.s.second_copies and request.outstanding():
             return False
@@ -1146,9 +1159,8 @@
         self.retry_tokens = min(RETRY_CAP, self.retry_tokens + RETRY_EARN)
         # Nothing was spent on a request yet where it enters; further down, a
         # refusal would waste what the tiers above have done for it.
-        if self.s.stage == 0 and not self._admits(now, event):
-            self._end(now, request)
-        elif not request.key or self._queue(now, request):
+        admitted = self.s.stage > 0 or self._admits(now, event)
+        if admitted and (not request.key or self._queue(now, request)):
             self._try(now, request)
         else:
             self._end(now, request)
@@ -1169,10 +1181,9 @@
         """
         stuck = 0
         for request in self.requests.values():  # the oldest first
-            held = now - request.arrived
             if request.coming:
                 continue
-            if not self._hangs(held):
+            if not self._hangs(now - request.arrived):
                 break
             stuck += 1
         return stuck
@@ -1291,7 +1302,10 @@
     def gone(self, now: int, rid: int) -> list[Action]:
         request = self.requests.get(rid)
         if request is not None:
-            self._result(now, request, TIMEOUT)
+            # One that left before an answer was due tells nothing of how answers come.
+            due = min(self.admission.took, self.good_part * request.cls.aim_us)
+            if now - request.arrived > due:
+                self._result(now, request, TIMEOUT)
             self._forget(now, request)
         return self._taken(now)
 
@@ -1299,11 +1313,8 @@
         value, kind = divmod(token, TIMER_KINDS)
         if kind == TIMER_WATCH and self.s.asks_discovery:
             self.out.append(Watch(True))
-            return self._taken(now)
-        request = self.requests.get(value)
-        if request is None or request.outstanding():
-            return self._taken(now)
-        self._try(now, request)
+        elif (request := self.requests.get(value)) and not request.outstanding():
+            self._try(now, request)
         return self._taken(now)
 
     def _timer(self, kind: int, value: int, delay_us: int) -> None:
