--- /dev/null
+++ b/tests/test_crossings_callers.py
@@ -0,0 +1,509 @@
+"""Ends that cross what is still owed to a caller: each instant is forced, in both orders.
+
+Callers are plain sockets on the test's own loop: what they send is in the sidecar's kernel buffer when
+`send` returns, and the sidecar reads it no sooner than in its next turn. Named steps (the module's, the
+server's) hold one side until the other has come to the instant. Judged by answers and by what endpoints saw.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import socket
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.sockets import (
+    Endpoint,
+    Message,
+    Registry,
+    Sidecar,
+    Writer,
+    answer,
+    config,
+    connect_until_up,
+    free_port,
+    hold,
+    overrule,
+    push,
+    read_message,
+    request,
+    run,
+    serve_ok,
+    sidecar,
+    start,
+)
+from woadyard.interface import FULL, Action, Outcome
+from woadyard.net.server import Caller
+
+PAGE, PAY = request(), request("pay", b"body")
+LAST = request("page", rid="last", headers="Connection: close\r\n")
+LARGE = bytes(range(256)) * 240  # a body within the protocol's limit, over a small window
+
+
+class Client:
+    """A caller of which each step is the test's: it reads only when it is asked to."""
+
+    def __init__(self, port: int, window: int = 0) -> None:
+        self.raw = socket.socket()
+        if window:  # before it connects: the system fixes it then
+            self.raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window)
+        self.raw.connect(("127.0.0.1", port))
+        self.raw.setblocking(False)
+
+    def send(self, data: bytes) -> None:
+        assert self.raw.send(data) == len(data)
+
+    async def read(self) -> bytes:
+        """All up to the end of the connection; `ConnectionResetError` if that is a reset."""
+        loop, parts = asyncio.get_running_loop(), list[bytes]()
+        while part := await loop.sock_recv(self.raw, 1 << 16):
+            parts.append(part)
+        return b"".join(parts)
+
+    async def read_answer(self) -> Message:
+        """One answer, on a connection that may stay open."""
+        loop, data = asyncio.get_running_loop(), b""
+        while True:
+            reader = asyncio.StreamReader()
+            reader.feed_data(data)
+            reader.feed_eof()
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                return await read_message(reader)
+            part = await loop.sock_recv(self.raw, 1 << 16)
+            if not part:
+                raise asyncio.IncompleteReadError(data, None)
+            data = b"%b%b" % (data, part)
+
+    def close(self) -> None:
+        self.raw.close()
+
+
+@contextlib.contextmanager
+def client(one: Sidecar, window: int = 0) -> Any:
+    with contextlib.closing(Client(one.port, window)) as made:
+        yield made
+
+
+async def parsed(data: bytes) -> list[Message]:
+    """The whole answers in it; `IncompleteReadError` if the last is not whole."""
+    reader = asyncio.StreamReader()
+    reader.feed_data(data)
+    reader.feed_eof()
+    found: list[Message] = []
+    while not reader.at_eof():
+        found.append(await read_message(reader))
+    return found
+
+
+async def until(true: Callable[[], bool]) -> None:
+    while not true():
+        await asyncio.sleep(0)
+
+
+async def caller_of(one: Sidecar) -> Caller:
+    """The one that is connected, by now."""
+    await until(lambda: len(one.server.callers) == 1)
+    (caller,) = one.server.callers
+    return caller
+
+
+async def small_buffer(one: Sidecar) -> None:
+    """Of a large answer to the one that is connected some stays in the process until it is read."""
+    transport = (await caller_of(one)).transport
+    assert transport is not None
+    transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+
+
+def at_outcome(one: Sidecar, step: Callable[[Outcome], None]) -> None:
+    """`step` is taken in the turn of the loop in which an outcome comes: behind the answer's first
+    write, where it is one, and before any of that is with the system."""
+
+    def outcome(now: int, event: Outcome) -> list[Action]:
+        step(event)
+        return real.outcome(now, event)
+
+    real = overrule(one.engine, outcome=outcome)
+
+
+def due(sweep: Any) -> None:
+    """The sweep's time is over for all in it: it runs before the loop reads anything more."""
+    for each in sweep.since:
+        sweep.since[each] -= sweep.seconds
+    sweep.run()
+
+
+# --- Close over unread bytes --------------------------------------------------------------
+
+
+def test_accepted_connections_hold_no_small_write_back() -> None:
+    async def main() -> None:
+        async with sidecar(Endpoint()) as one:
+            with client(one):
+                caller = await caller_of(one)
+                assert caller.transport is not None
+                found = caller.transport.get_extra_info("socket")
+                assert found.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+    run(main())
+
+
+@pytest.mark.parametrize("crosses", [True, False], ids=["before-its-close", "never"])
+@pytest.mark.parametrize("why", ["asked", "stop"])
+def test_bytes_that_cross_the_close_behind_an_answer_take_nothing_of_it(why: str, crosses: bool) -> None:
+    """The caller's window is small: most of the answer is still with the sidecar's system."""
+
+    async def main() -> None:
+        async def large(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+            writer.write(answer(body=LARGE))
+
+        async with sidecar(Endpoint(large)) as one:
+            with client(one, window=4096) as caller:
+
+                def cross(event: Outcome) -> None:
+                    if crosses:
+                        caller.send(request(rid="crossing"))
+
+                at_outcome(one, cross)
+                if why == "stop":
+                    await caller_of(one)
+                    one.server.stop(lambda: None)
+                caller.send(LAST if why == "asked" else PAGE)
+                (back,) = await parsed(await caller.read())
+                assert back.status == 200 and back.body == LARGE
+
+    run(main())
+
+
+@pytest.mark.parametrize("behind", [b"x" * 100, b"x" * (1 << 18)], ids=["some", "much"])
+def test_a_refusal_outlives_what_its_caller_goes_on_sending(behind: bytes) -> None:
+    async def main() -> None:
+        endpoint = Endpoint(hold)
+        async with sidecar(endpoint) as one:
+            with client(one) as caller:
+                caller.send(PAY)
+                await endpoint.arrived.acquire()
+                real = one.engine.decisions
+
+                def gone(now: int, rid: int) -> list[Action]:
+                    with contextlib.suppress(BlockingIOError):
+                        caller.raw.send(behind)
+                    return real.gone(now, rid)
+
+                overrule(one.engine, gone=gone)
+                caller.send(request(rid="r2"))
+                (back,) = await parsed(await caller.read())
+                assert back.status == 400 and len(endpoint.got) == 1
+
+    run(main())
+
+
+def test_a_caller_that_reads_slowly_gets_the_whole_answer_though_its_connection_was_ended() -> None:
+    async def main() -> None:
+        async def large(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+            writer.write(answer(body=LARGE))
+
+        async with sidecar(Endpoint(large)) as one:
+            with client(one, window=4096) as caller:
+                await small_buffer(one)
+                caller.send(LAST)
+                await until(lambda: bool(one.server.lingering.since))
+                due(one.server.lingering)
+                (back,) = await parsed(await caller.read())
+                assert back.body == LARGE
+
+    run(main())
+
+
+# --- A request on a connection at rest ----------------------------------------------------
+
+
+# --- Graceful shutdown --------------------------------------------------------------------
+
+
+@contextlib.asynccontextmanager
+async def stopping(*endpoints: Endpoint, known: bool = True) -> AsyncIterator[tuple[Sidecar, asyncio.Event]]:
+    """A sidecar, and the event that its stop sets when nothing is owed any more."""
+    async with sidecar(*endpoints, known=known) as one:
+        yield one, asyncio.Event()
+
+
+@pytest.mark.parametrize("first", ["byte", "end"])
+def test_stop_between_accept_and_first_byte(first: str) -> None:
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with stopping(endpoint) as (one, ended):
+            with client(one) as caller:
+                await caller_of(one)
+                one.server.stop(ended.set)
+                if first == "byte":
+                    caller.send(PAGE)  # it is in the kernel's buffer when the listener closes
+                    one.server._stop_listening()
+                    (back,) = await parsed(await caller.read())
+                    assert back.body == b"ok" and back.headers["connection"] == "close"
+                else:
+                    one.server._stop_listening()
+                    caller.send(PAGE)
+                    assert await caller.read() == b"" and not endpoint.got
+            await ended.wait()
+
+    run(main())
+
+
+@pytest.mark.parametrize("stop", ["while-held", "before"])
+def test_stop_between_read_and_first_attempt(stop: str) -> None:
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with endpoint, stopping(known=False) as (one, ended):
+            with client(one) as caller:
+                await caller_of(one)
+                if stop == "before":
+                    one.server.stop(ended.set)
+                caller.send(PAGE)
+                await until(lambda: len(one.engine.calls) == 1)
+                one.server.stop(ended.set)
+                one.server._stop_listening()
+                assert not endpoint.got
+                one.told(endpoint.entry())
+                (back,) = await parsed(await caller.read())
+                assert back.body == b"ok" and len(endpoint.got) == 1
+            await ended.wait()
+
+    run(main())
+
+
+@pytest.mark.parametrize("stop", ["at-the-outcome", "half-read"])
+def test_stop_between_an_outcome_and_the_last_byte_of_its_answer(stop: str) -> None:
+    """In the turn of the outcome the answer had said that its connection stays."""
+
+    async def main() -> None:
+        async def large(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+            writer.write(answer(body=LARGE))
+
+        async with stopping(Endpoint(large)) as (one, ended):
+            with client(one, window=4096) as caller:
+                if stop == "at-the-outcome":
+                    at_outcome(one, lambda _: one.server.stop(ended.set))
+                caller.send(PAGE)
+                part = await asyncio.get_running_loop().sock_recv(caller.raw, 1000)
+                if stop == "half-read":
+                    one.server.stop(ended.set)
+                caller.send(request(rid="crossing"))
+                one.server._stop_listening()
+                (back,) = await parsed(part + await caller.read())
+                assert back.body == LARGE
+            await ended.wait()
+
+    run(main())
+
+
+@pytest.mark.parametrize("stop", ["at-the-outcome", "before"])
+def test_stop_during_the_wait_for_a_further_attempt(stop: str) -> None:
+    async def main() -> None:
+        async def full_once(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+            for each in endpoints:
+                each.handler = serve_ok
+            writer.write(answer(503, headers="X-Not-Run: 1\r\n"))
+
+        endpoints = Endpoint(full_once), Endpoint(full_once)
+        async with stopping(*endpoints) as (one, ended):
+            told: list[int] = []
+
+            def first(event: Outcome) -> None:
+                told.append(event.outcome)
+                if stop == "at-the-outcome":
+                    one.server.stop(ended.set)
+                    one.server._stop_listening()
+
+            at_outcome(one, first)
+            with client(one) as caller:
+                caller.send(PAY)
+                if stop == "before":
+                    await until(lambda: len(one.engine.calls) == 1)
+                    one.server.stop(ended.set)
+                (back,) = await parsed(await caller.read())
+                assert told[0] == FULL and back.body == b"ok"
+                assert sum(each.effects.by_id["r1"] for each in endpoints) == 1
+            await ended.wait()
+
+    run(main())
+
+
+def test_a_second_stop_ends_nothing_sooner() -> None:
+    async def main() -> None:
+        release = asyncio.Event()
+
+        async def slow(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+            await release.wait()
+            writer.write(answer())
+
+        endpoint = Endpoint(slow)
+        async with stopping(endpoint) as (one, ended):
+            with client(one) as caller:
+                caller.send(PAGE)
+                await endpoint.arrived.acquire()
+                one.server.stop(ended.set)
+                one.server._stop_listening()
+                one.server.stop(ended.set)
+                assert not ended.is_set()
+                release.set()
+                (back,) = await parsed(await caller.read())
+                assert back.body == b"ok"
+            await ended.wait()
+
+    run(main())
+
+
+@pytest.mark.parametrize("first", ["request", "close"])
+def test_a_request_on_a_connection_at_rest_and_the_stop_cross(first: str) -> None:
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with stopping(endpoint) as (one, ended):
+            with client(one) as caller:
+                caller.send(request(rid="before"))
+                assert "connection" not in (await caller.read_answer()).headers
+                if first == "request":
+                    caller.send(PAGE)
+                one.server.stop(ended.set)
+                if first == "close":
+                    caller.send(PAGE)
+                found = await parsed(await caller.read())
+                assert [back.body for back in found] == ([b"ok"] if first == "request" else [])
+                assert len(endpoint.got) == 1 + len(found)
+            await ended.wait()
+
+    run(main())
+
+
+@pytest.mark.parametrize("first", ["request", "end"])
+def test_callers_left_to_a_successor_are_ended_between_requests(first: str) -> None:
+    """The stop of a process that was succeeded: connections end with their next answer, or in time."""
+
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with stopping(endpoint) as (one, ended):
+            one.server.succeeded = lambda: True
+            with client(one) as caller:
+                caller.send(request(rid="before"))
+                await caller.read_answer()
+                one.server.stop(ended.set)
+                if first == "request":
+                    caller.send(PAGE)
+                one.server._end_unsent()
+                if first == "end":
+                    caller.send(PAGE)
+                found = await parsed(await caller.read())
+                assert [back.body for back in found] == ([b"ok"] if first == "request" else [])
+                assert len(endpoint.got) == 1 + len(found)
+            await ended.wait()
+
+    run(main())
+
+
+# --- The process --------------------------------------------------------------------------
+
+
+def test_sigterm_before_the_first_list_answers_what_is_held(tmp_path: Path) -> None:
+    async def main() -> None:
+        registry, endpoint = Registry(), Endpoint()
+        async with await registry.start(), endpoint:
+            port = free_port()
+            environ = {**config(tmp_path, registry, known=None), "LB_LISTEN": f"127.0.0.1:{port}"}
+            process = await start(environ)
+            _, watch = await registry.asked.get()
+            reader, writer = await connect_until_up(port)
+            resting, resting_writer = await asyncio.open_connection("127.0.0.1", port)
+            resting_writer.write(b"GET /health/ready HTTP/1.1\r\n\r\n")
+            assert (await read_message(resting)).status == 200
+            writer.write(PAGE)
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGTERM)
+            assert await resting.read() == b"", "the stop has begun"
+            push(watch, 1, True, endpoint.entry())
+            assert (await read_message(reader)).body == b"ok"
+            assert await reader.read() == b""
+            for each in (writer, resting_writer):
+                each.close()
+            _, errors = await process.communicate()
+            assert (process.returncode, errors) == (0, b"")
+
+    run(main())
+
+
+@pytest.mark.parametrize("signals", [(signal.SIGHUP, signal.SIGTERM), (signal.SIGTERM, signal.SIGHUP)])
+def test_sigterm_and_a_reload_cross_and_what_was_taken_is_answered(
+    tmp_path: Path, signals: tuple[signal.Signals, ...]
+) -> None:
+    async def main() -> None:
+        release = asyncio.Event()
+
+        async def slow(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+            await release.wait()
+            writer.write(answer())
+
+        registry, endpoint = Registry(), Endpoint(slow)
+        async with await registry.start(), endpoint:
+            port = free_port()
+            environ = {**config(tmp_path, registry, endpoint), "LB_LISTEN": f"127.0.0.1:{port}"}
+            process = await start(environ)
+            reader, writer = await connect_until_up(port)
+            writer.write(PAY)
+            await endpoint.arrived.acquire()
+            for each in signals:
+                process.send_signal(each)
+            release.set()
+            back = await read_message(reader)
+            assert back.body == b"ok"
+            writer.close()
+            _, errors = await process.communicate()
+            assert (process.returncode, errors) == (0, b"")
+
+    run(main())
+
+
+# A daemon that is told to stop in the moment in which it has begun to listen, a request being there.
+LISTENING = """
+import os, signal, socket, sys
+from woadyard import daemon
+from woadyard.__main__ import main
+
+real = daemon.Daemon._listen
+
+async def listen(self, shared):
+    await real(self, shared)
+    caller = socket.create_connection(self.server.listener.sockets[0].getsockname()[:2])
+    os.dup2(caller.fileno(), int(sys.argv[1]))
+    caller.sendall(sys.argv[2].encode())
+    os.kill(os.getpid(), signal.SIGTERM)
+
+daemon.Daemon._listen = listen
+sys.exit(main([]))
+"""
+
+
+# --- A caller that leaves -----------------------------------------------------------------
+
+
+def test_a_caller_that_leaves_before_its_request_could_be_sent_is_never_sent_on() -> None:
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with endpoint, sidecar(known=False) as one:
+            crowd = [Client(one.port) for _ in range(20)]
+            for n, caller in enumerate(crowd):
+                caller.send(request(rid=f"left{n}"))
+            await until(lambda: len(one.engine.calls) == len(crowd))
+            for caller in crowd:
+                caller.close()
+            await until(lambda: not one.engine.calls)
+            one.told(endpoint.entry())
+            assert (await one.ask(PAGE)).body == b"ok"
+            assert [got.headers["x-request-id"] for got in endpoint.got] == ["r1"]
+
+    run(main())
+
+
+# --- Descriptors --------------------------------------------------------------------------
