Serve a request that has come when its connection is closed for idleness

Timers run before the loop reads, so on a busy process a request that had come long before was not read. Its caller sends it once more, for which it pays a connection and what has passed of its time.

The three end in `close_unless_asking`.

Measured: tests/test_crossings_callers.py, test_service.py and test_management.py pass; with the mend taken out the three cases of request-first fail (no answer).

--- a/tests/test_crossings_callers.py
+++ b/tests/test_crossings_callers.py
@@ -222,6 +222,39 @@
 # --- A request on a connection at rest ----------------------------------------------------
 
 
+@pytest.mark.parametrize("first", ["request", "close"])
+@pytest.mark.parametrize("sweep", ["resting", "late", "reading"])
+def test_a_request_and_the_idle_close_cross(sweep: str, first: str) -> None:
+    """One that has come is served; behind the close none is sent on, and the caller sees an end, no reset."""
+
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with sidecar(endpoint) as one:
+            with client(one) as caller:
+                ended = await caller_of(one)
+                if sweep == "resting":
+                    caller.send(request(rid="before"))
+                    assert (await caller.read_answer()).status == 200
+                elif sweep == "late":
+                    one.server.reading.discard(ended)
+                    one.server.late.add(ended)
+                before = len(endpoint.got)
+                if first == "request":
+                    caller.send(LAST)
+                    due(getattr(one.server, sweep))
+                    (back,) = await parsed(await caller.read())
+                    assert back.body == b"ok" and len(endpoint.got) == before + 1
+                else:
+                    due(getattr(one.server, sweep))
+                    caller.send(LAST)
+                    assert await caller.read() == b""
+                    caller.close()
+                    await until(lambda: not one.server.callers)
+                    assert len(endpoint.got) == before
+
+    run(main())
+
+
 # --- Graceful shutdown --------------------------------------------------------------------
 
 
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -472,8 +472,8 @@
         return bool(news.poll(0))
 
     def close_unless_asking(self) -> None:
-        """Guards a request that crosses the end of its connection: it is still read, and
-        the answer on it ends the connection."""
+        """Guards a request that crosses the end of its connection: one that has come is
+        served; what comes behind the close is sent once more by its caller."""
         if not self.has_more():
             self.close()
 
@@ -482,7 +482,7 @@
         if self.fed:
             self.refuse(BadRequestError(408, "the request came too slowly"))
         else:
-            self.close()
+            self.close_unless_asking()
 
 
 class Server:
@@ -510,9 +510,10 @@
         self.reading: Sweep[Caller] = Sweep(loop, READ_S, Caller.time_out)  # a request is owed
         self.uploading: Sweep[Caller] = Sweep(loop, READ_S, Caller.time_out)  # the same, being sent on
         self.stuck: Sweep[Caller] = Sweep(loop, STUCK_S, Caller.cut)  # does not read
-        self.resting: Sweep[Caller] = Sweep(loop, REST_S, Caller.close)  # between requests
+        self.resting: Sweep[Caller] = Sweep(loop, REST_S, Caller.close_unless_asking)  # between requests
         self.lingering: Sweep[Caller] = Sweep(loop, LINGER_S, Caller.end_linger)  # half-closed
-        self.late: Sweep[Caller] = Sweep(loop, LATE_S, Caller.close)  # came when others were gone
+        # Came when others were gone.
+        self.late: Sweep[Caller] = Sweep(loop, LATE_S, Caller.close_unless_asking)
         self.draining: asyncio.TimerHandle | None = None
         self.closed = False  # the listener is, and what it had accepted has joined
         self.over = False  # the process ends
