Refuse a half-sent request at the end of a stop's wait, where it was ended unanswered

`_end_unsent` (net/server.py) closed a connection with a part of a request on it without a word. By the protocol a request is taken once its last byte is written, and lost if its connection then ends with no answer: a last byte that crosses the close, or lies unread in the kernel's buffer, makes it so.

What has come is read first, and served; else it gets 503, as in a drain: nothing of it was sent on.

The last byte read, unread, late and never, each against the end of the wait.

--- a/tests/test_crossings_callers.py
+++ b/tests/test_crossings_callers.py
@@ -287,6 +287,36 @@
     run(main())
 
 
+@pytest.mark.parametrize("last_byte", ["read", "unread", "late", "never"])
+def test_stop_between_head_and_body(last_byte: str) -> None:
+    """A request of which a part was read gets an answer, if its last byte crosses the end of the wait too."""
+
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with stopping(endpoint) as (one, ended):
+            with client(one) as caller:
+                (head, rest) = PAY[:-2], PAY[-2:]
+                caller.send(head)
+                begun = await caller_of(one)
+                await until(lambda: begun.fed == len(head))
+                one.server.stop(ended.set)
+                if last_byte == "read":
+                    caller.send(rest)
+                    await endpoint.arrived.acquire()
+                elif last_byte == "unread":
+                    caller.send(rest)
+                one.server._stop_listening()
+                if last_byte == "late":
+                    caller.send(rest)
+                (back,) = await parsed(await caller.read())
+                served = last_byte in ("read", "unread")
+                assert (back.status, len(endpoint.got)) == ((200, 1) if served else (503, 0))
+                assert back.headers["connection"] == "close"
+            await ended.wait()
+
+    run(main())
+
+
 @pytest.mark.parametrize("stop", ["while-held", "before"])
 def test_stop_between_read_and_first_attempt(stop: str) -> None:
     async def main() -> None:
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -477,6 +477,14 @@
         if not self.has_more():
             self.close()
 
+    def end_unsent(self) -> None:
+        """The process stops. What has come is read first. Of a half-sent request the last byte may be on its
+        way: it is refused, as nothing of it was sent on."""
+        if self.fed and not self.has_more():
+            self.refuse(BadRequestError(503, "this sidecar stops"))
+        else:
+            self.close_unless_asking()
+
     def time_out(self) -> None:
         """The request did not come in time; a caller that sent none is just left."""
         if self.fed:
@@ -648,10 +656,7 @@
 
     def _end_unsent(self) -> None:
         """No request begins any more: half-sent ones and silent callers keep nothing up."""
-        idle = [one for one in self.callers if one.call is None and one.answer is None and not one.over]
-        for caller in idle:
-            if not caller.fed:
-                caller.close_unless_asking()
-            else:
-                caller.close()
+        for caller in list(self.callers):
+            if caller.call is None and caller.answer is None and not caller.over:
+                caller.end_unsent()
         self._maybe_end()
