Accept what the system has accepted before the listener closes at a stop

`_stop_listening` (net/server.py) closed the listener from a timer, which runs before the loop accepts. Connections that the system had accepted by then, with or without a request on them, were reset: a request is taken once its last byte is written to a connection that the machine accepted. Needs a process that had no turn for the 0.15 s between the last new connections and the close. libuv accepts one a turn, so a burst helps.

The listener closes in the first turn in which nothing waits there, after BACKLOG turns at most.

Measured: three connections in the accept queue when the listener is to close are served, or ended cleanly where they bring nothing; both cases fail with the mend taken out (connection reset). tests/test_crossings_callers.py, test_service.py and test_stream.py (but for the test of held memory) pass.

--- a/tests/test_crossings_callers.py
+++ b/tests/test_crossings_callers.py
@@ -317,6 +317,31 @@
     run(main())
 
 
+@pytest.mark.parametrize("sends", [True, False], ids=["its-request", "nothing"])
+def test_stop_with_a_connection_that_the_system_alone_has_accepted(sends: bool) -> None:
+    """The listener closes in a turn in which nothing was accepted: that would reset it."""
+
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with stopping(endpoint) as (one, ended):
+            one.server.stop(ended.set)
+            callers = [Client(one.port) for _ in range(3)]
+            for n, caller in enumerate(callers):
+                if sends:
+                    caller.send(request(rid=f"r{n}"))
+            one.server._stop_listening()
+            for caller in callers:
+                data = await caller.read()
+                assert [back.body for back in await parsed(data)] == ([b"ok"] if sends else [])
+                caller.close()
+            assert len(endpoint.got) == (3 if sends else 0)
+            await ended.wait()
+            with pytest.raises(ConnectionRefusedError):
+                Client(one.port)
+
+    run(main())
+
+
 @pytest.mark.parametrize("stop", ["while-held", "before"])
 def test_stop_between_read_and_first_attempt(stop: str) -> None:
     async def main() -> None:
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -63,6 +63,13 @@
 LEAVE_S: Final = 0.5
 
 
+def has_news(descriptor: int, events: int) -> bool:
+    """Whether any of these has happened to it by now."""
+    news = select.poll()
+    news.register(descriptor, events)
+    return bool(news.poll(0))
+
+
 class Caller:
     """One connection of a caller; one request is read, and answered, at a time.
 
@@ -466,10 +473,8 @@
 
     def has_more(self) -> bool:
         """Whether bytes have come that were not read yet."""
-        news = select.poll()
         assert self.transport is not None
-        news.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(news.poll(0))
+        return has_news(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
 
     def close_unless_asking(self) -> None:
         """Guards a request that crosses the end of its connection: one that has come is
@@ -639,7 +644,15 @@
             caller.close_unless_asking()
         self.loop.call_later(ACCEPT_S + LAST_S, self._stop_listening)
 
-    def _stop_listening(self) -> None:
+    def _stop_listening(self, turns: int = BACKLOG) -> None:
+        """Guards a connection that the system has accepted, and this process not yet: it would be reset.
+        A turn of the loop accepts one at least, so all that are there now are accepted in so many."""
+        listener: Any = self.listener
+        if listener is None:
+            return
+        if turns > 0 and has_news(listener.sockets[0].fileno(), select.POLLIN):
+            self.loop.call_soon(self._stop_listening, turns - 1)
+            return
         self._close_listener()
         self._end_unsent()
 
