Ask until the end of a stop for connections that would rest or wait past 0.7 s

`_end_unsent` (net/server.py) ran once, when the listener closed. What joined behind it, or had a part of its request unread then, had LATE_S or READ_S more, so that a request could begin 0.85 s and 2.7 s after SIGTERM: past 0.7 s it is lost if SIGKILL finds it open. And an answer that was being passed on at the stop, or in a drain, put its connection to rest for 5 s more (`flowed`: the head had said that it stays).

`_end_unsent` asks again every LAST_S until all have gone; `flowed` ends a connection that may not rest, unless a request was read behind the answer: that is served, and its answer ends the connection.

--- a/tests/test_crossings_callers.py
+++ b/tests/test_crossings_callers.py
@@ -389,6 +389,51 @@
     run(main())
 
 
+@pytest.mark.parametrize("behind", [True, False], ids=["request-behind", "nothing-behind"])
+@pytest.mark.parametrize("why", ["stop", "drain"])
+def test_no_connection_rests_behind_an_answer_that_was_passed_on_meanwhile(why: str, behind: bool) -> None:
+    """Its head had said that the connection stays. A request that was read meanwhile is answered."""
+
+    async def main() -> None:
+        go, large = asyncio.Event(), LARGE * 4
+
+        async def in_parts(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+            if message.headers["x-request-id"] != "r1":
+                writer.write(answer())
+                return
+            writer.write(answer(body=large)[:-1])
+            await go.wait()
+            writer.write(large[-1:])
+
+        endpoint = Endpoint(in_parts)
+        async with stopping(endpoint) as (one, ended):
+            with client(one) as caller:
+                caller.send(PAGE)
+                passing = await caller_of(one)
+                await until(lambda: passing.answer is not None)
+                if behind:
+                    caller.send(request(rid="r2"))
+                    await until(lambda: bool(passing.behind))
+                one.server.resting.seconds = 3600.0  # not by this
+                if why == "stop":
+                    one.server.stop(ended.set)
+                    one.server._stop_listening()
+                else:
+                    one.server.lifecycle.evacuate(asyncio.get_running_loop().time())
+                    assert one.server.draining is not None
+                    one.server.draining.cancel()  # its steps are taken here
+                    one.server._end_resting()
+                    one.server._end_drain()
+                go.set()
+                found = await parsed(await caller.read())
+                assert [back.body for back in found] == [large, b"ok"][: len(found)]
+                assert len(found) == len(endpoint.got) == (2 if behind else 1)
+            if why == "stop":
+                await ended.wait()
+
+    run(main())
+
+
 @pytest.mark.parametrize("stop", ["at-the-outcome", "before"])
 def test_stop_during_the_wait_for_a_further_attempt(stop: str) -> None:
     async def main() -> None:
@@ -421,6 +466,40 @@
     run(main())
 
 
+@pytest.mark.parametrize("brings", ["nothing", "head", "late-request"])
+def test_what_came_last_at_a_stop_is_ended_before_a_request_on_it_could_be_lost(brings: str) -> None:
+    """A connection that joins behind the close of the listener, or of whose request a part had come. What
+    begins later than 0.7 s after SIGTERM is lost if SIGKILL finds it open."""
+
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with stopping(endpoint) as (one, ended):
+            with client(one) as caller:
+                late = await caller_of(one)
+                one.server.stop(ended.set)
+                if brings == "head":
+                    caller.send(PAY[:-2])
+                    one.server._stop_listening()  # unread: it has its turn, and is asked again
+                else:
+                    one.server._stop_listening()
+                    assert await caller.read() == b""
+                    ours, theirs = socket.socketpair()
+                    ours.setblocking(False)
+                    await asyncio.get_running_loop().connect_accepted_socket(one.server._caller, theirs)
+                    caller.raw, last = ours, caller.raw
+                    last.close()
+                    await until(lambda: late not in one.server.callers and bool(one.server.callers))
+                one.server.late.seconds = one.server.reading.seconds = 3600.0  # not by these
+                if brings == "late-request":
+                    caller.send(PAGE)
+                found = await parsed(await caller.read())
+                assert [back.status for back in found] == {"nothing": [], "head": [503]}.get(brings, [200])
+                assert len(endpoint.got) == (brings == "late-request")
+            await ended.wait()
+
+    run(main())
+
+
 def test_a_second_stop_ends_nothing_sooner() -> None:
     async def main() -> None:
         release = asyncio.Event()
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -409,7 +409,7 @@
 
     def _read_behind(self) -> None:
         data, self.behind = self.behind, b""
-        if data and self.transport is not None:
+        if self.transport is not None:
             self.transport.resume_reading()
             self.data_received(data)
 
@@ -429,7 +429,10 @@
             self.transport.write(b"0\r\n\r\n")
         if whole and self.keep:
             self.server.resting.add(self)
-            self._read_behind()
+            if self.behind:
+                self._read_behind()
+            elif not self.server.lifecycle.keeps:  # it did when the answer's head was written
+                self.close_unless_asking()
         elif whole or self.chunks or self.keep:
             # What has been given is still read; that it is not whole shows in its framing.
             self.close()
@@ -668,8 +671,11 @@
         self._maybe_end()
 
     def _end_unsent(self) -> None:
-        """No request begins any more: half-sent ones and silent callers keep nothing up."""
+        """No request begins any more: half-sent ones and silent callers keep nothing up. Asked again until
+        all have gone: the last to join, and those of which something had come, have their turn so."""
         for caller in list(self.callers):
             if caller.call is None and caller.answer is None and not caller.over:
                 caller.end_unsent()
         self._maybe_end()
+        if not self.over:
+            self.loop.call_later(LAST_S, self._end_unsent)
