Tell the engine of a caller's end in the turn that reads it

`eof_received` (net/server.py) left it to `connection_lost`, which uvloop calls a turn of the loop later. Timers, and what was put behind in the same turn, come before: a held request was begun for a caller whose close had been read. On a starved core a turn may take longer than the 0.1 s allowed.

`eof_received` tells the engine itself; the rest stays with `connection_lost`.

--- a/tests/test_crossings_callers.py
+++ b/tests/test_crossings_callers.py
@@ -37,7 +37,7 @@
     sidecar,
     start,
 )
-from woadyard.interface import FULL, Action, Outcome
+from woadyard.interface import FULL, Action, Outcome, Send
 from woadyard.net.server import Caller
 
 PAGE, PAY = request(), request("pay", b"body")
@@ -655,6 +655,33 @@
 # --- A caller that leaves -----------------------------------------------------------------
 
 
+def test_a_caller_that_leaves_in_the_turn_that_frees_its_request_is_not_sent_on() -> None:
+    """Its end was read, and its transport has yet to close: what comes in between sends nothing."""
+
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with sidecar(endpoint) as one:
+            assert (await one.ask(PAGE)).body == b"ok"  # so there is a connection that needs no opening
+            await until(lambda: not one.server.callers)
+            overrule(one.engine, request=lambda now, event: [])  # the module holds what comes
+            caller = Client(one.port)
+            caller.send(request(rid="held"))
+            left = await caller_of(one)
+            await until(lambda: len(one.engine.calls) == 1)
+            (rid,), (number,) = one.engine.calls, one.engine.members.places
+            transport = left.transport
+            assert transport is not None
+            caller.close()
+            # This task's turn comes before that of what the end of the transport has put behind it.
+            await until(transport.is_closing)
+            one.engine._do(Send(rid, number, 0))  # as the module may decide then
+            one.engine.decisions = one.engine.balancer
+            assert (await one.ask(request(rid="r2"))).body == b"ok"
+            assert [got.headers["x-request-id"] for got in endpoint.got] == ["r1", "r2"]
+
+    run(main())
+
+
 def test_a_caller_that_leaves_before_its_request_could_be_sent_is_never_sent_on() -> None:
     async def main() -> None:
         endpoint = Endpoint()
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -114,7 +114,10 @@
         self.server.left(self)
 
     def eof_received(self) -> None:
-        """The caller has ended its side: the transport closes."""
+        """The caller has ended its side, so it has gone: the protocol knows no caller that waits on for its
+        answer. The transport closes, but tells so a turn later, behind timers that may send the request."""
+        self.over = True
+        self._leave()
 
     def pause_writing(self) -> None:
         self.server.stuck.add(self)
