See that a caller has left whose upload is held back

An upload that nobody takes yet is not read on (net/server.py, `hold`): its caller's end lies behind bytes that are not read, so the request stood as open for as long as its class allows, and was begun at an endpoint once one was told, long after the close.

While one is held back, the system is asked every 0.05 s whether the caller has ended its side (POLLRDHUP, which the unread bytes don't hide). What it can't tell: an end behind more than the window takes.

Measured: a caller that leaves 20 KB unread behind what was held; without the mend its endpoint gets a connection and the head (opened 2, expected 1). One that stays is served. tests/test_crossings_callers.py and test_stream.py pass.

--- a/tests/test_crossings_callers.py
+++ b/tests/test_crossings_callers.py
@@ -700,4 +700,39 @@
     run(main())
 
 
+@pytest.mark.parametrize("leaves", [True, False])
+def test_a_caller_that_leaves_while_its_upload_is_held_back_is_seen_to(leaves: bool) -> None:
+    """Nothing of it is read there, so its end lies behind bytes that are not."""
+
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with endpoint, sidecar(known=False) as one:
+            one.server.room.most = 0
+            whole = request("pay", LARGE)
+            caller = Client(one.port)
+            caller.send(whole[:30_000])
+            held = await caller_of(one)
+            transport = held.transport
+            assert transport is not None
+            await until(lambda: held.upload is not None and not transport.is_reading())
+            caller.send(whole[30_000:50_000])
+            (rid,) = one.engine.calls
+            if leaves:
+                caller.close()
+            due(one.server.held_back)
+            one.told(endpoint.entry())
+            (number,) = one.engine.members.places
+            one.engine._do(Send(rid, number, 0))  # as the module may decide at once
+            if leaves:
+                assert (await one.ask(request(rid="r2"))).body == b"ok"
+                assert [got.headers["x-request-id"] for got in endpoint.got] == ["r2"]
+                assert endpoint.opened == 1, "not even its first byte was sent"
+            else:
+                caller.send(whole[50_000:])
+                assert (await caller.read_answer()).body == b"ok"
+                caller.close()
+
+    run(main())
+
+
 # --- Descriptors --------------------------------------------------------------------------
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -49,6 +49,9 @@
 # still sends is read and dropped: a close over unread bytes is a reset, which takes the answer with it.
 LINGER_S: Final = 1.0
 LINGER_MOST: Final = 1 << 20
+# How often it is asked whether the caller of an upload that is not read has left: no attempt may begin for it
+# 0.1 s after its close.
+HELD_S: Final = 0.05
 # A caller that does not read what it is sent is cut after this.
 STUCK_S: Final = 10.0
 # An upload's provisional time: it counts from the last byte, once that has come.
@@ -322,12 +325,22 @@
         self.server.uploading.discard(self)
         if self.transport is not None and not self.transport.is_closing():
             self.transport.pause_reading()
+            self.server.held_back.add(self)
 
     def go_on(self) -> None:
         if self.transport is not None and not self.transport.is_closing() and self.upload is not None:
+            self.server.held_back.discard(self)
             self.server.uploading.add(self)
             self.transport.resume_reading()
 
+    def end_if_left(self) -> None:
+        """Of an upload that is not read, the caller's end lies behind what is not either."""
+        if self.has_left():
+            self._leave()
+            self.cut()
+        else:
+            self.server.held_back.add(self)
+
     def unwanted(self) -> None:
         """The final answer comes, and ends the connection."""
 
@@ -482,6 +495,11 @@
         assert self.transport is not None
         return has_news(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
 
+    def has_left(self) -> bool:
+        """Whether the caller has ended its side, though bytes before that may not be read yet."""
+        assert self.transport is not None
+        return has_news(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+
     def close_unless_asking(self) -> None:
         """Guards a request that crosses the end of its connection: one that has come is
         served; what comes behind the close is sent once more by its caller."""
@@ -528,6 +546,7 @@
         self.callers: set[Caller] = set()
         self.reading: Sweep[Caller] = Sweep(loop, READ_S, Caller.time_out)  # a request is owed
         self.uploading: Sweep[Caller] = Sweep(loop, READ_S, Caller.time_out)  # the same, being sent on
+        self.held_back: Sweep[Caller] = Sweep(loop, HELD_S, Caller.end_if_left)  # the same, held back
         self.stuck: Sweep[Caller] = Sweep(loop, STUCK_S, Caller.cut)  # does not read
         self.resting: Sweep[Caller] = Sweep(loop, REST_S, Caller.close_unless_asking)  # between requests
         self.lingering: Sweep[Caller] = Sweep(loop, LINGER_S, Caller.end_linger)  # half-closed
@@ -593,14 +612,14 @@
                 return
 
     def ending(self, caller: Caller) -> None:
-        for sweep in (self.reading, self.uploading, self.resting, self.late):
+        for sweep in (self.reading, self.uploading, self.held_back, self.resting, self.late):
             sweep.discard(caller)
         self.lingering.add(caller)
 
     def left(self, caller: Caller) -> None:
         self.callers.discard(caller)
         for sweep in (
-            *(self.reading, self.uploading, self.stuck),
+            *(self.reading, self.uploading, self.held_back, self.stuck),
             *(self.resting, self.lingering, self.late),
         ):
             sweep.discard(caller)
