Send on no request behind a passed-on answer for a caller that has left

What comes behind a request whose answer is passed on stops the reading (net/server.py, `_keep_behind`), which hides the caller's end. At the end of the answer `flowed` took the kept bytes for a request and sent it on before that end could be read.

The system is asked first whether the caller has ended its side; then the connection is closed.

Measured: the endpoint of the test gets the request behind without the mend, and none with it; for a caller that stays it is served. tests/test_crossings_callers.py and test_stream.py pass.

--- a/tests/test_crossings_callers.py
+++ b/tests/test_crossings_callers.py
@@ -735,4 +735,46 @@
     run(main())
 
 
+@pytest.mark.parametrize("leaves", [True, False])
+def test_a_request_behind_an_answer_is_not_sent_on_for_a_caller_that_left(leaves: bool) -> None:
+    async def main() -> None:
+        go = asyncio.Event()
+        large = LARGE * 4
+
+        async def in_halves(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+            if message.headers["x-request-id"] != "r1":
+                writer.write(answer())
+                return
+            raw = answer(body=large)
+            writer.write(raw[:-1])
+            await go.wait()
+            writer.write(raw[-1:])
+
+        endpoint = Endpoint(in_halves)
+        async with sidecar(endpoint) as one:
+            caller = Client(one.port)
+            caller.send(PAGE)
+            passing = await caller_of(one)
+            await until(lambda: passing.answer is not None)
+            caller.send(request(rid="behind"))
+            await until(lambda: bool(passing.behind))
+            read = 0
+            while read < len(large):
+                read += len(await asyncio.get_running_loop().sock_recv(caller.raw, 1 << 20))
+            if leaves:
+                caller.raw.shutdown(socket.SHUT_WR)
+            go.set()
+            if leaves:
+                await caller.read()
+            else:
+                while not (await asyncio.get_running_loop().sock_recv(caller.raw, 1 << 20)).endswith(b"ok"):
+                    pass
+            caller.close()
+            await until(lambda: not one.server.callers)
+            ids = [got.headers["x-request-id"] for got in endpoint.got]
+            assert ids == (["r1"] if leaves else ["r1", "behind"])
+
+    run(main())
+
+
 # --- Descriptors --------------------------------------------------------------------------
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -445,7 +445,9 @@
             self.transport.write(b"0\r\n\r\n")
         if whole and self.keep:
             self.server.resting.add(self)
-            if self.behind:
+            if self.behind and self.has_left():  # its end lay behind what was not read
+                self.close()
+            elif self.behind:
                 self._read_behind()
             elif not self.server.lifecycle.keeps:  # it did when the answer's head was written
                 self.close_unless_asking()
