Heed SIGTERM from before the listener opens: a caller may come in that moment

The signal handlers were set behind `_listen` (daemon.py), so SIGTERM in between, the listener being open and a handover's files still to be made, killed the process with what it had taken. And a stop during `_listen`, heeded since upkeep has it, went on to listen, where nobody would be answered.

Handlers are set before `_listen`; a process that is stopped by then does not listen.

--- a/tests/test_crossings_callers.py
+++ b/tests/test_crossings_callers.py
@@ -11,6 +11,7 @@
 import contextlib
 import signal
 import socket
+import sys
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 from typing import Any
@@ -632,26 +633,62 @@
     run(main())
 
 
-# A daemon that is told to stop in the moment in which it has begun to listen, a request being there.
-LISTENING = """
-import os, signal, socket, sys
+# A daemon that is told to stop just before it listens, or in the moment in which it has begun to and a
+# request is there. What its caller got is written down.
+AT_LISTEN = """
+import os, signal, socket, sys, threading
 from woadyard import daemon
 from woadyard.__main__ import main
 
-real = daemon.Daemon._listen
+moment, raw = sys.argv[1], sys.argv[2].encode()
+real, got, callers = daemon.Daemon._listen, [], []
+
+def ask(address):
+    caller = socket.create_connection(address)
+    caller.sendall(raw)
+    callers.append(threading.Thread(target=lambda: got.append(caller.recv(1000))))
+    callers[0].start()
 
 async def listen(self, shared):
+    if moment == "before":
+        os.kill(os.getpid(), signal.SIGTERM)
+        while not self.ended.is_set():
+            await daemon.asyncio.sleep(0)
     await real(self, shared)
-    caller = socket.create_connection(self.server.listener.sockets[0].getsockname()[:2])
-    os.dup2(caller.fileno(), int(sys.argv[1]))
-    caller.sendall(sys.argv[2].encode())
-    os.kill(os.getpid(), signal.SIGTERM)
+    if moment == "behind":
+        ask(self.server.listener.sockets[0].getsockname()[:2])
+        os.kill(os.getpid(), signal.SIGTERM)
+    print("listens", self.server.listener is not None, flush=True)
 
 daemon.Daemon._listen = listen
-sys.exit(main([]))
+status = main(["run"])
+for one in callers:
+    one.join()
+print(got)
+sys.exit(status)
 """
 
 
+@pytest.mark.parametrize("moment", ["before", "behind"])
+def test_sigterm_in_the_moment_of_listening_ends_nothing_unanswered(tmp_path: Path, moment: str) -> None:
+    async def main() -> None:
+        registry, endpoint = Registry(), Endpoint()
+        async with await registry.start(), endpoint:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-c", AT_LISTEN, moment, LAST.decode(),
+                env=config(tmp_path, registry, endpoint), stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.PIPE,
+            )  # fmt: skip
+            out, errors = await process.communicate()
+            assert (process.returncode, errors) == (0, b"")
+            if moment == "before":
+                assert b"listens False" in out, "nobody may come to a process that ends"
+            else:
+                assert b"HTTP/1.1 200" in out and len(endpoint.got) == 1
+
+    run(main())
+
+
 # --- A caller that leaves -----------------------------------------------------------------
 
 
--- a/woadyard/daemon.py
+++ b/woadyard/daemon.py
@@ -126,13 +126,11 @@
             self.server.receipts = self.outbox.ask
         self._begin_sharing(alone=orders is None)
         await self._take_part()
-        if self.upkeep is not None:
-            self._heed_signals(read_config)  # a start may have to wait
+        self._heed_signals(read_config)  # from here on a caller may come, and a start may have to wait
         try:
             await self._listen(shared=seat is not None)
         except OSError as error:
             raise ConfigError(f"can't listen: {error}") from None
-        self._heed_signals(read_config)
         if seat is not None and not self.ended.is_set():
             from woadyard.workers.child import join
 
@@ -297,7 +295,7 @@
         """Wait until this process may send: False if it was stopped meanwhile. `ConfigError` if the
         one before it did not wait as long, and serves on: two of them would take callers."""
         if self.upkeep is None:
-            return True
+            return not self.ended.is_set()
         taken = None if self.arrival is None else self.arrival.taken
         given_up = asyncio.Event()
         if taken is not None:
