Let no connection give way to a crowd while a part of its answer waits in the process

`_make_room` (net/server.py) cut the connection that had rested, or lingered, for longest, also where its caller was still reading its answer: what the system had not taken yet was dropped with it.

The longest waiting of those whose answers are with the system gives way.

Measured: of three places one is held by a caller with a small window that rests behind an answer of 60 KiB; the third one that comes cut it after 8 KiB, without the mend.

--- a/tests/test_crossings_callers.py
+++ b/tests/test_crossings_callers.py
@@ -815,3 +815,27 @@
 
 
 # --- Descriptors --------------------------------------------------------------------------
+
+
+def test_an_answer_that_is_not_with_the_system_yet_does_not_give_way_to_a_crowd() -> None:
+    """Its connection rests by then, and is the one that rested longest."""
+
+    async def main() -> None:
+        async def large(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+            writer.write(answer(body=LARGE if message.headers["x-request-id"] == "r1" else b"ok"))
+
+        async with sidecar(Endpoint(large)) as one:
+            one.server.most = 3
+            with client(one, window=4096) as slow, contextlib.ExitStack() as stack:
+                await small_buffer(one)
+                slow.send(PAGE)
+                await until(lambda: bool(one.server.resting.since))
+                crowd: list[Client] = []
+                for n in range(3):
+                    crowd.append(stack.enter_context(client(one)))
+                    crowd[n].send(request(rid=f"crowd{n}"))
+                    assert (await crowd[n].read_answer()).body == b"ok"
+                assert await crowd[0].read() == b"", "one that rests with nothing owed gives way"
+                assert (await slow.read_answer()).body == LARGE
+
+    run(main())
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -480,12 +480,16 @@
         self.transport.write_eof()
         self.transport.resume_reading()
 
+    def has_written(self) -> bool:
+        """Whether all that it was answered is with the system."""
+        return self.transport is None or self.transport.get_write_buffer_size() == 0
+
     def end_linger(self) -> None:
         """A caller that still takes its answer has as long as any that reads slowly."""
-        if self.transport is not None and self.transport.get_write_buffer_size() > 0:
-            self.server.stuck.add(self)
-        else:
+        if self.has_written():
             self.cut()
+        else:
+            self.server.stuck.add(self)
 
     def cut(self) -> None:
         self.over = True
@@ -594,10 +598,12 @@
             self._make_room()
 
     def _make_room(self) -> None:
-        """Guards the limit on descriptors against a crowd."""
+        """Guards the limit on descriptors against a crowd. None gives way while a part of its answer
+        waits here: that would be lost."""
         for waits in giving_way(len(self.reading.since), self.most):
             sweep = self.lingering if waits == ENDED else self.resting if waits == RESTING else self.reading
-            if (oldest := sweep.oldest()) is not None:
+            oldest = next((one for one in sweep.since if one.has_written()), None)
+            if oldest is not None:
                 sweep.discard(oldest)
                 oldest.cut()
                 self.callers.discard(oldest)  # its descriptor is freed in this turn of the loop
