Force SIGTERM during a handover, before and behind the word that the other takes callers

The test is the process that comes: it has the listener and takes nobody. Seen: the request that is open is answered, the process ends with 0, and a connection that comes behind its end waits at the listener that was handed on. Nothing had to be mended here.

--- a/tests/test_crossings_callers.py
+++ b/tests/test_crossings_callers.py
@@ -38,6 +38,9 @@
     sidecar,
     start,
 )
+from tests.upgrades import Site
+from woadyard.handover.place import Place
+from woadyard.handover.taker import take
 from woadyard.interface import FULL, Action, Outcome, Send
 from woadyard.net.server import Caller
 
@@ -633,6 +636,45 @@
     run(main())
 
 
+@pytest.mark.parametrize("stage", ["offered", "taken"])
+def test_sigterm_during_a_handover_loses_no_request(tmp_path: Path, stage: str) -> None:
+    """The test is the process that comes: it has the listener, and takes nobody until the other has ended."""
+
+    async def main() -> None:
+        release = asyncio.Event()
+
+        async def slow(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+            await release.wait()
+            writer.write(answer())
+
+        endpoint, loop = Endpoint(slow), asyncio.get_running_loop()
+        async with Site(tmp_path, endpoint) as site:
+            old = await site.version()
+            taking = asyncio.create_task(site.ask(PAY))
+            await endpoint.arrived.acquire()
+            place = Place(("127.0.0.1", site.port), str(tmp_path))
+            taken = await loop.run_in_executor(None, take, place, ("127.0.0.1", site.port))
+            if stage == "taken":
+                taken.say_ready()
+            ended = asyncio.create_task(old.stop())
+            while await old.call("GET /api/ready") == 200:
+                pass
+            release.set()
+            back = await taking
+            assert back.body == b"ok" and back.headers["connection"] == "close"
+            assert await ended == b""
+            with contextlib.closing(Client(site.port)) as caller:  # the listener has stayed open
+                caller.send(PAGE)
+                theirs, _ = await loop.sock_accept(taken.listener)
+                assert await loop.sock_recv(theirs, 1000) == PAGE
+                theirs.close()
+            taken.listener.close()
+            taken.channel.close()
+            place.leave()
+
+    run(main())
+
+
 # A daemon that is told to stop just before it listens, or in the moment in which it has begun to and a
 # request is there. What its caller got is written down.
 AT_LISTEN = """
