--- a/tests/test_crossings_callers.py
+++ b/tests/test_crossings_callers.py
@@ -279,11 +279,11 @@
                 one.server.stop(ended.set)
                 if first == "byte":
                     caller.send(PAGE)  # it is in the kernel's buffer when the listener closes
-                    one.server._stop_listening()
+                    one.server.shutdown.stop_listening()
                     (back,) = await parsed(await caller.read())
                     assert back.body == b"ok" and back.headers["connection"] == "close"
                 else:
-                    one.server._stop_listening()
+                    one.server.shutdown.stop_listening()
                     caller.send(PAGE)
                     assert await caller.read() == b"" and not endpoint.got
             await ended.wait()
@@ -309,7 +309,7 @@
                     await endpoint.arrived.acquire()
                 elif last_byte == "unread":
                     caller.send(rest)
-                one.server._stop_listening()
+                one.server.shutdown.stop_listening()
                 if last_byte == "late":
                     caller.send(rest)
                 (back,) = await parsed(await caller.read())
@@ -333,7 +333,7 @@
             for n, caller in enumerate(callers):
                 if sends:
                     caller.send(request(rid=f"r{n}"))
-            one.server._stop_listening()
+            one.server.shutdown.stop_listening()
             for caller in callers:
                 data = await caller.read()
                 assert [back.body for back in await parsed(data)] == ([b"ok"] if sends else [])
@@ -358,7 +358,7 @@
                 caller.send(PAGE)
                 await until(lambda: len(one.engine.calls) == 1)
                 one.server.stop(ended.set)
-                one.server._stop_listening()
+                one.server.shutdown.stop_listening()
                 assert not endpoint.got
                 one.told(endpoint.entry())
                 (back,) = await parsed(await caller.read())
@@ -385,7 +385,7 @@
                 if stop == "half-read":
                     one.server.stop(ended.set)
                 caller.send(request(rid="crossing"))
-                one.server._stop_listening()
+                one.server.shutdown.stop_listening()
                 (back,) = await parsed(part + await caller.read())
                 assert back.body == LARGE
             await ended.wait()
@@ -421,13 +421,13 @@
                 one.server.resting.seconds = 3600.0  # not by this
                 if why == "stop":
                     one.server.stop(ended.set)
-                    one.server._stop_listening()
+                    one.server.shutdown.stop_listening()
                 else:
                     one.server.lifecycle.evacuate(asyncio.get_running_loop().time())
-                    assert one.server.draining is not None
-                    one.server.draining.cancel()  # its steps are taken here
-                    one.server._end_resting()
-                    one.server._end_drain()
+                    for step in one.server.shutdown.pending:
+                        step.cancel()  # they are taken here
+                    one.server.shutdown.end_resting()
+                    one.server.shutdown.end_drain()
                 go.set()
                 found = await parsed(await caller.read())
                 assert [back.body for back in found] == [large, b"ok"][: len(found)]
@@ -454,7 +454,7 @@
                 told.append(event.outcome)
                 if stop == "at-the-outcome":
                     one.server.stop(ended.set)
-                    one.server._stop_listening()
+                    one.server.shutdown.stop_listening()
 
             at_outcome(one, first)
             with client(one) as caller:
@@ -483,9 +483,9 @@
                 one.server.stop(ended.set)
                 if brings == "head":
                     caller.send(PAY[:-2])
-                    one.server._stop_listening()  # unread: it has its turn, and is asked again
+                    one.server.shutdown.stop_listening()  # unread: it has its turn, and is asked again
                 else:
-                    one.server._stop_listening()
+                    one.server.shutdown.stop_listening()
                     assert await caller.read() == b""
                     ours, theirs = socket.socketpair()
                     ours.setblocking(False)
@@ -518,7 +518,7 @@
                 caller.send(PAGE)
                 await endpoint.arrived.acquire()
                 one.server.stop(ended.set)
-                one.server._stop_listening()
+                one.server.shutdown.stop_listening()
                 one.server.stop(ended.set)
                 assert not ended.is_set()
                 release.set()
@@ -557,14 +557,14 @@
     async def main() -> None:
         endpoint = Endpoint()
         async with stopping(endpoint) as (one, ended):
-            one.server.succeeded = lambda: True
+            one.server.shutdown.succeeded = lambda: True
             with client(one) as caller:
                 caller.send(request(rid="before"))
                 await caller.read_answer()
                 one.server.stop(ended.set)
                 if first == "request":
                     caller.send(PAGE)
-                one.server._end_unsent()
+                one.server.shutdown.end_unsent()
                 if first == "end":
                     caller.send(PAGE)
                 found = await parsed(await caller.read())
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -233,9 +233,9 @@
                 if sum(1 for c in one.one.server.callers if c.fed) == 1:
                     break
             one.one.server.lifecycle.evacuate(asyncio.get_running_loop().time())
-            one.one.server._end_resting()
+            one.one.server.shutdown.end_resting()
             assert await resting.read() == b"" and await silent.read() == b""
-            one.one.server._end_drain()
+            one.one.server.shutdown.end_drain()
             back = await read_message(half)
             assert back.status == 503 and await half.read() == b"" and len(endpoint.got) == 1
             assert one.one.server.lifecycle.phase == Phase.DRAINED
@@ -259,7 +259,7 @@
             writer.write(request(rid="b"))
             while not caller.has_more():  # it has come, and was not read
                 pass
-            one.one.server._end_resting()
+            one.one.server.shutdown.end_resting()
             back = await read_message(reader)
             assert back.body == b"ok" and back.headers["connection"] == "close"
             writer.close()
@@ -315,7 +315,7 @@
             await one.call("POST /api/rejoin")
             release.set()
             assert "connection" not in (await read_message(reader)).headers
-            assert one.one.server.draining is None, "the drain's timer is gone"
+            assert not one.one.server.shutdown.pending, "the drain's timer is gone"
             writer.close()
 
     run(main())
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -715,7 +715,7 @@
             connecting = asyncio.create_task(accepted(one, PAY))
             await asyncio.sleep(0)  # accepted, and not yet told to the server
             assert not one.server.callers
-            one.server._close_listener()
+            one.server.shutdown.close_listener()
             ours = await connecting
             back = await asyncio.get_running_loop().sock_recv(ours, 1000)
             assert b"Connection: close" in back and back.endswith(b"ok")
@@ -733,7 +733,7 @@
         async with sidecar(endpoint) as one:
             ended = asyncio.Event()
             one.server.stop(ended.set)
-            one.server._stop_listening()
+            one.server.shutdown.stop_listening()
             await ended.wait()
             ours = await accepted(one, PAY)
             with contextlib.suppress(ConnectionResetError):
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -548,7 +548,7 @@
             writer.write(request())
             await reader.readuntil(b"\r\n\r\n")
             one.server.stop(ended.set)
-            one.server._stop_listening()
+            one.server.shutdown.stop_listening()
             assert not ended.is_set()
             go.set()
             assert await reader.readexactly(len(BIG)) == BIG
--- a/woadyard/daemon.py
+++ b/woadyard/daemon.py
@@ -400,7 +400,7 @@
         except OSError as error:
             log(f"no handover to a next version: {error}")
         else:
-            self.server.succeeded = lambda: self.giver is not None and self.giver.handover.taken
+            self.server.shutdown.succeeded = lambda: self.giver is not None and self.giver.handover.taken
         self._share()
 
     def _predecessor_ended(self, taken: Taken) -> None:
--- a/woadyard/net/message.py
+++ b/woadyard/net/message.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import os
+import select
 import stat
 import sys
 from collections.abc import Callable, Iterable
@@ -105,6 +106,13 @@
     return -1
 
 
+def has_news(descriptor: int, events: int) -> bool:
+    """Whether any of these has happened to it by now."""
+    news = select.poll()
+    news.register(descriptor, events)
+    return bool(news.poll(0))
+
+
 T = TypeVar("T")
 
 
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -1,4 +1,4 @@
-"""The callers' side: reads requests, writes final answers, and stops in order."""
+"""The callers' side: reads requests and writes final answers. `net.shutdown` says when connections end."""
 
 from __future__ import annotations
 
@@ -14,9 +14,8 @@
 from woadyard.engine.call import Answer, Call, Ending, Headers
 from woadyard.engine.engine import Engine
 from woadyard.engine.flow import Flow
-from woadyard.lifecycle import Lifecycle, Phase
-from woadyard.lifecycle.phases import DRAIN_S, LATE_S
-from woadyard.lifecycle.phases import REST_S as DRAIN_REST_S
+from woadyard.lifecycle import Lifecycle
+from woadyard.lifecycle.phases import LATE_S
 from woadyard.net.errors import BadRequestError
 from woadyard.net.message import (
     BODY_MAX,
@@ -29,9 +28,11 @@
     Sweep,
     body_length,
     declared_length,
+    has_news,
     lines,
 )
 from woadyard.net.request import call_from, checked
+from woadyard.net.shutdown import BACKLOG, GracefulShutdown
 from woadyard.room.descriptors import ENDED, RESTING, giving_way
 from woadyard.stream.pace import Room, keeps_pace, room_for
 
@@ -56,21 +57,6 @@
 STUCK_S: Final = 10.0
 # An upload's provisional time: it counts from the last byte, once that has come.
 UPLOAD_MOST_US: Final = 600_000_000
-BACKLOG: Final = 1024
-# New connections come for this long after SIGTERM, and a last one gets this
-# long to bring its request.
-ACCEPT_S, LAST_S = 0.4, 0.15
-# Where another process takes the callers: so long their next answer ends their connections,
-# then they are closed. Not longer: a request may come until the last moment, and what is open
-# at the end of a stop is lost unless it came within 0.7 s.
-LEAVE_S: Final = 0.5
-
-
-def has_news(descriptor: int, events: int) -> bool:
-    """Whether any of these has happened to it by now."""
-    news = select.poll()
-    news.register(descriptor, events)
-    return bool(news.poll(0))
 
 
 class Caller:
@@ -512,6 +498,12 @@
         if not self.has_more():
             self.close()
 
+    def is_silent(self) -> bool:
+        return not self.fed
+
+    def is_unsent(self) -> bool:
+        return self.call is None and self.answer is None and not self.over
+
     def end_unsent(self) -> None:
         """The process stops. What has come is read first. Of a half-sent request the last byte may be on its
         way: it is refused, as nothing of it was sent on."""
@@ -545,10 +537,8 @@
         # An order's record holds all of it.
         self.body_most = LARGE_MAX if engine.recorder is None else BODY_MAX
         self.lifecycle = lifecycle or Lifecycle()
-        self.lifecycle.watchers.append(self._moved)
         self.engine = engine
         self.most = most  # connections of callers
-        self.on_stop = on_stop  # called when the stop begins
         self.callers: set[Caller] = set()
         self.reading: Sweep[Caller] = Sweep(loop, READ_S, Caller.time_out)  # a request is owed
         self.uploading: Sweep[Caller] = Sweep(loop, READ_S, Caller.time_out)  # the same, being sent on
@@ -558,12 +548,8 @@
         self.lingering: Sweep[Caller] = Sweep(loop, LINGER_S, Caller.end_linger)  # half-closed
         # Came when others were gone.
         self.late: Sweep[Caller] = Sweep(loop, LATE_S, Caller.close_unless_asking)
-        self.draining: asyncio.TimerHandle | None = None
-        self.closed = False  # the listener is, and what it had accepted has joined
-        self.over = False  # the process ends
-        self.succeeded: Callable[[], bool] = lambda: False  # whether another process takes callers
         self.listener: asyncio.Server | None = None
-        self.on_end: Callable[[], None] = lambda: None
+        self.shutdown = GracefulShutdown(loop, self.lifecycle, self, on_stop)
         self.receipts: Callable[[Call], None] | None = None  # asked for one; its front is answered later
         self.shared: Callable[[Call], None] | None = None  # the same, asked what copies share
 
@@ -588,7 +574,7 @@
         return Caller(self)
 
     def joined(self, caller: Caller) -> None:
-        if self.over:
+        if self.shutdown.over:
             caller.cut()  # guards a request that would run and go unanswered
             return
         self.callers.add(caller)
@@ -631,81 +617,8 @@
             *(self.resting, self.lingering, self.late),
         ):
             sweep.discard(caller)
-        self._maybe_end()
-
-    # --- Leaving --------------------------------------------------------------------
-
-    def _moved(self) -> None:
-        """The daemon's phase is another."""
-        if self.draining is not None:
-            self.draining.cancel()
-            self.draining = None
-        if self.lifecycle.phase == Phase.DRAINING:
-            self.draining = self.loop.call_later(DRAIN_REST_S, self._end_resting)
-
-    def _end_resting(self) -> None:
-        """Callers that ask now and then have heard that their connection ends; others have not."""
-        for caller in [*self.resting.since, *(one for one in self.reading.since if not one.fed)]:
-            caller.close_unless_asking()
-        self.draining = self.loop.call_later(DRAIN_S - DRAIN_REST_S, self._end_drain)
-
-    def _end_drain(self) -> None:
-        """Refused, as nothing of it was sent on: what is half here would still be open when
-        all have to be gone."""
-        self.draining = None
-        for caller in list(self.reading.since):
-            caller.refuse(BadRequestError(503, "this sidecar is being drained"))
-        self.lifecycle.drained(self.loop.time())
-
-    def _maybe_end(self) -> None:
-        if self.closed and not self.callers and not self.over:
-            self.over = True
-            self.on_end()
+        self.shutdown.maybe_end()
 
     def stop(self, on_end: Callable[[], None]) -> None:
-        """SIGTERM: serve what comes while it comes, then finish and end."""
-        if not self.lifecycle.stop(self.loop.time()):
-            return
-        self.on_end = on_end
-        if self.on_stop is not None:
-            self.on_stop()
-        if self.succeeded():
-            self._close_listener()
-            self.loop.call_later(LEAVE_S, self._end_unsent)
-            return
-        for caller in list(self.resting.since):
-            caller.close_unless_asking()
-        self.loop.call_later(ACCEPT_S + LAST_S, self._stop_listening)
-
-    def _stop_listening(self, turns: int = BACKLOG) -> None:
-        """Guards a connection that the system has accepted, and this process not yet: it would be reset.
-        A turn of the loop accepts one at least, so all that are there now are accepted in so many."""
-        listener: Any = self.listener
-        if listener is None:
-            return
-        if turns > 0 and has_news(listener.sockets[0].fileno(), select.POLLIN):
-            self.loop.call_soon(self._stop_listening, turns - 1)
-            return
-        self._close_listener()
-        self._end_unsent()
-
-    def _close_listener(self) -> None:
-        assert self.listener is not None
-        self.listener.close()
-        self.listener = None
-        # Guards a request accepted in this very turn: its connection joins in the next.
-        self.loop.call_soon(self._listener_closed)
-
-    def _listener_closed(self) -> None:
-        self.closed = True
-        self._maybe_end()
-
-    def _end_unsent(self) -> None:
-        """No request begins any more: half-sent ones and silent callers keep nothing up. Asked again until
-        all have gone: the last to join, and those of which something had come, have their turn so."""
-        for caller in list(self.callers):
-            if caller.call is None and caller.answer is None and not caller.over:
-                caller.end_unsent()
-        self._maybe_end()
-        if not self.over:
-            self.loop.call_later(LAST_S, self._end_unsent)
+        """Graceful shutdown: `on_end` is called when all that was taken is answered and all have gone."""
+        self.shutdown.stop(on_end)
--- /dev/null
+++ b/woadyard/net/shutdown.py
@@ -0,0 +1,187 @@
+"""How callers are let go: at a drain, which the process outlives, and at its graceful shutdown.
+
+Rules that everything here serves:
+
+1. What was taken is answered, and its answer ends the connection; none is closed before.
+2. What has come when a connection is to end is read first, and served. What comes behind its end is
+   dropped there and never sent on: its caller sends it once more.
+3. Of a half-sent request nothing was sent on. In the end it is refused, not left: its last byte may be
+   on its way.
+4. A stop waits for no request past 0.7 s after SIGTERM: of later ones SIGKILL may find one unanswered.
+5. The listener closes once nothing waits there that the system has accepted. Where another process has
+   it too, that one accepts what waits.
+6. A stop is over when no connection is left; what joins after that is cut, unread.
+
+`STEPS` says what is done when; the steps are methods of `GracefulShutdown`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from collections.abc import Callable, Collection
+from enum import StrEnum
+from typing import Any, Final, Protocol
+
+from woadyard.lifecycle import Lifecycle, Phase
+from woadyard.lifecycle.phases import DRAIN_S, REST_S
+from woadyard.net.errors import BadRequestError
+from woadyard.net.message import Sweep, has_news
+
+BACKLOG: Final = 1024
+# New connections come for this long after SIGTERM, and a last one gets this
+# long to bring its request.
+ACCEPT_S, LAST_S = 0.4, 0.15
+# Where another process takes the callers: so long their next answer ends their connections,
+# then they are closed. Not longer: a request may come until the last moment, and what is open
+# at the end of a stop is lost unless it came within 0.7 s.
+LEAVE_S: Final = 0.5
+
+
+class Way(StrEnum):
+    DRAIN = "drain"  # by a call: the process stays
+    STOP = "stop"  # SIGTERM
+    SUCCEEDED = "succeeded"  # the same, and another process takes the callers
+
+
+# For each way: so many s after it began, the step. The end of a drain calls off what is to come of it.
+STEPS: Final = {
+    Way.DRAIN: ((REST_S, "end_resting"), (DRAIN_S, "end_drain")),
+    Way.STOP: ((0.0, "end_at_rest"), (ACCEPT_S + LAST_S, "stop_listening")),
+    Way.SUCCEEDED: ((0.0, "close_listener"), (LEAVE_S, "end_unsent")),
+}
+
+
+class Connection(Protocol):
+    """A caller's."""
+
+    def is_silent(self) -> bool:
+        """Nothing of a request was read."""
+
+    def is_unsent(self) -> bool:
+        """It waits for a request, or for the rest of one, of which nothing was sent on."""
+
+    def close_unless_asking(self) -> None: ...
+
+    def end_unsent(self) -> None: ...
+
+    def refuse(self, error: BadRequestError) -> None: ...
+
+
+class Connections(Protocol):
+    """The server's."""
+
+    listener: asyncio.Server | None
+
+    @property
+    def callers(self) -> Collection[Connection]: ...
+
+    @property
+    def resting(self) -> Sweep[Any]: ...
+
+    @property
+    def reading(self) -> Sweep[Any]: ...
+
+
+class GracefulShutdown:
+    """`on_stop` is called when a stop begins."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        lifecycle: Lifecycle,
+        server: Connections,
+        on_stop: Callable[[], None] | None,
+    ) -> None:
+        self.loop = loop
+        self.lifecycle = lifecycle
+        self.server = server
+        self.on_stop = on_stop
+        self.on_end: Callable[[], None] = lambda: None
+        self.succeeded: Callable[[], bool] = lambda: False  # whether another process takes callers
+        self.pending: list[asyncio.TimerHandle] = []  # the steps to come
+        self.closed = False  # the listener is, and what it had accepted has joined
+        self.over = False  # the process ends
+        lifecycle.watchers.append(self._moved)
+
+    def stop(self, on_end: Callable[[], None]) -> None:
+        """SIGTERM: serve what comes while it comes, then finish and end. A second changes nothing."""
+        if not self.lifecycle.stop(self.loop.time()):
+            return
+        self.on_end = on_end
+        if self.on_stop is not None:
+            self.on_stop()
+        self._begin(Way.SUCCEEDED if self.succeeded() else Way.STOP)
+
+    def _moved(self) -> None:
+        """The daemon's phase is another."""
+        for handle in self.pending:
+            handle.cancel()
+        self.pending.clear()
+        if self.lifecycle.phase == Phase.DRAINING:
+            self._begin(Way.DRAIN)
+
+    def _begin(self, way: Way) -> None:
+        for seconds, name in STEPS[way]:
+            step: Callable[[], None] = getattr(self, name)
+            if seconds:
+                self.pending.append(self.loop.call_later(seconds, step))
+            else:
+                step()
+
+    # --- Steps ------------------------------------------------------------------------
+
+    def end_at_rest(self) -> None:
+        for caller in list(self.server.resting.since):
+            caller.close_unless_asking()
+
+    def end_resting(self) -> None:
+        """Callers that ask now and then have heard that their connection ends; others have not."""
+        self.end_at_rest()
+        for caller in list(self.server.reading.since):
+            if caller.is_silent():
+                caller.close_unless_asking()
+
+    def end_drain(self) -> None:
+        """What is half here would still be open when all have to be gone."""
+        for caller in list(self.server.reading.since):
+            caller.refuse(BadRequestError(503, "this sidecar is being drained"))
+        self.lifecycle.drained(self.loop.time())
+
+    def stop_listening(self, turns: int = BACKLOG) -> None:
+        """Guards a connection that the system has accepted, and this process not yet: it would be reset.
+        A turn of the loop accepts one at least, so all that are there now are accepted in so many."""
+        listener: Any = self.server.listener
+        if listener is None:
+            return
+        if turns > 0 and has_news(listener.sockets[0].fileno(), select.POLLIN):
+            self.loop.call_soon(self.stop_listening, turns - 1)
+            return
+        self.close_listener()
+        self.end_unsent()
+
+    def close_listener(self) -> None:
+        listener, self.server.listener = self.server.listener, None
+        assert listener is not None
+        listener.close()
+        # Guards a request accepted in this very turn: its connection joins in the next.
+        self.loop.call_soon(self._listener_closed)
+
+    def _listener_closed(self) -> None:
+        self.closed = True
+        self.maybe_end()
+
+    def end_unsent(self) -> None:
+        """No request begins any more: half-sent ones and silent callers keep nothing up. Asked again until
+        all have gone: the last to join, and those of which something had come, have their turn so."""
+        for caller in list(self.server.callers):
+            if caller.is_unsent():
+                caller.end_unsent()
+        self.maybe_end()
+        if not self.over:
+            self.loop.call_later(LAST_S, self.end_unsent)
+
+    def maybe_end(self) -> None:
+        if self.closed and not self.server.callers and not self.over:
+            self.over = True
+            self.on_end()
