--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -40,7 +40,7 @@
 from woadyard.engine import Answer, Attempt, Call, Clock
 from woadyard.interface import CANCELLED, ERROR, FULL, OK
 from woadyard.library.client import Exchange
-from woadyard.net.server import Caller
+from woadyard.net.server import LINGER_MOST, Caller
 from woadyard.net.upstream import SPARE, Link
 from woadyard.policy import HELD_MIN
 
@@ -177,19 +177,28 @@
     return caller
 
 
-def test_the_rest_of_a_body_too_large_is_not_read() -> None:
+def test_the_rest_of_a_body_too_large_is_dropped_within_a_bound() -> None:
+    """So much is read that no close resets the answer away, and no more, nor for longer."""
+
     async def main() -> None:
-        async with sidecar(Endpoint()) as one:
+        endpoint = Endpoint()
+        async with sidecar(endpoint) as one:
             reader, writer = await one.connect()
             writer.write(PAY.replace(b"Content-Length: 1", b"Content-Length: 62914560"))
             assert (await read_message(reader)).start.split()[1] == "413"
             assert await reader.read() == b""
-            transport = the_caller(one).transport
-            assert transport is not None and not transport.is_reading()
-            one.server.lingering.since[the_caller(one)] -= 60.0
+            caller = the_caller(one)
+            transport = caller.transport
+            assert transport is not None
+            writer.write(b"x" * 62914560)
+            while transport.is_reading():
+                await asyncio.sleep(0)
+            assert LINGER_MOST < caller.dropped <= LINGER_MOST + (256 << 10), "one read over the bound"
+            one.server.lingering.since[caller] -= 60.0
             one.server.lingering.run()
             while one.server.callers:
                 await asyncio.sleep(0)
+            assert not endpoint.got
             writer.close()
 
     run(main())
@@ -606,9 +615,10 @@
             half.write(PAY[:-1])
             process.send_signal(signal.SIGTERM)
             process.send_signal(signal.SIGHUP)
-            await process.wait()
-            assert process.returncode == 0
-            assert await half_reader.read() == b""
+            assert await process.wait() == 0
+            back = await read_message(half_reader)
+            assert back.status == 503, "its last byte may be on its way: it is told that it was not sent on"
+            assert back.headers["connection"] == "close" and await half_reader.read() == b""
             silent.close()
             half.close()
 
@@ -705,7 +715,7 @@
             connecting = asyncio.create_task(accepted(one, PAY))
             await asyncio.sleep(0)  # accepted, and not yet told to the server
             assert not one.server.callers
-            one.server._close_listener()
+            one.server.shutdown.close_listener()
             ours = await connecting
             back = await asyncio.get_running_loop().sock_recv(ours, 1000)
             assert b"Connection: close" in back and back.endswith(b"ok")
@@ -723,7 +733,7 @@
         async with sidecar(endpoint) as one:
             ended = asyncio.Event()
             one.server.stop(ended.set)
-            one.server._stop_listening()
+            one.server.shutdown.stop_listening()
             await ended.wait()
             ours = await accepted(one, PAY)
             with contextlib.suppress(ConnectionResetError):
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -1,4 +1,4 @@
-"""The callers' side: reads requests, writes final answers, and stops in order."""
+"""The callers' side: reads requests and writes final answers. `net.shutdown` says when connections end."""
 
 from __future__ import annotations
 
@@ -14,9 +14,8 @@
 from woadyard.engine.call import Answer, Call, Ending, Headers
 from woadyard.engine.engine import Engine
 from woadyard.engine.flow import Flow
-from woadyard.lifecycle import Lifecycle, Phase
-from woadyard.lifecycle.phases import DRAIN_S, LATE_S
-from woadyard.lifecycle.phases import REST_S as DRAIN_REST_S
+from woadyard.lifecycle import Lifecycle
+from woadyard.lifecycle.phases import LATE_S
 from woadyard.net.errors import BadRequestError
 from woadyard.net.message import (
     BODY_MAX,
@@ -29,9 +28,11 @@
     Sweep,
     body_length,
     declared_length,
+    has_news,
     lines,
 )
 from woadyard.net.request import call_from, checked
+from woadyard.net.shutdown import BACKLOG, GracefulShutdown
 from woadyard.room.descriptors import ENDED, RESTING, giving_way
 from woadyard.stream.pace import Room, keeps_pace, room_for
 
@@ -45,22 +46,17 @@
 START_LINES: Final = {status: b"HTTP/1.1 %d %b\r\n" % (status, reason) for status, reason in REASONS.items()}
 # A connection rests so long between requests at most: some callers never come back.
 REST_S: Final = 5.0
-# How long a connection that was ended may take to read its answer before it is cut.
+# How long the caller of a connection that was ended may take to end its own side, and how much of what it
+# still sends is read and dropped: a close over unread bytes is a reset, which takes the answer with it.
 LINGER_S: Final = 1.0
-# Refused before all of it came: more may be on its way.
-MORE_COMES = (408, 413, 431, 503)
+LINGER_MOST: Final = 1 << 20
+# How often it is asked whether the caller of an upload that is not read has left: no attempt may begin for it
+# 0.1 s after its close.
+HELD_S: Final = 0.05
 # A caller that does not read what it is sent is cut after this.
 STUCK_S: Final = 10.0
 # An upload's provisional time: it counts from the last byte, once that has come.
 UPLOAD_MOST_US: Final = 600_000_000
-BACKLOG: Final = 1024
-# New connections come for this long after SIGTERM, and a last one gets this
-# long to bring its request.
-ACCEPT_S, LAST_S = 0.4, 0.15
-# Where another process takes the callers: so long their next answer ends their connections,
-# then they are closed. Not longer: a request may come until the last moment, and what is open
-# at the end of a stop is lost unless it came within 0.7 s.
-LEAVE_S: Final = 0.5
 
 
 class Caller:
@@ -73,7 +69,8 @@
         self.server = server
         self.transport: asyncio.Transport | None = None
         self.call: Call | None = None
-        self.over = False  # nothing more is read
+        self.over = False  # what comes is dropped
+        self.dropped = 0  # bytes of that
         self.keep = True
         self.upload: Flow | None = None  # a request that is passed on while it comes
         self.answer: Flow | None = None  # an answer that is
@@ -106,7 +103,10 @@
         self.server.left(self)
 
     def eof_received(self) -> None:
-        """The caller has ended its side: the transport closes."""
+        """The caller has ended its side, so it has gone: the protocol knows no caller that waits on for its
+        answer. The transport closes, but tells so a turn later, behind timers that may send the request."""
+        self.over = True
+        self._leave()
 
     def pause_writing(self) -> None:
         self.server.stuck.add(self)
@@ -114,7 +114,8 @@
             self.answer.pause()
 
     def resume_writing(self) -> None:
-        self.server.stuck.discard(self)
+        if not self.over:  # an end that waits for this keeps its bound
+            self.server.stuck.discard(self)
         if self.answer is not None:
             self.answer.resume()
 
@@ -136,6 +137,7 @@
 
     def data_received(self, data: bytes) -> None:
         if self.over:
+            self._drop(data)
             return
         if self.answer is not None:
             self._keep_behind(data)
@@ -168,6 +170,12 @@
             else:
                 self._take()
 
+    def _drop(self, data: bytes) -> None:
+        """Behind the end of the connection: none of it is a request any more."""
+        self.dropped += len(data)
+        if self.dropped > LINGER_MOST and self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
     def _read_on(self) -> None:
         """More of the request is owed: its head by one time, its body at a pace."""
         server = self.server
@@ -303,12 +311,22 @@
         self.server.uploading.discard(self)
         if self.transport is not None and not self.transport.is_closing():
             self.transport.pause_reading()
+            self.server.held_back.add(self)
 
     def go_on(self) -> None:
         if self.transport is not None and not self.transport.is_closing() and self.upload is not None:
+            self.server.held_back.discard(self)
             self.server.uploading.add(self)
             self.transport.resume_reading()
 
+    def end_if_left(self) -> None:
+        """Of an upload that is not read, the caller's end lies behind what is not either."""
+        if self.has_left():
+            self._leave()
+            self.cut()
+        else:
+            self.server.held_back.add(self)
+
     def unwanted(self) -> None:
         """The final answer comes, and ends the connection."""
 
@@ -364,8 +382,6 @@
         )
         if keep:
             self.server.resting.add(self)
-        elif unread:
-            self._end_unread()
         else:
             self.close()
 
@@ -395,7 +411,7 @@
 
     def _read_behind(self) -> None:
         data, self.behind = self.behind, b""
-        if data and self.transport is not None:
+        if self.transport is not None:
             self.transport.resume_reading()
             self.data_received(data)
 
@@ -415,12 +431,15 @@
             self.transport.write(b"0\r\n\r\n")
         if whole and self.keep:
             self.server.resting.add(self)
-            self._read_behind()
+            if self.behind and self.has_left():  # its end lay behind what was not read
+                self.close()
+            elif self.behind:
+                self._read_behind()
+            elif not self.server.lifecycle.keeps:  # it did when the answer's head was written
+                self.close_unless_asking()
         elif whole or self.chunks or self.keep:
             # What has been given is still read; that it is not whole shows in its framing.
-            self.over = True
-            self.server.stuck.add(self)
-            self.transport.close()
+            self.close()
         else:
             self.cut()
 
@@ -435,27 +454,28 @@
             b"HTTP/1.1 %d %b\r\nContent-Type: text/plain\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%b"
             % (error.status, REASONS[error.status], len(text), text)
         )
-        if error.status in MORE_COMES:
-            self._end_unread()
-        else:
-            self.close()
+        self.close()
 
-    def _end_unread(self) -> None:
+    def close(self) -> None:
+        """A lingering close: this side ends behind what is written, what still comes is dropped, and the
+        caller's own end closes the connection."""
         self.over = True
-        assert self.transport is not None
-        # Guards against the rest of a large request: it is not read, but for a moment
-        # not cut off either, as closing on unread bytes resets the answer away.
-        self.transport.pause_reading()
-        if self.transport.can_write_eof():
-            self.transport.write_eof()
+        if self.transport is None or self.transport.is_closing():
+            return
         self.server.ending(self)
+        self.transport.write_eof()
+        self.transport.resume_reading()
 
-    def close(self) -> None:
-        """End the connection once what is written has left; in `LINGER_S` at the latest."""
-        self.over = True
-        if self.transport is not None:
-            self.server.ending(self)
-            self.transport.close()
+    def has_written(self) -> bool:
+        """Whether all that it was answered is with the system."""
+        return self.transport is None or self.transport.get_write_buffer_size() == 0
+
+    def end_linger(self) -> None:
+        """A caller that still takes its answer has as long as any that reads slowly."""
+        if self.has_written():
+            self.cut()
+        else:
+            self.server.stuck.add(self)
 
     def cut(self) -> None:
         self.over = True
@@ -464,23 +484,40 @@
 
     def has_more(self) -> bool:
         """Whether bytes have come that were not read yet."""
-        news = select.poll()
         assert self.transport is not None
-        news.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(news.poll(0))
+        return has_news(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+
+    def has_left(self) -> bool:
+        """Whether the caller has ended its side, though bytes before that may not be read yet."""
+        assert self.transport is not None
+        return has_news(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
 
     def close_unless_asking(self) -> None:
-        """Guards a request that crosses the end of its connection: it is still read, and
-        the answer on it ends the connection."""
+        """Guards a request that crosses the end of its connection: one that has come is
+        served; what comes behind the close is sent once more by its caller."""
         if not self.has_more():
             self.close()
 
+    def is_silent(self) -> bool:
+        return not self.fed
+
+    def is_unsent(self) -> bool:
+        return self.call is None and self.answer is None and not self.over
+
+    def end_unsent(self) -> None:
+        """The process stops. What has come is read first. Of a half-sent request the last byte may be on its
+        way: it is refused, as nothing of it was sent on."""
+        if self.fed and not self.has_more():
+            self.refuse(BadRequestError(503, "this sidecar stops"))
+        else:
+            self.close_unless_asking()
+
     def time_out(self) -> None:
         """The request did not come in time; a caller that sent none is just left."""
         if self.fed:
             self.refuse(BadRequestError(408, "the request came too slowly"))
         else:
-            self.close()
+            self.close_unless_asking()
 
 
 class Server:
@@ -500,23 +537,19 @@
         # An order's record holds all of it.
         self.body_most = LARGE_MAX if engine.recorder is None else BODY_MAX
         self.lifecycle = lifecycle or Lifecycle()
-        self.lifecycle.watchers.append(self._moved)
         self.engine = engine
         self.most = most  # connections of callers
-        self.on_stop = on_stop  # called when the stop begins
         self.callers: set[Caller] = set()
         self.reading: Sweep[Caller] = Sweep(loop, READ_S, Caller.time_out)  # a request is owed
         self.uploading: Sweep[Caller] = Sweep(loop, READ_S, Caller.time_out)  # the same, being sent on
+        self.held_back: Sweep[Caller] = Sweep(loop, HELD_S, Caller.end_if_left)  # the same, held back
         self.stuck: Sweep[Caller] = Sweep(loop, STUCK_S, Caller.cut)  # does not read
-        self.resting: Sweep[Caller] = Sweep(loop, REST_S, Caller.close)  # between requests
-        self.lingering: Sweep[Caller] = Sweep(loop, LINGER_S, Caller.cut)  # ended, not yet closed
-        self.late: Sweep[Caller] = Sweep(loop, LATE_S, Caller.close)  # came when others were gone
-        self.draining: asyncio.TimerHandle | None = None
-        self.closed = False  # the listener is, and what it had accepted has joined
-        self.over = False  # the process ends
-        self.succeeded: Callable[[], bool] = lambda: False  # whether another process takes callers
+        self.resting: Sweep[Caller] = Sweep(loop, REST_S, Caller.close_unless_asking)  # between requests
+        self.lingering: Sweep[Caller] = Sweep(loop, LINGER_S, Caller.end_linger)  # half-closed
+        # Came when others were gone.
+        self.late: Sweep[Caller] = Sweep(loop, LATE_S, Caller.close_unless_asking)
         self.listener: asyncio.Server | None = None
-        self.on_end: Callable[[], None] = lambda: None
+        self.shutdown = GracefulShutdown(loop, self.lifecycle, self, on_stop)
         self.receipts: Callable[[Call], None] | None = None  # asked for one; its front is answered later
         self.shared: Callable[[Call], None] | None = None  # the same, asked what copies share
 
@@ -541,7 +574,7 @@
         return Caller(self)
 
     def joined(self, caller: Caller) -> None:
-        if self.over:
+        if self.shutdown.over:
             caller.cut()  # guards a request that would run and go unanswered
             return
         self.callers.add(caller)
@@ -551,10 +584,12 @@
             self._make_room()
 
     def _make_room(self) -> None:
-        """Guards the limit on descriptors against a crowd."""
+        """Guards the limit on descriptors against a crowd. None gives way while a part of its answer
+        waits here: that would be lost."""
         for waits in giving_way(len(self.reading.since), self.most):
             sweep = self.lingering if waits == ENDED else self.resting if waits == RESTING else self.reading
-            if (oldest := sweep.oldest()) is not None:
+            oldest = next((one for one in sweep.since if one.has_written()), None)
+            if oldest is not None:
                 sweep.discard(oldest)
                 oldest.cut()
                 self.callers.discard(oldest)  # its descriptor is freed in this turn of the loop
@@ -571,84 +606,19 @@
                 return
 
     def ending(self, caller: Caller) -> None:
-        for sweep in (self.reading, self.uploading, self.resting, self.late):
+        for sweep in (self.reading, self.uploading, self.held_back, self.resting, self.late):
             sweep.discard(caller)
         self.lingering.add(caller)
 
     def left(self, caller: Caller) -> None:
         self.callers.discard(caller)
         for sweep in (
-            *(self.reading, self.uploading, self.stuck),
+            *(self.reading, self.uploading, self.held_back, self.stuck),
             *(self.resting, self.lingering, self.late),
         ):
             sweep.discard(caller)
-        self._maybe_end()
-
-    # --- Leaving --------------------------------------------------------------------
-
-    def _moved(self) -> None:
-        """The daemon's phase is another."""
-        if self.draining is not None:
-            self.draining.cancel()
-            self.draining = None
-        if self.lifecycle.phase == Phase.DRAINING:
-            self.draining = self.loop.call_later(DRAIN_REST_S, self._end_resting)
-
-    def _end_resting(self) -> None:
-        """Callers that ask now and then have heard that their connection ends; others have not."""
-        for caller in [*self.resting.since, *(one for one in self.reading.since if not one.fed)]:
-            caller.close_unless_asking()
-        self.draining = self.loop.call_later(DRAIN_S - DRAIN_REST_S, self._end_drain)
-
-    def _end_drain(self) -> None:
-        """Refused, as nothing of it was sent on: what is half here would still be open when
-        all have to be gone."""
-        self.draining = None
-        for caller in list(self.reading.since):
-            caller.refuse(BadRequestError(503, "this sidecar is being drained"))
-        self.lifecycle.drained(self.loop.time())
-
-    def _maybe_end(self) -> None:
-        if self.closed and not self.callers and not self.over:
-            self.over = True
-            self.on_end()
+        self.shutdown.maybe_end()
 
     def stop(self, on_end: Callable[[], None]) -> None:
-        """SIGTERM: serve what comes while it comes, then finish and end."""
-        if not self.lifecycle.stop(self.loop.time()):
-            return
-        self.on_end = on_end
-        if self.on_stop is not None:
-            self.on_stop()
-        if self.succeeded():
-            self._close_listener()
-            self.loop.call_later(LEAVE_S, self._end_unsent)
-            return
-        for caller in list(self.resting.since):
-            caller.close_unless_asking()
-        self.loop.call_later(ACCEPT_S + LAST_S, self._stop_listening)
-
-    def _stop_listening(self) -> None:
-        self._close_listener()
-        self._end_unsent()
-
-    def _close_listener(self) -> None:
-        assert self.listener is not None
-        self.listener.close()
-        self.listener = None
-        # Guards a request accepted in this very turn: its connection joins in the next.
-        self.loop.call_soon(self._listener_closed)
-
-    def _listener_closed(self) -> None:
-        self.closed = True
-        self._maybe_end()
-
-    def _end_unsent(self) -> None:
-        """No request begins any more: half-sent ones and silent callers keep nothing up."""
-        idle = [one for one in self.callers if one.call is None and one.answer is None and not one.over]
-        for caller in idle:
-            if not caller.fed:
-                caller.close_unless_asking()
-            else:
-                caller.close()
-        self._maybe_end()
+        """Graceful shutdown: `on_end` is called when all that was taken is answered and all have gone."""
+        self.shutdown.stop(on_end)
