--- /dev/null
+++ b/tests/test_crossings_endpoints.py
@@ -0,0 +1,125 @@
+"""Crossings on the endpoints' side: something ends in the instant in which something is still owed.
+
+A scripted peer, or a held step of the code, keeps one side until the other has come to that instant.
+The rules are judged by what the stand-ins saw: answers, effects, requests and ends of connections."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any, cast
+
+import pytest
+
+from tests.sockets import (
+    Endpoint,
+    Replaced,
+    Sidecar,
+    outcomes,
+    request,
+    run,
+    sidecar,
+)
+from woadyard.interface import NO_CONNECT, OK
+
+pytestmark = pytest.mark.parametrize("front", ["daemon", "library"], indirect=True)
+
+
+class Opening:
+    """Takes the place of the upstream's loop: holds connections that are about to be opened, and has a
+    look in when one has come up."""
+
+    def __init__(
+        self,
+        one: Sidecar,
+        made: Callable[[], None] | None = None,
+        begun: Callable[[], None] | None = None,
+    ) -> None:
+        self.asked: asyncio.Queue[int] = asyncio.Queue()  # the ports, in the order asked for
+        self.may_open = asyncio.Event()
+        self.made = made  # in the turn in which it came up, behind what the program does in it
+        self.begun = begun  # in the same turn, before what the program does in it
+        self.real = one.upstream.loop
+        held = Replaced(self.real, create_connection=self._create)
+        one.upstream.loop = cast(asyncio.AbstractEventLoop, held)
+
+    async def _create(self, factory: Callable[[], Any], host: str, port: int) -> Any:
+        self.asked.put_nowait(port)
+        await self.may_open.wait()
+        if self.begun is not None:
+            self.real.call_soon(self.begun)
+        return await self.real.create_connection(lambda: self._watched(factory()), host, port)
+
+    def _watched(self, protocol: Any) -> Any:
+        def connection_made(transport: asyncio.BaseTransport) -> None:
+            protocol.connection_made(transport)
+            if self.made is not None:
+                self.made()
+
+        return Replaced(protocol, connection_made=connection_made)
+
+
+async def until(done: Callable[[], bool]) -> None:
+    while not done():
+        await asyncio.sleep(0)
+
+
+# --- Connect timeout --------------------------------------------------------------------
+
+
+def test_a_connection_that_comes_up_as_its_time_is_over_still_has_one_outcome() -> None:
+    """The request is written in the turn whose end is past the connect timeout."""
+
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with sidecar(endpoint, ceilings={"connect-timeout-us": 200_000}) as one:
+            begun = time.monotonic()
+
+            def stay_past_the_timeout() -> None:
+                while time.monotonic() < begun + 0.25:
+                    pass
+
+            Opening(one, made=stay_past_the_timeout).may_open.set()
+            assert (await one.ask(request("pay"))).body == b"ok"
+            assert endpoint.effects.by_id["r1"] == 1
+            assert len(one.upstream.links) == len(one.upstream.resting.since) == 1
+
+    run(main())
+
+
+def test_a_connection_that_comes_up_behind_its_time_out_carries_nothing() -> None:
+    """The other order: the timeout comes first, and the connection is up in the same turn."""
+
+    async def main() -> None:
+        endpoints = [Endpoint(), Endpoint()]
+        async with sidecar(*endpoints) as one:
+            told = outcomes(one.engine)
+            connecting = one.upstream.connecting
+
+            def time_out_the_first() -> None:
+                if not told:
+                    (link,) = connecting.since
+                    connecting.since[link] -= connecting.seconds
+                    connecting.run()
+
+            Opening(one, begun=time_out_the_first).may_open.set()
+            assert (await one.ask(request("pay"))).body == b"ok"
+            assert [event.outcome for event in told] == [NO_CONNECT, OK]
+            assert sorted(len(endpoint.got) for endpoint in endpoints) == [0, 1]
+            assert len(one.upstream.links) == 1
+
+    run(main())
+
+
+def test_a_host_that_no_name_can_have_is_no_connection() -> None:
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with sidecar(endpoint, ceilings={"max-attempts": 1}) as one:
+            one.told(endpoint.entry("s-0", hostPort="a..b:80"))
+            told = outcomes(one.engine)
+            assert (await one.ask(request("pay"))).status == 503
+            assert [event.outcome for event in told] == [NO_CONNECT]
+            assert not one.upstream.links
+
+    run(main())
--- a/woadyard/net/opening.py
+++ b/woadyard/net/opening.py
@@ -17,13 +17,12 @@
     def opening_ended(self) -> None: ...
 
 
-async def open_connection(
-    loop: asyncio.AbstractEventLoop, one: Opened, host: str, port: int, seconds: float
-) -> None:
+async def open_connection(loop: asyncio.AbstractEventLoop, one: Opened, host: str, port: int) -> None:
+    """It knows no time-out: who waits cancels it, and only before the connection is up. One that
+    came due in the turn in which the connection was made closed that behind its protocol's back."""
     try:
-        async with asyncio.timeout(seconds):
-            await loop.create_connection(lambda: cast(asyncio.Protocol, one), host, port)
-    except (OSError, TimeoutError):
+        await loop.create_connection(lambda: cast(asyncio.Protocol, one), host, port)
+    except (OSError, ValueError):  # ValueError: a host that no name can have
         one.not_opened()
     finally:
         one.opening_ended()
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -131,8 +131,8 @@
 
     def open(self) -> None:
         owner, pool = self.owner, self.pool
-        opening = open_connection(owner.loop, self, pool.host, pool.port, owner.connect_s)
-        self.opening = owner.loop.create_task(opening)
+        self.opening = owner.loop.create_task(open_connection(owner.loop, self, pool.host, pool.port))
+        owner.connecting.add(self)
 
     def not_opened(self) -> None:
         # Once it has come up, `connection_lost` knows whether the request left.
@@ -140,11 +140,16 @@
             self.owner.gone(self)
             self._end(NO_CONNECT)
 
+    def time_out_connect(self) -> None:
+        self.close()
+        self.not_opened()
+
     def opening_ended(self) -> None:
         self.opening = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.owner.connecting.discard(self)
         self.news.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
         self.transport.set_write_buffer_limits(high=0)  # `pause_writing` tells of unwritten bytes
         if self.attempt is None:  # called off while it came up
@@ -484,18 +489,22 @@
     ) -> None:
         self.loop, self.now = loop, now
         self.room = Room(room_for(memory_mb, ANSWERS_PART))
-        self.connect_s = (connect_us or CONNECT_DEFAULT_US) / 1e6
         self.most = most  # connections to endpoints
         self.addresses: dict[int, str] = {}
         self.pools: dict[int, Pool] = {}  # of those that were sent something
         self.retiring = False
         self.links: set[Link] = set()
         idle_s = min(IDLE_MOST_S, IDLE_PART * (idle_us or IDLE_DEFAULT_US) / 1e6)
+        connect_s = (connect_us or CONNECT_DEFAULT_US) / 1e6
+        self.connecting: Sweep[Link] = Sweep(loop, connect_s, Link.time_out_connect)
         self.resting: Sweep[Link] = Sweep(loop, idle_s, Link.close)
         self.surplus: Sweep[Link] = Sweep(loop, SURPLUS_S, Link.close_surplus)
         self.answering: Sweep[Link] = Sweep(loop, ANSWER_S, Link.late)  # begun, not yet whole
         self.passing: Sweep[Link] = Sweep(loop, STALL_S, Link.close)  # the same, passed on
         self.stalled: Sweep[Link] = Sweep(loop, STALL_S, Link.close)  # does not read its request
+        self.sweeps = (
+            self.connecting, self.resting, self.surplus, self.answering, self.passing, self.stalled
+        )  # fmt: skip
         self.carrying: dict[Attempt, Link] = {}
         self.emptied: asyncio.Event | None = None
 
@@ -571,7 +580,7 @@
         self.links.discard(link)
         if not self.links and self.emptied is not None:
             self.emptied.set()
-        for sweep in (self.resting, self.surplus, self.answering, self.passing, self.stalled):
+        for sweep in self.sweeps:
             sweep.discard(link)
         if link in link.pool.idle:
             link.pool.idle.remove(link)
@@ -580,7 +589,7 @@
         self.retiring = True
         for link in list(self.links):
             link.close()
-        for sweep in (self.resting, self.surplus, self.answering, self.passing, self.stalled):
+        for sweep in self.sweeps:
             sweep.close()
 
     async def wait_closed(self) -> None:
