Judge the window for repeats where a further attempt is written, too

Cause: the module judges a keyed class's repeat-window-us when it decides; the attempt may then wait for its connection, up to the connect timeout, and was written past the window. Seen with the connection of the second attempt held: the endpoint got the repeat 3 s after the first, the window being 3 s. Engine.may_start, which is asked at the moment of writing, knew of the drain grace, the deadline and the final answer alone. Change: an attempt has a time to be written by: the end of the window, counted from the first send that may have run, as the module counts it. What is not written ends as not sent.

--- a/tests/test_crossings_endpoints.py
+++ b/tests/test_crossings_endpoints.py
@@ -8,20 +8,25 @@
 import asyncio
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any, cast
 
 import pytest
 
 from tests.sockets import (
     Endpoint,
+    Message,
     Replaced,
     Sidecar,
+    Writer,
     outcomes,
     request,
     run,
     sidecar,
 )
+from woadyard.engine import Clock
 from woadyard.interface import NO_CONNECT, OK
+from woadyard.testing import reset, serve
 
 pytestmark = pytest.mark.parametrize("front", ["daemon", "library"], indirect=True)
 
@@ -60,6 +65,20 @@
         return Replaced(protocol, connection_made=connection_made)
 
 
+def shift(one: Sidecar, span_us: int) -> None:
+    """Set forward the clock by which the engine and the upstream judge."""
+    real = one.engine.clock.now
+    one.engine.clock = cast(Clock, Replaced(one.engine.clock, now=lambda: real() + span_us))
+    one.upstream.now = one.engine.clock.now
+
+
+def set_window(one: Sidecar, window_us: int) -> None:
+    """Give all classes this window for repeats."""
+    classes = tuple(replace(cls, window_us=window_us) for cls in one.engine.settings.classes)
+    one.engine.settings = replace(one.engine.settings, classes=classes)
+    one.engine.balancer.s = replace(one.engine.balancer.s, classes=classes)
+
+
 async def until(done: Callable[[], bool]) -> None:
     while not done():
         await asyncio.sleep(0)
@@ -123,3 +142,37 @@
             assert not one.upstream.links
 
     run(main())
+
+
+# --- Repeats ----------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("span_us", "sent"), [(0, 2), (3_000_000, 1)], ids=["within", "past"])
+def test_a_repeat_is_within_its_window_where_it_is_written(span_us: int, sent: int) -> None:
+    """Decided in time, but its connection came up late."""
+
+    async def main() -> None:
+        endpoints = [Endpoint(), Endpoint()]
+        async with sidecar(*endpoints) as one:
+            set_window(one, 3_000_000)
+            opening = Opening(one)
+            opening.may_open.set()
+
+            async def break_off(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+                opening.may_open.clear()
+                for other in endpoints:
+                    other.handler = serve()
+                await reset()(endpoint, message, writer)
+
+            for endpoint in endpoints:
+                endpoint.handler = break_off
+            asked = asyncio.create_task(one.ask(request("put", b"b")))
+            for _ in range(2):
+                await opening.asked.get()
+            shift(one, span_us)
+            opening.may_open.set()
+            back = await asked
+            assert sum(len(endpoint.got) for endpoint in endpoints) == sent
+            assert back.status == (200 if sent == 2 else 502)
+
+    run(main())
--- a/woadyard/engine/call.py
+++ b/woadyard/engine/call.py
@@ -131,7 +131,9 @@
 class Attempt:
     """One sending of a call to one endpoint."""
 
-    __slots__ = ("call", "copy", "endpoint", "may_have_run", "out", "owner", "sent", "timer", "until")
+    __slots__ = (
+        "call", "copy", "endpoint", "may_have_run", "out", "owner", "sent", "timer", "until", "write_by",
+    )  # fmt: skip
 
     def __init__(
         self, owner: AttemptOwner, call: Call, copy: int, endpoint: int, now: int, until: int
@@ -142,6 +144,7 @@
         self.endpoint = endpoint
         self.sent = now
         self.until = until  # when the wait for it ends
+        self.write_by = until  # none of it is written at this time or after
         self.out = True  # no outcome yet
         self.may_have_run = False  # written whole, and not proven since that it never ran
         self.timer: Handle | None = None
--- a/woadyard/engine/engine.py
+++ b/woadyard/engine/engine.py
@@ -28,6 +28,7 @@
 from woadyard.interface import (
     CANCELLED,
     FULL,
+    KEYED,
     LIST_CACHED,
     LIST_DELTA,
     LIST_FAILED,
@@ -344,10 +345,20 @@
     # --- Attempts -----------------------------------------------------------------
 
     def may_start(self, attempt: Attempt, now: int) -> bool:
-        if not attempt.call.open or now >= attempt.until:
+        if not attempt.call.open or now >= min(attempt.until, attempt.write_by):
             return False
         return self.members.may_receive(attempt.endpoint, now)
 
+    def _repeat_until(self, call: Call) -> int:
+        """When the window for repeats of a keyed call ends; else its time. Guards against a repeat
+        that was decided within the window and is written past it, on a connection that came up late."""
+        cls = self.settings.classes[call.cls]
+        if cls.effect == KEYED:
+            for attempt in call.attempts:
+                if attempt.out or attempt.may_have_run:
+                    return attempt.sent + cls.window_us
+        return call.expires
+
     def _send(self, action: Send) -> None:
         call = self.calls.get(action.request)
         if call is None:
@@ -355,6 +366,7 @@
         now = self.now()
         until = min(call.expires, now + action.timeout_us) if action.timeout_us else call.expires
         attempt = Attempt(self, call, len(call.attempts), action.endpoint, now, until)
+        attempt.write_by = min(until, self._repeat_until(call))
         call.attempts.append(attempt)
         # An upload that an endpoint had the beginning of is not here any more.
         spent = call.upload is not None and call.upload.begun
