Write nothing to a process in whose place another was listed while it was connected to

Cause: an attempt waits for its connection to come up; a list gives the endpoint's number another address or start meanwhile. Members.may_receive looks at the number alone, so the request went to the old process: gone for the list, though it may still answer, and past any drain grace; where the address stayed, to a new, cold process whose budget had not been asked. Seen with the connection held while the list came: the old stand-in got the request. Lines at fault: upstream.py Link.write. Change: a connection whose pool was closed and whose endpoint is listed again carries no attempt (not sent; the module decides anew). A drain's grace stays as it was.

--- a/tests/test_crossings_endpoints.py
+++ b/tests/test_crossings_endpoints.py
@@ -25,7 +25,7 @@
     sidecar,
 )
 from woadyard.engine import Clock
-from woadyard.interface import NO_CONNECT, OK
+from woadyard.interface import MOOT, NO_CONNECT, OK
 from woadyard.testing import reset, serve
 
 pytestmark = pytest.mark.parametrize("front", ["daemon", "library"], indirect=True)
@@ -176,3 +176,43 @@
             assert back.status == (200 if sent == 2 else 502)
 
     run(main())
+
+
+# --- Lists ------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("change", "sent"),
+    [("address", (0, 1)), ("start", (0, 1)), ("drain", (1, 0)), ("drained", (0, 1)), ("nothing", (1, 0))],
+)
+def test_what_was_to_go_to_a_replaced_endpoint_goes_to_the_new_one(
+    change: str, sent: tuple[int, int]
+) -> None:
+    """A list comes while the connection does. A drain leaves its grace; another address or start is
+    another process, and nothing is known of the one that the connection was asked of."""
+
+    async def main() -> None:
+        old, new = Endpoint(), Endpoint()
+        async with sidecar(old, new) as one:
+            one.told(old.entry("s-0"))
+            told = outcomes(one.engine)
+            opening = Opening(one)
+            asked = asyncio.create_task(one.ask(request("pay")))
+            await opening.asked.get()
+            if change == "address":
+                one.told(new.entry("s-0"), new.entry("s-1"))
+            elif change == "start":
+                one.told(old.entry("s-0", startedAtMs=1), new.entry("s-1"))
+            elif change == "drain":
+                one.told(old.entry("s-0", lifecycle="draining"))
+            elif change == "drained":
+                one.told(old.entry("s-0", lifecycle="draining"), new.entry("s-1"))
+                shift(one, 500_000)
+            opening.may_open.set()
+            assert (await asked).status == 200
+            if change == "start":
+                assert told[0].outcome == MOOT
+            else:
+                assert (len(old.got), len(new.got)) == sent
+
+    run(main())
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -187,9 +187,11 @@
         attempt, transport = self.attempt, self.transport
         assert attempt is not None and transport is not None
         now = self.owner.now()
-        if not attempt.may_start(now):
-            # Guards the rules after a slow connect: past the drain grace, the
-            # deadline or the final answer nothing may start.
+        replaced = self.pool.closed and attempt.endpoint in self.owner.addresses
+        if replaced or not attempt.may_start(now):
+            # Guards the rules after a slow connect: past the drain grace, the deadline, the window
+            # for repeats or the final answer nothing may start, and nothing at a process in whose
+            # place another one was listed meanwhile.
             self.attempt = None
             self.owner.carrying.pop(attempt, None)
             self.rest()
