Tell that an attempt broke once its connection is closed, not a turn before

Cause: Link.spoil aborted the connection, which closes the descriptor in the next turn, and told the outcome at once. The module decides on the next attempt in that call, and with a connection at rest it was written there and then: beside the spoilt one, still open, a second copy where the settings allow none. connection_lost told the outcome in the same way before the transport closed its descriptor. Seen from the endpoint's side: at the moment of the decision its socket had no end yet. Ruled out: a shutdown of the socket in spoil (the sockets that uvloop hands out refuse the call). Change: what ended with no whole answer is told by call_soon, behind the close.

--- a/tests/test_crossings_endpoints.py
+++ b/tests/test_crossings_endpoints.py
@@ -6,8 +6,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
 from typing import Any, cast
 
@@ -20,12 +22,13 @@
     Sidecar,
     Writer,
     outcomes,
+    overrule,
     request,
     run,
     sidecar,
 )
 from woadyard.engine import Clock
-from woadyard.interface import MOOT, NO_CONNECT, OK
+from woadyard.interface import MOOT, NO_CONNECT, OK, Action, Outcome
 from woadyard.testing import reset, serve
 
 pytestmark = pytest.mark.parametrize("front", ["daemon", "library"], indirect=True)
@@ -84,6 +87,55 @@
         await asyncio.sleep(0)
 
 
+class Peer:
+    """An endpoint by hand: a listening socket whose connections the test reads and writes itself."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setblocking(False)
+        self.port = self.listener.getsockname()[1]
+        self.taken: list[socket.socket] = []
+
+    async def accept(self) -> socket.socket:
+        taken, _ = await self.loop.sock_accept(self.listener)
+        self.taken.append(taken)
+        return taken
+
+    async def read(self, taken: socket.socket) -> bytes:
+        """The next request: a head, with no body."""
+        data = b""
+        while not data.endswith(b"\r\n\r\n"):
+            more = await self.loop.sock_recv(taken, 4096)
+            assert more, "it ended before its request was whole"
+            data += more
+        return data
+
+    def close(self) -> None:
+        for one in (self.listener, *self.taken):
+            one.close()
+
+
+def has_ended(taken: socket.socket) -> bool:
+    """Whether the other side has ended its sending, by now."""
+    try:
+        return taken.recv(1) == b""
+    except BlockingIOError:
+        return False
+    except ConnectionError:
+        return True
+
+
+@contextlib.asynccontextmanager
+async def by_hand(entry: str = "s-0", **changes: Any) -> AsyncIterator[tuple[Sidecar, Peer]]:
+    """A sidecar whose one endpoint is a peer by hand."""
+    peer = Peer()
+    with contextlib.closing(peer):
+        async with sidecar(ceilings=changes) as one:
+            one.told(Endpoint().entry(entry, hostPort=f"127.0.0.1:{peer.port}"))
+            yield one, peer
+
+
 # --- Connect timeout --------------------------------------------------------------------
 
 
@@ -216,3 +268,35 @@
                 assert (len(old.got), len(new.got)) == sent
 
     run(main())
+
+
+# --- Second copies ----------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("spoilt", [b"what?\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx"])
+def test_a_spoilt_attempt_is_off_the_wire_before_the_next_is_decided(spoilt: bytes) -> None:
+    """The next may go out in the same turn: the one before would be a second copy beside it."""
+
+    async def main() -> None:
+        async with by_hand() as (one, peer):
+            ended: list[bool] = []
+
+            def outcome(now: int, event: Outcome) -> list[Action]:
+                ended.append(has_ended(peer.taken[0]))
+                return real.outcome(now, event)
+
+            real = overrule(one.engine, outcome=outcome)
+            asked = asyncio.create_task(one.ask(request()))
+            taken = await peer.accept()
+            await peer.read(taken)
+            await peer.loop.sock_sendall(taken, spoilt)
+            if spoilt.startswith(b"HTTP"):  # it never ends
+                answering = one.upstream.answering
+                await until(lambda: bool(answering.since))
+                (link,) = answering.since
+                answering.since[link] -= answering.seconds
+                answering.run()
+            assert (await asked).status == 503, "a class that is safe to repeat"
+            assert ended == [True]
+
+    run(main())
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -138,7 +138,7 @@
         # Once it has come up, `connection_lost` knows whether the request left.
         if self.transport is None:
             self.owner.gone(self)
-            self._end(NO_CONNECT)
+            self._end_closed(NO_CONNECT)
 
     def time_out_connect(self) -> None:
         self.close()
@@ -321,21 +321,24 @@
         if answer is not None:
             answer.end(False)
         self._leave_upload()
-        self._end(NO_CONNECT if self.unwritten else RESET)
+        self._end_closed(NO_CONNECT if self.unwritten else RESET)
         self.parser = None  # it holds this object's methods: the cycle ends here
 
-    def _end(self, outcome: int, answer: Answer | None = None) -> None:
+    def _end_closed(self, outcome: int) -> None:
+        """It had no whole answer: its outcome is told behind the turn that closes the descriptor.
+        Guards against a next attempt that is written before this one is off the wire."""
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
             self.owner.carrying.pop(attempt, None)
-            attempt.end(outcome, answer, (self.fields or {}).get(b"x-load", b""))
+            load = (self.fields or {}).get(b"x-load", b"")
+            self.owner.loop.call_soon(attempt.end, outcome, None, load)
 
     def spoil(self) -> None:
         """No answer of this protocol: the request may have run, and the connection is of
         no more use. That it came says that the connection did not die, so no reset."""
         self.close()
         self._leave_upload()
-        self._end(ERROR)
+        self._end_closed(ERROR)
 
     def late(self) -> None:
         """Nothing whole for `ANSWER_S`: it may go on as long as something comes."""
