Let connections settle before reuse once endpoints were seen to spoil answers

Cause: an endpoint may answer twice, the second time some milliseconds late. Link.fit sees what has come by the moment of reuse; what comes behind that answered the next request: another request's body for a safe one, and for an unsafe one 'it never ran' of a 503 with X-Not-Run, upon which it was sent again. Nothing in such an answer tells whose it is. Seen with a peer that writes the second answer once the next request is on the same connection: it was served. Change: for 60 s after something spoilt came (at rest, behind a whole answer, or unreadable) from any endpoint, a connection rests 20 ms before it is used again; else another settled one, a new one, or where more than two rest the one that rested longest is taken. Tried and left: the same at all times. An endpoint with room for one connection then turned away a new one while a good one rested (test_no_room_for_a_new_connection_leaves_those_at_rest_in_use), and kept connections were not used one after the other. So the first second answer that a process ever meets is still not told apart, if its connection is reused within those milliseconds.

--- a/tests/test_crossings_endpoints.py
+++ b/tests/test_crossings_endpoints.py
@@ -7,9 +7,10 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import replace
 from typing import Any, cast
 
@@ -21,6 +22,7 @@
     Replaced,
     Sidecar,
     Writer,
+    answer,
     outcomes,
     overrule,
     request,
@@ -29,6 +31,7 @@
 )
 from woadyard.engine import Clock
 from woadyard.interface import MOOT, NO_CONNECT, OK, Action, Outcome
+from woadyard.net.upstream import SETTLE_US, SPARE
 from woadyard.testing import reset, serve
 
 pytestmark = pytest.mark.parametrize("front", ["daemon", "library"], indirect=True)
@@ -116,6 +119,10 @@
             one.close()
 
 
+def is_readable(one: socket.socket) -> bool:
+    return bool(select.select([one], [], [], 0)[0])
+
+
 def has_ended(taken: socket.socket) -> bool:
     """Whether the other side has ended its sending, by now."""
     try:
@@ -300,3 +307,102 @@
             assert ended == [True]
 
     run(main())
+
+
+# --- Spoilt answers ---------------------------------------------------------------------
+
+
+class Kept:
+    """One request after the other, to a peer by hand that keeps its connections."""
+
+    def __init__(self, one: Sidecar, peer: Peer, cls: str) -> None:
+        self.one, self.peer, self.cls = one, peer, cls
+        self.asked = 0
+        self.time = one.engine.now()  # stands still where connections are chosen
+        one.upstream.now = lambda: self.time
+
+    def ask(self) -> asyncio.Task[Message]:
+        self.asked += 1
+        return asyncio.create_task(self.one.ask(request(self.cls, rid=f"r{self.asked}")))
+
+    async def serve(self, behind: bytes = b"") -> socket.socket:
+        """A whole exchange on a new connection, and what comes with its answer."""
+        asked = self.ask()
+        taken = await self.peer.accept()
+        await self.peer.read(taken)
+        body = b"%d" % self.asked
+        await self.peer.loop.sock_sendall(taken, answer(body=body) + behind)
+        assert (await asked).body == body
+        return taken
+
+
+async def spoil_at_rest(kept: Kept) -> None:
+    taken = await kept.serve()
+    await kept.peer.loop.sock_sendall(taken, b"HT")
+    await until(lambda: not kept.one.upstream.links)
+
+
+async def spoil_behind(kept: Kept) -> None:
+    await kept.serve(behind=answer(body=b"twice"))
+    await until(lambda: not kept.one.upstream.links)
+
+
+async def spoil_noise(kept: Kept) -> None:
+    await kept.serve(behind=b"\0\1")
+    await until(lambda: not kept.one.upstream.links)
+
+
+@pytest.mark.parametrize("spoil", [spoil_at_rest, spoil_behind, spoil_noise])
+@pytest.mark.parametrize("cls", ["page", "pay"])
+@pytest.mark.parametrize("late", ["at-rest", "under-the-next"])
+def test_a_second_answer_that_comes_late_answers_no_other_request(
+    late: str, cls: str, spoil: Callable[[Kept], Awaitable[None]]
+) -> None:
+    """Once an endpoint was seen to spoil its answers. It may come before the next request is
+    written, or behind that; to an unsafe one it would say that it never ran."""
+
+    async def main() -> None:
+        async with by_hand() as (one, peer):
+            kept = Kept(one, peer, cls)
+            await spoil(kept)
+            taken = await kept.serve()
+            second = answer(503, b"", "X-Not-Run: 1\r\n") if cls == "pay" else answer(body=b"2")
+            if late == "at-rest":
+                await peer.loop.sock_sendall(taken, second)
+            asked = kept.ask()
+            if late == "under-the-next":
+                await until(lambda: is_readable(peer.listener) or is_readable(taken))
+                assert not is_readable(taken), "where a second answer may still come"
+            other = await peer.accept()
+            await peer.read(other)
+            if late == "under-the-next":
+                await peer.loop.sock_sendall(taken, second)
+            await peer.loop.sock_sendall(other, answer(body=b"3"))
+            assert (await asked).body == b"3"
+
+    run(main())
+
+
+def test_a_connection_that_has_settled_is_used_again() -> None:
+    """Also once answers were seen spoilt; and of many that have not, the one that rested longest."""
+
+    async def main() -> None:
+        async with by_hand() as (one, peer):
+            kept = Kept(one, peer, "page")
+            await spoil_at_rest(kept)
+            taken = await kept.serve()
+
+            async def serve_by(expected: socket.socket) -> None:
+                asked = kept.ask()
+                await peer.read(expected)
+                await peer.loop.sock_sendall(expected, answer(body=b"%d" % kept.asked))
+                assert (await asked).body == b"%d" % kept.asked
+
+            kept.time += SETTLE_US
+            await serve_by(taken)
+            for _ in range(SPARE):
+                await kept.serve()
+            assert len(one.upstream.resting.since) == SPARE + 1
+            await serve_by(taken)
+
+    run(main())
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -51,6 +51,13 @@
 # The same once it is passed on, and for an endpoint that does not read: nothing can be tried
 # again then, so the connection has longer.
 STALL_S: Final = 5.0
+# For DOUBT_US after something spoilt came from any endpoint, a connection rests for SETTLE_US behind
+# an answer before it carries another request, unless SPARE others rest there: guards against an
+# endpoint that answers twice, the second time some milliseconds late, and so answers the next
+# request: nothing tells those two apart. Not always: it costs new connections, and an endpoint
+# that holds no more turns them away.
+SETTLE_US: Final = 20_000
+DOUBT_US: Final = 60_000_000
 # The length of an answer that ends with its connection (RFC 9112, 6.3, case 8), and of chunks.
 UNTIL_END: Final = -2
 CHUNKS: Final = -1
@@ -68,6 +75,13 @@
         self.idle: list[Link] = []
         self.closed = False
 
+    def take(self, now: int, settle_us: int) -> Link | None:
+        """The last used of those that have rested so long."""
+        for at in range(len(self.idle) - 1, -1, -1):
+            if now - self.idle[at].rested_at >= settle_us:
+                return self.idle.pop(at)
+        return self.idle.pop(0) if len(self.idle) > SPARE else None
+
     def free(self) -> None:
         links, self.idle = self.idle, []
         for link in links:
@@ -111,6 +125,7 @@
         self.upload: Flow | None = None  # a request that is passed on while it comes
         self.answer: Flow | None = None  # an answer that is
         self.held = 0  # of the room for answers
+        self.rested_at = 0  # since when it carries nothing
         self.parser: Any = httptools.HttpResponseParser(self)
         self._begin()
 
@@ -120,7 +135,7 @@
         self.body = bytearray()
         self.size = self.fed = self.fed_then = self.status = 0
         self.length = CHUNKS
-        self.whole = self.keep = False
+        self.whole = self.keep = self.behind = False
         self._give_back()
 
     def _give_back(self) -> None:
@@ -296,6 +311,7 @@
             self.close()
             return
         self._begin()
+        self.rested_at = self.owner.now()
         self.pool.idle.append(self)
         self.owner.resting.add(self)
         self.owner.surplus.add(self)
@@ -336,6 +352,7 @@
     def spoil(self) -> None:
         """No answer of this protocol: the request may have run, and the connection is of
         no more use. That it came says that the connection did not die, so no reset."""
+        self.owner.doubt()
         self.close()
         self._leave_upload()
         self._end_closed(ERROR)
@@ -352,6 +369,7 @@
 
     def data_received(self, data: bytes) -> None:
         if self.attempt is None and self.answer is None:
+            self.owner.doubt()
             self.close()  # nobody asked: whatever it is, it ends the connection
             return
         self.fed += len(data)
@@ -362,6 +380,8 @@
             spoilt, self.keep = True, False
         spoilt = spoilt or self.fed > FRAMING_MAX + FRAMING_EACH * self.size
         if self.whole:
+            if spoilt or self.behind:
+                self.owner.doubt()
             self._finish()
         elif spoilt or (self.fields is None and self.fed > HEAD_MAX):
             self.spoil()
@@ -378,7 +398,7 @@
 
     def on_message_begin(self) -> None:
         if self.whole:
-            self.keep = False  # something stands behind the answer
+            self.behind, self.keep = True, False  # something stands behind the answer
         else:
             self.headers.clear()  # an interim answer's say nothing of the real one
 
@@ -498,6 +518,7 @@
         self.addresses: dict[int, str] = {}
         self.pools: dict[int, Pool] = {}  # of those that were sent something
         self.retiring = False
+        self.doubt_until = 0
         self.links: set[Link] = set()
         idle_s = min(IDLE_MOST_S, IDLE_PART * (idle_us or IDLE_DEFAULT_US) / 1e6)
         connect_s = (connect_us or CONNECT_DEFAULT_US) / 1e6
@@ -527,6 +548,10 @@
         if (pool := self.pools.pop(endpoint, None)) is not None:
             pool.close()
 
+    def doubt(self) -> None:
+        """Something came that is no answer of this protocol."""
+        self.doubt_until = self.now() + DOUBT_US
+
     def free(self, endpoint: int) -> None:
         if (pool := self.pools.get(endpoint)) is not None:
             pool.free()
@@ -542,8 +567,9 @@
                 return
             # Made when first drawn: of a large fleet most endpoints never are.
             pool = self.pools[attempt.endpoint] = Pool(*split_address(address))
-        while pool.idle:
-            link = pool.idle.pop()
+        now = self.now()
+        settle_us = SETTLE_US if now < self.doubt_until else 0
+        while (link := pool.take(now, settle_us)) is not None:
             self.resting.discard(link)
             self.surplus.discard(link)
             if link.fit():
