Serve no answer that came before its request was written whole

Cause: a 200 that an endpoint writes late, for an earlier request, may come while the next request's last bytes still wait in the transport. Link took it for that request's answer and served it, though the endpoint can't have begun it. Seen with a peer that reads nothing, small buffers on both sides and a request of 65 kB: its client got another's body. Lines at fault: upstream.py data_received. Checked and found right with the same peer, on uvloop: pause_writing comes within write(), so what is held back is known at once; a reset or an end then is told as never run, a 503 with X-Not-Run as turned away; once the peer has read all, resume_writing has come and a reset is doubt. Change: such a 200 ends the connection, and the attempt as not connected (never run); uploads, which may be answered early, are left out. What is spoilt before the last byte is written never ran either.

--- a/tests/test_crossings_endpoints.py
+++ b/tests/test_crossings_endpoints.py
@@ -9,6 +9,7 @@
 import contextlib
 import select
 import socket
+import struct
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import replace
@@ -30,7 +31,7 @@
     sidecar,
 )
 from woadyard.engine import Clock
-from woadyard.interface import MOOT, NO_CONNECT, OK, Action, Outcome
+from woadyard.interface import FULL, MOOT, NO_CONNECT, OK, RESET, Action, Outcome
 from woadyard.net.upstream import SETTLE_US, SPARE
 from woadyard.testing import reset, serve
 
@@ -50,6 +51,7 @@
         self.asked: asyncio.Queue[int] = asyncio.Queue()  # the ports, in the order asked for
         self.may_open = asyncio.Event()
         self.made = made  # in the turn in which it came up, behind what the program does in it
+        self.small = False  # connections whose buffer for sending is the system's least
         self.begun = begun  # in the same turn, before what the program does in it
         self.real = one.upstream.loop
         held = Replaced(self.real, create_connection=self._create)
@@ -64,6 +66,9 @@
 
     def _watched(self, protocol: Any) -> Any:
         def connection_made(transport: asyncio.BaseTransport) -> None:
+            if self.small:
+                found = transport.get_extra_info("socket")
+                found.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1)
             protocol.connection_made(transport)
             if self.made is not None:
                 self.made()
@@ -134,12 +139,12 @@
 
 
 @contextlib.asynccontextmanager
-async def by_hand(entry: str = "s-0", **changes: Any) -> AsyncIterator[tuple[Sidecar, Peer]]:
+async def by_hand(**ceilings: Any) -> AsyncIterator[tuple[Sidecar, Peer]]:
     """A sidecar whose one endpoint is a peer by hand."""
     peer = Peer()
     with contextlib.closing(peer):
-        async with sidecar(ceilings=changes) as one:
-            one.told(Endpoint().entry(entry, hostPort=f"127.0.0.1:{peer.port}"))
+        async with sidecar(ceilings={key.replace("_", "-"): value for key, value in ceilings.items()}) as one:
+            one.told(Endpoint().entry("s-0", hostPort=f"127.0.0.1:{peer.port}"))
             yield one, peer
 
 
@@ -406,3 +411,58 @@
             await serve_by(taken)
 
     run(main())
+
+
+# --- Bytes that the system has not taken yet ------------------------------------------------
+
+
+async def half_written(one: Sidecar, peer: Peer) -> tuple[asyncio.Task[Message], socket.socket]:
+    """A request whose last bytes wait in the transport: the peer reads nothing of its body."""
+    peer.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+    opening = Opening(one)
+    opening.small = True
+    opening.may_open.set()
+    asked = asyncio.create_task(one.ask(request("pay", b"x" * 65_000)))
+    taken = await peer.accept()
+    await until(lambda: bool(one.upstream.links) and all(link.full for link in one.upstream.links))
+    return asked, taken
+
+
+@pytest.mark.parametrize("how", ["reset", "end", "second-answer", "refusal"])
+def test_what_was_not_written_whole_never_ran(how: str) -> None:
+    async def main() -> None:
+        async with by_hand(max_attempts=1) as (one, peer):
+            told = outcomes(one.engine)
+            asked, taken = await half_written(one, peer)
+            if how == "reset":
+                taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                taken.close()
+            elif how == "end":
+                taken.close()
+            elif how == "second-answer":
+                await peer.loop.sock_sendall(taken, answer(body=b"another's"))
+            else:
+                await peer.loop.sock_sendall(taken, answer(503, b"", "X-Not-Run: 1\r\n"))
+            assert (await asked).status == 503
+            assert told[0].outcome == (FULL if how == "refusal" else NO_CONNECT)
+
+    run(main())
+
+
+def test_what_the_system_took_late_may_have_run() -> None:
+    """The other order: the last bytes left before the connection broke."""
+
+    async def main() -> None:
+        async with by_hand(max_attempts=1) as (one, peer):
+            told = outcomes(one.engine)
+            asked, taken = await half_written(one, peer)
+            data = b""
+            while not data.endswith(b"x" * 65_000):
+                data += await peer.loop.sock_recv(taken, 65_536)
+            await until(lambda: not any(link.full for link in one.upstream.links))
+            taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            taken.close()
+            assert (await asked).status == 502
+            assert told[0].outcome == RESET
+
+    run(main())
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -350,12 +350,12 @@
             self.owner.loop.call_soon(attempt.end, outcome, None, load)
 
     def spoil(self) -> None:
-        """No answer of this protocol: the request may have run, and the connection is of
-        no more use. That it came says that the connection did not die, so no reset."""
+        """No answer of this protocol: the request may have run, if it was written whole, and the
+        connection is of no more use. That it came says that the connection did not die, so no reset."""
         self.owner.doubt()
         self.close()
         self._leave_upload()
-        self._end_closed(ERROR)
+        self._end_closed(NO_CONNECT if self.unwritten else ERROR)
 
     def late(self) -> None:
         """Nothing whole for `ANSWER_S`: it may go on as long as something comes."""
@@ -379,7 +379,9 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             spoilt, self.keep = True, False
         spoilt = spoilt or self.fed > FRAMING_MAX + FRAMING_EACH * self.size
-        if self.whole:
+        if self._is_anothers():
+            self.spoil()
+        elif self.whole:
             if spoilt or self.behind:
                 self.owner.doubt()
             self._finish()
@@ -396,6 +398,12 @@
                 self.fed_then = self.fed
             self.owner.answering.add(self)
 
+    def _is_anothers(self) -> bool:
+        """Whether it says that a request was served whose last byte is not written yet: it came for an
+        earlier one. Uploads may be answered early."""
+        attempt = self.attempt
+        return self.unwritten and self.status == 200 and attempt is not None and attempt.call.upload is None
+
     def on_message_begin(self) -> None:
         if self.whole:
             self.behind, self.keep = True, False  # something stands behind the answer
