Force the crossings of leaving clients, deadlines and half answers on the endpoints' side

Cause: no test held these instants: a client that leaves while a connection comes up for its first or further attempt, with and without leave to cancel; what a further attempt tells of the time left when its connection came up late; a deadline in the turn of the answer; an answer without a length that is reset in the turn of its last bytes; half a line under a request, at rest and in the kernel at reuse. All were found right, on uvloop also the reset: libuv reads what came and then tells the reset, so eof_received is called for an orderly end alone (probed plain, with bytes unsent and bytes unread). Change: tests alone; both orders of each, both fronts.

--- a/tests/test_crossings_endpoints.py
+++ b/tests/test_crossings_endpoints.py
@@ -26,14 +26,15 @@
     answer,
     outcomes,
     overrule,
+    read_message,
     request,
     run,
     sidecar,
 )
 from woadyard.engine import Clock
-from woadyard.interface import FULL, MOOT, NO_CONNECT, OK, RESET, Action, Outcome
+from woadyard.interface import FULL, MOOT, NO_CONNECT, OK, RESET, TIMEOUT, Action, Outcome
 from woadyard.net.upstream import SETTLE_US, SPARE
-from woadyard.testing import reset, serve
+from woadyard.testing import reset, serve, stall
 
 pytestmark = pytest.mark.parametrize("front", ["daemon", "library"], indirect=True)
 
@@ -90,6 +91,28 @@
     one.engine.balancer.s = replace(one.engine.balancer.s, classes=classes)
 
 
+def got_in_turn(endpoints: list[Endpoint]) -> list[Message]:
+    """What two endpoints got: first the one whose script broke off."""
+    first, second = sorted(endpoints, key=lambda endpoint: endpoint.effects.by_id["r1"])
+    return [*first.got, *second.got]
+
+
+async def count_got(endpoints: list[Endpoint]) -> int:
+    """The requests that have been written to endpoints by now: what they have not read yet is waited
+    for, by requests of the test's own that are written behind it, twice one after the other."""
+    for n in range(2):
+        for endpoint in endpoints:
+            _, writer = await asyncio.open_connection("127.0.0.1", endpoint.port)
+            writer.write(request(rid=f"behind{n}"))
+            await until(lambda at=endpoint, n=n: f"behind{n}" in ids(at))  # type: ignore[misc]
+            writer.close()
+    return sum(not one.startswith("behind") for endpoint in endpoints for one in ids(endpoint))
+
+
+def ids(endpoint: Endpoint) -> list[str]:
+    return [message.headers["x-request-id"] for message in endpoint.got]
+
+
 async def until(done: Callable[[], bool]) -> None:
     while not done():
         await asyncio.sleep(0)
@@ -236,7 +259,7 @@
             shift(one, span_us)
             opening.may_open.set()
             back = await asked
-            assert sum(len(endpoint.got) for endpoint in endpoints) == sent
+            assert await count_got(endpoints) == sent
             assert back.status == (200 if sent == 2 else 502)
 
     run(main())
@@ -466,3 +489,158 @@
             assert told[0].outcome == RESET
 
     run(main())
+
+
+# --- A client that leaves, and its deadline ---------------------------------------------------
+
+
+async def ends_first(one: Sidecar, endpoints: list[Endpoint], opening: Opening) -> None:
+    """The first attempt breaks; the connection of the next one is held."""
+
+    async def break_off(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        opening.may_open.clear()
+        for other in endpoints:
+            other.handler = serve()
+        await reset(executes=False)(endpoint, message, writer)
+
+    for endpoint in endpoints:
+        endpoint.handler = break_off
+    opening.may_open.set()
+
+
+@pytest.mark.parametrize("cancel", [True, False], ids=["cancels", "does-not"])
+@pytest.mark.parametrize("attempt", ["first", "further"])
+@pytest.mark.parametrize("leaves", ["before", "behind"])
+def test_nothing_begins_for_a_client_that_has_left(leaves: str, attempt: str, cancel: bool) -> None:
+    """It leaves while a connection comes up for it, or once its request is there."""
+
+    async def main() -> None:
+        endpoints = [Endpoint(stall()), Endpoint(stall())]
+        async with sidecar(*endpoints, ceilings={"cancel": cancel}) as one:
+            opening = Opening(one)
+            before = int(attempt == "further")
+            if before:
+                await ends_first(one, endpoints, opening)
+            _, writer = await one.connect()
+            writer.write(request())
+            for _ in range(1 + before):
+                await opening.asked.get()
+            if leaves == "before":
+                writer.close()
+                await until(lambda: not any(call.open for call in one.engine.calls.values()))
+            opening.may_open.set()
+            if leaves == "behind":
+                await until(lambda: sum(len(endpoint.got) for endpoint in endpoints) == 1 + before)
+                writer.close()
+            await until(lambda: not one.engine.calls or not cancel)
+            await until(lambda: not one.upstream.connecting.since)
+            assert await count_got(endpoints) == before + (leaves == "behind")
+
+    run(main())
+
+
+def test_a_further_attempt_tells_no_more_time_than_is_left() -> None:
+    """Counted where it is written, not where it was decided."""
+
+    async def main() -> None:
+        endpoints = [Endpoint(), Endpoint()]
+        async with sidecar(*endpoints) as one:
+            opening = Opening(one)
+            await ends_first(one, endpoints, opening)
+            asked = asyncio.create_task(one.ask(request("put", b"b", deadline_ms=4000)))
+            for _ in range(2):
+                await opening.asked.get()
+            shift(one, 1_500_000)
+            opening.may_open.set()
+            assert (await asked).status == 200
+            first, second = [int(message.headers["x-deadline-ms"]) for message in got_in_turn(endpoints)]
+            assert first <= 4000 and second <= 2500
+
+    run(main())
+
+
+@pytest.mark.parametrize("first", ["deadline", "answer"])
+def test_a_deadline_in_the_turn_of_the_answer_gives_one_answer(first: str) -> None:
+    async def main() -> None:
+        async with by_hand() as (one, peer):
+            told = outcomes(one.engine)
+            reader, writer = await one.connect()
+            writer.write(request("pay"))
+            taken = await peer.accept()
+            await peer.read(taken)
+            (call,) = one.engine.calls.values()
+            taken.send(answer(body=b"in time"))  # in the kernel, not yet read
+            if first == "answer":
+                await until(lambda: bool(told))
+            shift(one, call.expires - one.engine.now())
+            one.engine._expire(call)
+            back = await read_message(reader)
+            assert back.status == (504 if first == "deadline" else 200)
+            assert [event.outcome for event in told] == [TIMEOUT if first == "deadline" else OK]
+            writer.write(request("pay", rid="r2"))
+            other = taken if first == "answer" else await peer.accept()
+            await peer.read(other)
+            await peer.loop.sock_sendall(other, answer(body=b"next"))
+            assert (await read_message(reader)).body == b"next", "what came late answers nothing"
+            writer.close()
+
+    run(main())
+
+
+# --- Ends of an answer ------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("how", ["end", "reset", "end-and-reset"])
+def test_only_an_orderly_end_ends_an_answer_without_a_length(how: str) -> None:
+    """What breaks it is there in the same turn as its last bytes."""
+
+    async def main() -> None:
+        async with by_hand(max_attempts=1) as (one, peer):
+            asked = asyncio.create_task(one.ask(request("pay")))
+            taken = await peer.accept()
+            await peer.read(taken)
+            taken.send(b"HTTP/1.1 200 OK\r\n\r\nok")
+            if how == "end-and-reset":
+                taken.shutdown(socket.SHUT_WR)
+            if how != "end":
+                taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            taken.close()
+            back = await asked
+            assert (back.status, back.body) == ((502, b"") if how == "reset" else (200, b"ok"))
+
+    run(main())
+
+
+@pytest.mark.parametrize("half", [b"H", b"HTTP/1.1 20", b"HTTP/1.1 200 OK\r\nContent-Le"])
+@pytest.mark.parametrize("when", ["under-a-request", "at-rest", "as-it-is-used-again"])
+def test_half_a_line_and_an_end_are_no_answer(when: str, half: bytes) -> None:
+    async def main() -> None:
+        async with by_hand(max_attempts=1) as (one, peer):
+            if when != "under-a-request":
+                asked = asyncio.create_task(one.ask(request("pay")))
+                taken = await peer.accept()
+                await peer.read(taken)
+                await peer.loop.sock_sendall(taken, answer())
+                assert (await asked).status == 200
+            if when == "at-rest":
+                await peer.loop.sock_sendall(taken, half)
+                taken.close()
+                await until(lambda: not one.upstream.links)
+            elif when == "as-it-is-used-again":
+                (link,) = one.upstream.links
+                assert link.transport is not None
+                link.transport.pause_reading()  # as though the loop had no turn since
+                taken.send(half)
+                taken.close()
+            asked = asyncio.create_task(one.ask(request("pay", rid="r2")))
+            other = await peer.accept()
+            await peer.read(other)
+            if when == "under-a-request":
+                await peer.loop.sock_sendall(other, half)
+                other.close()
+                assert (await asked).status == 502
+            else:
+                await peer.loop.sock_sendall(other, answer(body=b"whole"))
+                assert (await asked).body == b"whole"
+
+    run(main())
