Force a list that replaces an endpoint under an attempt, and the limit on connections

Cause: neither instant had a test. Both were found right: the attempt keeps its answer, its connection ends with that and carries nothing more; at the limit on descriptors an attempt ends as not sent, no more than max-attempts times, and the client is refused at once. Change: tests alone.

--- a/tests/test_crossings_endpoints.py
+++ b/tests/test_crossings_endpoints.py
@@ -34,7 +34,7 @@
 from woadyard.engine import Clock
 from woadyard.interface import FULL, MOOT, NO_CONNECT, OK, RESET, TIMEOUT, Action, Outcome
 from woadyard.net.upstream import SETTLE_US, SPARE
-from woadyard.testing import reset, serve, stall
+from woadyard.testing import after, reset, serve, stall
 
 pytestmark = pytest.mark.parametrize("front", ["daemon", "library"], indirect=True)
 
@@ -644,3 +644,45 @@
                 assert (await asked).body == b"whole"
 
     run(main())
+
+
+# --- Attempts under way -----------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("change", [{"startedAtMs": 1}, {"lifecycle": "draining"}, {"lifecycle": "gone"}])
+def test_a_list_that_replaces_the_endpoint_of_an_attempt_leaves_it_its_answer(change: dict[str, Any]) -> None:
+    """But nothing more goes over its connection, and that ends with the answer."""
+
+    async def main() -> None:
+        release = asyncio.Event()
+        old, new = Endpoint(after(release, serve(b"old"))), Endpoint(serve(b"new"))
+        async with sidecar(old, new) as one:
+            one.told(old.entry("s-0"))
+            asked = asyncio.create_task(one.ask(request("pay")))
+            await old.arrived.acquire()
+            one.told(old.entry("s-0", **change), new.entry("s-1"), whole=False)
+            release.set()
+            assert (await asked).body == b"old"
+            await old.closed.acquire()
+            if "lifecycle" in change:
+                assert (await one.ask(request("pay", rid="r2"))).body == b"new"
+            assert await count_got([old]) == 1
+
+    run(main())
+
+
+def test_no_room_for_a_connection_is_told_and_does_not_spin() -> None:
+    """At the limit on descriptors nothing is sent, and the client gets its answer at once."""
+
+    async def main() -> None:
+        endpoints = [Endpoint(), Endpoint(), Endpoint(), Endpoint()]
+        async with sidecar(*endpoints) as one:
+            told = outcomes(one.engine)
+            one.upstream.most = 0
+            assert (await one.ask(request("pay"))).status == 503
+            assert [event.outcome for event in told] == [MOOT] * len(told) and len(told) <= 4
+            assert not await count_got(endpoints)
+            one.upstream.most = 1
+            assert (await one.ask(request("pay", rid="r2"))).status == 200
+
+    run(main())
