Play any order of connecting, answers and time against the window for repeats

Cause: the crossing of a slow connection with the window was forced once; the engine's other orders were not played. Change: a hypothesis test over the engine alone, its clock moved by hand: no keyed attempt is written past the window of the first that may have run, and the call gets one answer.

--- a/tests/test_crossings_endpoints.py
+++ b/tests/test_crossings_endpoints.py
@@ -15,9 +15,13 @@
 from dataclasses import replace
 from typing import Any, cast
 
+import hypothesis.strategies as st
 import pytest
+from hypothesis import given
 
+from tests.fakes import Answers, ManualClock, PlayedUpstream, entry
 from tests.sockets import (
+    SETTINGS,
     Endpoint,
     Message,
     Replaced,
@@ -31,9 +35,11 @@
     run,
     sidecar,
 )
-from woadyard.engine import Clock
-from woadyard.interface import FULL, MOOT, NO_CONNECT, OK, RESET, TIMEOUT, Action, Outcome
+from woadyard.engine import Call, Clock, Engine
+from woadyard.engine.given import GivenMembers
+from woadyard.interface import ERROR, FULL, MOOT, NO_CONNECT, OK, RESET, TIMEOUT, Action, Outcome
 from woadyard.net.upstream import SETTLE_US, SPARE
+from woadyard.settings import config_from
 from woadyard.testing import after, reset, serve, stall
 
 pytestmark = pytest.mark.parametrize("front", ["daemon", "library"], indirect=True)
@@ -265,6 +271,55 @@
     run(main())
 
 
+WINDOW_US = 700_000
+SPANS_MS = (0, 1, 350, 699, 700)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("write"), st.booleans()),
+        st.tuples(st.just("answer"), st.sampled_from([ERROR, FULL, RESET])),
+        st.tuples(st.just("advance"), st.sampled_from(SPANS_MS)),
+    ),
+    max_size=14,
+)
+
+
+@given(steps=STEPS)
+def test_no_keyed_attempt_is_written_past_the_window_of_one_that_may_have_run(
+    steps: list[tuple[str, Any]],
+) -> None:
+    """The engine alone: connections come up, answers come and time passes in any order."""
+    put = {**SETTINGS["classes"][1], "repeat-window-us": WINDOW_US}
+    config = config_from({"seed": "7", "settings": {**SETTINGS, "classes": [put]}}, "test")
+    clock, source, front = ManualClock(), GivenMembers(), Answers()
+    upstream = PlayedUpstream(clock)
+    engine = Engine(
+        clock, config.seed, config.settings, config.names, upstream, source, config.drain_grace_us, print
+    )
+    engine.start()
+    source.give([entry(f"s-{n}", cell=1) for n in range(4)])
+    engine.take(Call(0, clock.now() + 4_000_000, b"POST /put", b"", b"", front, b"r1"))
+    doubt_since: int | None = None  # the first write that may have run
+    for kind, value in steps:
+        if kind == "advance":
+            clock.advance(value * 1000)
+        elif not upstream.out:
+            continue
+        elif kind == "answer":
+            (sent,) = upstream.out.values()
+            written, ran = sent.written, sent.ran
+            upstream.answer(sent, value)
+            if written and not (value == FULL and not ran) and doubt_since is None:
+                doubt_since = upstream.writes[-1][0]
+        else:
+            (sent,) = upstream.out.values()
+            before = len(upstream.writes)
+            upstream.write(sent, value)
+            if len(upstream.writes) > before and doubt_since is not None:
+                assert clock.now() < doubt_since + WINDOW_US
+    clock.advance(4_000_000)
+    assert len(front.given) == 1 and not engine.calls
+
+
 # --- Lists ------------------------------------------------------------------------------
 
 
