Give up a repeat that is not written whole by the end of its window

Cause: the first byte of a keyed class's further attempt may be written within the window and its last ones later: they wait in the transport as long as the endpoint does not read, and the endpoint begins it once the last has come. Seen with a peer that reads nothing and a body of 65 kB: the attempt stayed out past the window. Nor did a client get its answer while a connection came up that was of no more use. Change: a timer of the engine at the time to write by; what is not written whole then never ran, and ends as not sent.

--- a/tests/test_crossings_endpoints.py
+++ b/tests/test_crossings_endpoints.py
@@ -35,7 +35,8 @@
     run,
     sidecar,
 )
-from woadyard.engine import Call, Clock, Engine
+from woadyard.engine import Attempt, Call, Clock, Engine
+from woadyard.engine.clock import Timer
 from woadyard.engine.given import GivenMembers
 from woadyard.interface import ERROR, FULL, MOOT, NO_CONNECT, OK, RESET, TIMEOUT, Action, Outcome
 from woadyard.net.upstream import SETTLE_US, SPARE
@@ -90,6 +91,15 @@
     one.upstream.now = one.engine.clock.now
 
 
+def come_due(one: Sidecar, attempt: Attempt) -> None:
+    """Its timer, now."""
+    timer = cast(Timer, attempt.timer)
+    assert timer.handle is not None
+    timer.handle.cancel()
+    timer.due = one.engine.now()
+    timer.woken()
+
+
 def set_window(one: Sidecar, window_us: int) -> None:
     """Give all classes this window for repeats."""
     classes = tuple(replace(cls, window_us=window_us) for cls in one.engine.settings.classes)
@@ -148,11 +158,22 @@
             data += more
         return data
 
+    async def read_all(self, taken: socket.socket, size: int) -> None:
+        """A request whose body is so many times `x`."""
+        data = b""
+        while not data.endswith(b"x" * size):
+            data += await self.loop.sock_recv(taken, 65_536)
+
     def close(self) -> None:
         for one in (self.listener, *self.taken):
             one.close()
 
 
+def reset_by(taken: socket.socket) -> None:
+    taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    taken.close()
+
+
 def is_readable(one: socket.socket) -> bool:
     return bool(select.select([one], [], [], 0)[0])
 
@@ -494,13 +515,19 @@
 # --- Bytes that the system has not taken yet ------------------------------------------------
 
 
-async def half_written(one: Sidecar, peer: Peer) -> tuple[asyncio.Task[Message], socket.socket]:
+async def half_written(
+    one: Sidecar, peer: Peer, cls: str = "pay"
+) -> tuple[asyncio.Task[Message], socket.socket]:
     """A request whose last bytes wait in the transport: the peer reads nothing of its body."""
     peer.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
     opening = Opening(one)
     opening.small = True
     opening.may_open.set()
-    asked = asyncio.create_task(one.ask(request("pay", b"x" * 65_000)))
+    asked = asyncio.create_task(one.ask(request(cls, b"x" * 65_000)))
+    if cls == "put":  # its first attempt is written, and breaks
+        taken = await peer.accept()
+        await peer.read_all(taken, 65_000)
+        reset_by(taken)
     taken = await peer.accept()
     await until(lambda: bool(one.upstream.links) and all(link.full for link in one.upstream.links))
     return asked, taken
@@ -513,8 +540,7 @@
             told = outcomes(one.engine)
             asked, taken = await half_written(one, peer)
             if how == "reset":
-                taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                taken.close()
+                reset_by(taken)
             elif how == "end":
                 taken.close()
             elif how == "second-answer":
@@ -534,18 +560,38 @@
         async with by_hand(max_attempts=1) as (one, peer):
             told = outcomes(one.engine)
             asked, taken = await half_written(one, peer)
-            data = b""
-            while not data.endswith(b"x" * 65_000):
-                data += await peer.loop.sock_recv(taken, 65_536)
+            await peer.read_all(taken, 65_000)
             await until(lambda: not any(link.full for link in one.upstream.links))
-            taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            taken.close()
+            reset_by(taken)
             assert (await asked).status == 502
             assert told[0].outcome == RESET
 
     run(main())
 
 
+def test_a_repeat_whose_last_bytes_wait_past_its_window_is_given_up() -> None:
+    """They would still be sent, were the endpoint to read at last."""
+
+    async def main() -> None:
+        async with by_hand() as (one, peer):
+            at = f"127.0.0.1:{peer.port}"
+            one.told(*(Endpoint().entry(f"s-{n}", hostPort=at) for n in range(2)))
+            set_window(one, 3_000_000)
+            told = outcomes(one.engine)
+            asked, taken = await half_written(one, peer, "put")
+            (call,) = one.engine.calls.values()
+            come_due(one, call.attempts[1])
+            assert (await asked).status == 502
+            assert [event.outcome for event in told] == [RESET, MOOT]
+            got = 0
+            with contextlib.suppress(ConnectionError):
+                while more := await peer.loop.sock_recv(taken, 65_536):
+                    got += len(more)
+            assert 0 < got < 65_000
+
+    run(main())
+
+
 # --- A client that leaves, and its deadline ---------------------------------------------------
 
 
@@ -657,9 +703,10 @@
             taken.send(b"HTTP/1.1 200 OK\r\n\r\nok")
             if how == "end-and-reset":
                 taken.shutdown(socket.SHUT_WR)
-            if how != "end":
-                taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            taken.close()
+            if how == "end":
+                taken.close()
+            else:
+                reset_by(taken)
             back = await asked
             assert (back.status, back.body) == ((502, b"") if how == "reset" else (200, b"ok"))
 
--- a/woadyard/engine/engine.py
+++ b/woadyard/engine/engine.py
@@ -375,10 +375,25 @@
             return
         call.tried += 1
         call.endpoint = self.members.places[attempt.endpoint].name
-        if attempt.until < call.expires:
-            attempt.timer = self.clock.at(attempt.until, self._time_out, attempt)
+        if attempt.write_by < attempt.until:
+            attempt.timer = self.clock.at(attempt.write_by, self._end_unwritten, attempt)
+        else:
+            self._set_time_out(attempt)
         self.upstream.send(attempt)
 
+    def _set_time_out(self, attempt: Attempt) -> None:
+        if attempt.until < attempt.call.expires:
+            attempt.timer = self.clock.at(attempt.until, self._time_out, attempt)
+
+    def _end_unwritten(self, attempt: Attempt) -> None:
+        """It may be written no longer. Guards against last bytes that the endpoint takes past the
+        window for repeats; and its client need not wait for a connection that is of no more use."""
+        if attempt.may_have_run:
+            self._set_time_out(attempt)
+        else:
+            self.upstream.cancel(attempt)
+            self.ended(attempt, MOOT, None, b"")
+
     def written(self, attempt: Attempt) -> None:
         """The last byte of an attempt was written: from now on it may run."""
         self.tally.sends += 1
