--- a/woadyard/engine/engine.py
+++ b/woadyard/engine/engine.py
@@ -28,6 +28,7 @@
 from woadyard.interface import (
     CANCELLED,
     FULL,
+    KEYED,
     LIST_CACHED,
     LIST_DELTA,
     LIST_FAILED,
@@ -344,10 +345,20 @@
     # --- Attempts -----------------------------------------------------------------
 
     def may_start(self, attempt: Attempt, now: int) -> bool:
-        if not attempt.call.open or now >= attempt.until:
+        if not attempt.call.open or now >= min(attempt.until, attempt.write_by):
             return False
         return self.members.may_receive(attempt.endpoint, now)
 
+    def _repeat_until(self, call: Call) -> int:
+        """When the window for repeats of a keyed call ends; else its time. Guards against a repeat
+        that was decided within the window and is written past it, on a connection that came up late."""
+        cls = self.settings.classes[call.cls]
+        if cls.effect == KEYED:
+            for attempt in call.attempts:
+                if attempt.out or attempt.may_have_run:
+                    return attempt.sent + cls.window_us
+        return call.expires
+
     def _send(self, action: Send) -> None:
         call = self.calls.get(action.request)
         if call is None:
@@ -355,6 +366,7 @@
         now = self.now()
         until = min(call.expires, now + action.timeout_us) if action.timeout_us else call.expires
         attempt = Attempt(self, call, len(call.attempts), action.endpoint, now, until)
+        attempt.write_by = min(until, self._repeat_until(call))
         call.attempts.append(attempt)
         # An upload that an endpoint had the beginning of is not here any more.
         spent = call.upload is not None and call.upload.begun
@@ -363,10 +375,25 @@
             return
         call.tried += 1
         call.endpoint = self.members.places[attempt.endpoint].name
-        if attempt.until < call.expires:
-            attempt.timer = self.clock.at(attempt.until, self._time_out, attempt)
+        if attempt.write_by < attempt.until:
+            attempt.timer = self.clock.at(attempt.write_by, self._end_unwritten, attempt)
+        else:
+            self._set_time_out(attempt)
         self.upstream.send(attempt)
 
+    def _set_time_out(self, attempt: Attempt) -> None:
+        if attempt.until < attempt.call.expires:
+            attempt.timer = self.clock.at(attempt.until, self._time_out, attempt)
+
+    def _end_unwritten(self, attempt: Attempt) -> None:
+        """It may be written no longer. Guards against last bytes that the endpoint takes past the
+        window for repeats; and its client need not wait for a connection that is of no more use."""
+        if attempt.may_have_run:
+            self._set_time_out(attempt)
+        else:
+            self.upstream.cancel(attempt)
+            self.ended(attempt, MOOT, None, b"")
+
     def written(self, attempt: Attempt) -> None:
         """The last byte of an attempt was written: from now on it may run."""
         self.tally.sends += 1
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -51,6 +51,13 @@
 # The same once it is passed on, and for an endpoint that does not read: nothing can be tried
 # again then, so the connection has longer.
 STALL_S: Final = 5.0
+# For DOUBT_US after something spoilt came from any endpoint, a connection rests for SETTLE_US behind
+# an answer before it carries another request, unless SPARE others rest there: guards against an
+# endpoint that answers twice, the second time some milliseconds late, and so answers the next
+# request: nothing tells those two apart. Not always: it costs new connections, and an endpoint
+# that holds no more turns them away.
+SETTLE_US: Final = 20_000
+DOUBT_US: Final = 60_000_000
 # The length of an answer that ends with its connection (RFC 9112, 6.3, case 8), and of chunks.
 UNTIL_END: Final = -2
 CHUNKS: Final = -1
@@ -68,6 +75,13 @@
         self.idle: list[Link] = []
         self.closed = False
 
+    def take(self, now: int, settle_us: int) -> Link | None:
+        """The last used of those that have rested so long."""
+        for at in range(len(self.idle) - 1, -1, -1):
+            if now - self.idle[at].rested_at >= settle_us:
+                return self.idle.pop(at)
+        return self.idle.pop(0) if len(self.idle) > SPARE else None
+
     def free(self) -> None:
         links, self.idle = self.idle, []
         for link in links:
@@ -111,6 +125,7 @@
         self.upload: Flow | None = None  # a request that is passed on while it comes
         self.answer: Flow | None = None  # an answer that is
         self.held = 0  # of the room for answers
+        self.rested_at = 0  # since when it carries nothing
         self.parser: Any = httptools.HttpResponseParser(self)
         self._begin()
 
@@ -120,7 +135,7 @@
         self.body = bytearray()
         self.size = self.fed = self.fed_then = self.status = 0
         self.length = CHUNKS
-        self.whole = self.keep = False
+        self.whole = self.keep = self.behind = False
         self._give_back()
 
     def _give_back(self) -> None:
@@ -131,20 +146,25 @@
 
     def open(self) -> None:
         owner, pool = self.owner, self.pool
-        opening = open_connection(owner.loop, self, pool.host, pool.port, owner.connect_s)
-        self.opening = owner.loop.create_task(opening)
+        self.opening = owner.loop.create_task(open_connection(owner.loop, self, pool.host, pool.port))
+        owner.connecting.add(self)
 
     def not_opened(self) -> None:
         # Once it has come up, `connection_lost` knows whether the request left.
         if self.transport is None:
             self.owner.gone(self)
-            self._end(NO_CONNECT)
+            self._end_closed(NO_CONNECT)
+
+    def time_out_connect(self) -> None:
+        self.close()
+        self.not_opened()
 
     def opening_ended(self) -> None:
         self.opening = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.owner.connecting.discard(self)
         self.news.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
         self.transport.set_write_buffer_limits(high=0)  # `pause_writing` tells of unwritten bytes
         if self.attempt is None:  # called off while it came up
@@ -182,9 +202,11 @@
         attempt, transport = self.attempt, self.transport
         assert attempt is not None and transport is not None
         now = self.owner.now()
-        if not attempt.may_start(now):
-            # Guards the rules after a slow connect: past the drain grace, the
-            # deadline or the final answer nothing may start.
+        replaced = self.pool.closed and attempt.endpoint in self.owner.addresses
+        if replaced or not attempt.may_start(now):
+            # Guards the rules after a slow connect: past the drain grace, the deadline, the window
+            # for repeats or the final answer nothing may start, and nothing at a process in whose
+            # place another one was listed meanwhile.
             self.attempt = None
             self.owner.carrying.pop(attempt, None)
             self.rest()
@@ -289,6 +311,7 @@
             self.close()
             return
         self._begin()
+        self.rested_at = self.owner.now()
         self.pool.idle.append(self)
         self.owner.resting.add(self)
         self.owner.surplus.add(self)
@@ -314,21 +337,25 @@
         if answer is not None:
             answer.end(False)
         self._leave_upload()
-        self._end(NO_CONNECT if self.unwritten else RESET)
+        self._end_closed(NO_CONNECT if self.unwritten else RESET)
         self.parser = None  # it holds this object's methods: the cycle ends here
 
-    def _end(self, outcome: int, answer: Answer | None = None) -> None:
+    def _end_closed(self, outcome: int) -> None:
+        """It had no whole answer: its outcome is told behind the turn that closes the descriptor.
+        Guards against a next attempt that is written before this one is off the wire."""
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
             self.owner.carrying.pop(attempt, None)
-            attempt.end(outcome, answer, (self.fields or {}).get(b"x-load", b""))
+            load = (self.fields or {}).get(b"x-load", b"")
+            self.owner.loop.call_soon(attempt.end, outcome, None, load)
 
     def spoil(self) -> None:
-        """No answer of this protocol: the request may have run, and the connection is of
-        no more use. That it came says that the connection did not die, so no reset."""
+        """No answer of this protocol: the request may have run, if it was written whole, and the
+        connection is of no more use. That it came says that the connection did not die, so no reset."""
+        self.owner.doubt()
         self.close()
         self._leave_upload()
-        self._end(ERROR)
+        self._end_closed(NO_CONNECT if self.unwritten else ERROR)
 
     def late(self) -> None:
         """Nothing whole for `ANSWER_S`: it may go on as long as something comes."""
@@ -342,6 +369,7 @@
 
     def data_received(self, data: bytes) -> None:
         if self.attempt is None and self.answer is None:
+            self.owner.doubt()
             self.close()  # nobody asked: whatever it is, it ends the connection
             return
         self.fed += len(data)
@@ -351,7 +379,11 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             spoilt, self.keep = True, False
         spoilt = spoilt or self.fed > FRAMING_MAX + FRAMING_EACH * self.size
-        if self.whole:
+        if self._is_anothers():
+            self.spoil()
+        elif self.whole:
+            if spoilt or self.behind:
+                self.owner.doubt()
             self._finish()
         elif spoilt or (self.fields is None and self.fed > HEAD_MAX):
             self.spoil()
@@ -366,9 +398,15 @@
                 self.fed_then = self.fed
             self.owner.answering.add(self)
 
+    def _is_anothers(self) -> bool:
+        """Whether it says that a request was served whose last byte is not written yet: it came for an
+        earlier one. Uploads may be answered early."""
+        attempt = self.attempt
+        return self.unwritten and self.status == 200 and attempt is not None and attempt.call.upload is None
+
     def on_message_begin(self) -> None:
         if self.whole:
-            self.keep = False  # something stands behind the answer
+            self.behind, self.keep = True, False  # something stands behind the answer
         else:
             self.headers.clear()  # an interim answer's say nothing of the real one
 
@@ -484,18 +522,23 @@
     ) -> None:
         self.loop, self.now = loop, now
         self.room = Room(room_for(memory_mb, ANSWERS_PART))
-        self.connect_s = (connect_us or CONNECT_DEFAULT_US) / 1e6
         self.most = most  # connections to endpoints
         self.addresses: dict[int, str] = {}
         self.pools: dict[int, Pool] = {}  # of those that were sent something
         self.retiring = False
+        self.doubt_until = 0
         self.links: set[Link] = set()
         idle_s = min(IDLE_MOST_S, IDLE_PART * (idle_us or IDLE_DEFAULT_US) / 1e6)
+        connect_s = (connect_us or CONNECT_DEFAULT_US) / 1e6
+        self.connecting: Sweep[Link] = Sweep(loop, connect_s, Link.time_out_connect)
         self.resting: Sweep[Link] = Sweep(loop, idle_s, Link.close)
         self.surplus: Sweep[Link] = Sweep(loop, SURPLUS_S, Link.close_surplus)
         self.answering: Sweep[Link] = Sweep(loop, ANSWER_S, Link.late)  # begun, not yet whole
         self.passing: Sweep[Link] = Sweep(loop, STALL_S, Link.close)  # the same, passed on
         self.stalled: Sweep[Link] = Sweep(loop, STALL_S, Link.close)  # does not read its request
+        self.sweeps = (
+            self.connecting, self.resting, self.surplus, self.answering, self.passing, self.stalled
+        )  # fmt: skip
         self.carrying: dict[Attempt, Link] = {}
         self.emptied: asyncio.Event | None = None
 
@@ -513,6 +556,10 @@
         if (pool := self.pools.pop(endpoint, None)) is not None:
             pool.close()
 
+    def doubt(self) -> None:
+        """Something came that is no answer of this protocol."""
+        self.doubt_until = self.now() + DOUBT_US
+
     def free(self, endpoint: int) -> None:
         if (pool := self.pools.get(endpoint)) is not None:
             pool.free()
@@ -528,8 +575,9 @@
                 return
             # Made when first drawn: of a large fleet most endpoints never are.
             pool = self.pools[attempt.endpoint] = Pool(*split_address(address))
-        while pool.idle:
-            link = pool.idle.pop()
+        now = self.now()
+        settle_us = SETTLE_US if now < self.doubt_until else 0
+        while (link := pool.take(now, settle_us)) is not None:
             self.resting.discard(link)
             self.surplus.discard(link)
             if link.fit():
@@ -571,7 +619,7 @@
         self.links.discard(link)
         if not self.links and self.emptied is not None:
             self.emptied.set()
-        for sweep in (self.resting, self.surplus, self.answering, self.passing, self.stalled):
+        for sweep in self.sweeps:
             sweep.discard(link)
         if link in link.pool.idle:
             link.pool.idle.remove(link)
@@ -580,7 +628,7 @@
         self.retiring = True
         for link in list(self.links):
             link.close()
-        for sweep in (self.resting, self.surplus, self.answering, self.passing, self.stalled):
+        for sweep in self.sweeps:
             sweep.close()
 
     async def wait_closed(self) -> None:
