Keep every silence and back-off of discovery within the 6 s and the drain grace

Cause: the clocks were summed path by path with discovery silent to one or two calls in a row, each pause at its longest. A renewed watch that was silent behind its head too was asked a third time after 6.6 s (net/discovery.py, SILENT_S 3 + 0.3, twice). Where lists are asked for, every failed call left the next to the module's own draw (policy.members: up to 0.375 of ask-within-us, 3.75 s at 10 s and longer where that is): 8.85 s after a silence, and no bound of its own here. An agent that refused, answered 503 or ended its watch was asked after up to 0.5 s, which is past a grace of 250 ms. Ruled out: the first silence (3.3 s) and the connect time-out, which ends with the answer's.

Change: a watch is dead half a second after its empty line was due; what falls silent is asked again at once each time, as its wait was the pause; the back-off after a failure is 0.2 s at most with an agent, 2.5 s with a service, whoever else asks. A module that asks while a watch is open changes nothing.

--- /dev/null
+++ b/tests/test_crossings_discovery.py
@@ -0,0 +1,266 @@
+"""Lists at the instant in which something is owed: silence upon silence, trickled answers, and ends
+in place of changes.
+
+What holds is read off the stand-ins: when discovery was asked, and what it had told by then. Time is
+made, the sockets are real."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import selectors
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any, Self
+
+import pytest
+
+from tests.test_contracts import Jumps, MadeLoop
+from tests.test_discovery import Sink, begin, entry, listing, reply
+from woadyard.net.discovery import LIST_PATH, Discovery
+from woadyard.testing import Listener, Reader, Writer, push, push_raw, read_message
+
+# What discovery has to tell counts as told this long after a silence began, or a fault ended, s.
+TOLD_S = 6.0
+# Where lists are pushed a change counts at once; the shortest grace of a drain is all there is, s.
+GRACE_S = 0.25
+
+
+# --- Made time on real sockets ----------------------------------------------------------------
+
+
+class Settles(Jumps):
+    """Time passes once the sockets have nothing more to say: the system gets a turn of its own to
+    bring what one end wrote to the other."""
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        found = selectors.DefaultSelector.select(self, 0.001) if timeout else []
+        return found or super().select(timeout)
+
+
+class SocketLoop(MadeLoop):
+    def __init__(self) -> None:
+        self.us = 1_000_000
+        asyncio.SelectorEventLoop.__init__(self, Settles(self.passes))
+
+
+async def _within_a_minute(test: Coroutine[Any, Any, None]) -> None:
+    async with asyncio.timeout(60.0):  # made time, for what would never come
+        await test
+
+
+def run(test: Coroutine[Any, Any, None]) -> None:
+    with asyncio.Runner(loop_factory=SocketLoop) as runner:
+        runner.run(_within_a_minute(test))
+
+
+class Highest:
+    """Draws the longest pause each time."""
+
+    def random(self) -> float:
+        return 1.0
+
+
+Script = Callable[["Scripted", Writer], Awaitable[None]]
+
+
+def now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+@dataclass(eq=False)
+class Scripted(Listener):
+    """Answers each call by the script that is next, and by the last one from then on."""
+
+    scripts: list[Script]
+    targets: list[str] = field(default_factory=list)
+    asked_at: list[float] = field(default_factory=list)
+    heard_at: float = 0.0  # when a watch last got a byte that counts
+    has: list[dict[str, Any]] = field(default_factory=list)  # changes since version 41
+
+    async def __aenter__(self) -> Self:
+        self.server = await self.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.server.close()
+
+    async def _serve(self, reader: Reader, writer: Writer) -> None:
+        self.asked_at.append(now())
+        script = self.scripts[min(len(self.targets), len(self.scripts) - 1)]
+        if script is resets:
+            self.targets.append("")
+            writer.transport.abort()
+            return
+        self.targets.append((await read_message(reader)).start.split()[1])
+        task = asyncio.ensure_future(script(self, writer))
+        try:
+            await reader.read()
+        except ConnectionError:
+            pass
+        finally:
+            task.cancel()
+            writer.close()
+
+
+# --- Scripts ----------------------------------------------------------------------------------
+
+
+async def tells(one: Scripted, writer: Writer) -> None:
+    """A watch in form: what changed, then an empty line every 2 s."""
+    begin(writer)
+    push(writer, 43, False, *one.has)
+    while True:
+        one.heard_at = now()
+        await asyncio.sleep(2.0)
+        push_raw(writer, b"\n")
+
+
+async def tells_and_falls_silent(one: Scripted, writer: Writer) -> None:
+    begin(writer)
+    push(writer, 42, True, entry("s-1"), entry("s-2"))
+    one.heard_at = now()
+
+
+async def silent(one: Scripted, writer: Writer) -> None:
+    """Not even a head."""
+
+
+async def resets(one: Scripted, writer: Writer) -> None:
+    """The connection is reset before anything is read."""
+
+
+async def head_only(one: Scripted, writer: Writer) -> None:
+    begin(writer)
+
+
+async def unavailable(one: Scripted, writer: Writer) -> None:
+    writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+
+
+async def ends_at_once(one: Scripted, writer: Writer) -> None:
+    begin(writer)
+    writer.write(b"0\r\n\r\n")
+
+
+async def half_an_object(one: Scripted, writer: Writer) -> None:
+    begin(writer)
+    push_raw(writer, json.dumps(listing(43, entry("s-1", "draining")), indent=1).encode()[:40])
+
+
+async def half_a_head(one: Scripted, writer: Writer) -> None:
+    """A byte of it now and then."""
+    for at in range(10_000):
+        writer.write(b"HTTP/1.1 200 OK\r\nX: "[at : at + 1] or b"x")
+        await asyncio.sleep(0.3)
+
+
+# --- Silence, and what comes in place of a change -----------------------------------------------
+
+
+def discovery(agent: Scripted, sink: Sink, pushed: bool, generation: int = 41) -> Discovery:
+    """With the times of service, and the longest of each pause."""
+    loop = asyncio.get_running_loop()
+    one = Discovery(loop, f"127.0.0.1:{agent.port}", LIST_PATH, pushed, print)
+    one.draw = Highest()  # type: ignore[assignment]
+    one.start(sink, generation)
+    if not pushed:
+        one.watch(True)
+    return one
+
+
+async def told_after_silence(pushed: bool, faults: list[Script]) -> float:
+    """How long after a watch fell silent a change was told, with such answers in between."""
+    sink = Sink()
+    async with Scripted([tells_and_falls_silent, *faults, tells]) as agent:
+        one = discovery(agent, sink, pushed)
+        assert (await sink.told.get())[0] == 42
+        fell_silent = agent.heard_at
+        agent.has = [entry("s-1", "draining")]
+        assert await sink.told.get() == (43, ["s-1"])
+        found = now() - fell_silent
+        assert len(agent.targets) == len(faults) + 2
+        assert all("from=42" in target for target in agent.targets[1:] if target)
+        one.close()
+        await one.wait_closed()
+    return found
+
+
+FAULTS = [silent, resets, head_only, unavailable, ends_at_once, half_an_object, half_a_head]
+
+
+@pytest.mark.parametrize("pushed", [True, False], ids=["pushed", "asked"])
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda one: one.__name__)
+def test_a_silent_watch_whose_renewal_fails_too_is_told_before_it_counts(fault: Script, pushed: bool) -> None:
+    async def main() -> None:
+        assert await told_after_silence(pushed, [fault]) < TOLD_S
+
+    run(main())
+
+
+@pytest.mark.parametrize("fault", [silent, resets, unavailable, ends_at_once], ids=lambda one: one.__name__)
+def test_an_agent_is_asked_a_fourth_time_before_a_silence_counts(fault: Script) -> None:
+    async def main() -> None:
+        assert await told_after_silence(True, [fault, fault]) < TOLD_S
+
+    run(main())
+
+
+@pytest.mark.parametrize("pushed", [True, False], ids=["pushed", "asked"])
+@pytest.mark.parametrize("fault", [resets, unavailable, ends_at_once], ids=lambda one: one.__name__)
+def test_no_back_off_sleeps_past_the_return_of_discovery(fault: Script, pushed: bool) -> None:
+    """An outage of some seconds, and a change at its end: whoever asked last just before has to ask
+    again before the change counts."""
+
+    async def main() -> None:
+        sink = Sink()
+        async with Scripted([fault]) as agent:
+            one = discovery(agent, sink, pushed)
+            while now() < 9.0 or agent.asked_at[-1] < now() - 0.01:
+                await asyncio.sleep(0.005)
+            back_at = now()
+            agent.has = [entry("s-1", "draining")]
+            agent.scripts = [tells]
+            assert await sink.told.get() == (43, ["s-1"])
+            assert now() - back_at < (GRACE_S if pushed else TOLD_S)
+            one.close()
+            await one.wait_closed()
+
+    run(main())
+
+
+def test_a_call_that_was_given_up_and_one_more_end_before_a_change_counts() -> None:
+    """Asked: a refusal just before discovery returns, and the first call after it gets no answer."""
+
+    async def main() -> None:
+        sink = Sink()
+        async with Scripted([resets, silent, tells]) as agent:
+            one = discovery(agent, sink, pushed=False)
+            while not agent.targets:
+                await asyncio.sleep(0.001)
+            back_at = now()
+            agent.has = [entry("s-1", "draining")]
+            assert await sink.told.get() == (43, ["s-1"])
+            assert now() - back_at < TOLD_S
+            one.close()
+            await one.wait_closed()
+
+    run(main())
+
+
+def test_a_module_that_asks_again_does_not_end_a_watch_that_is_open() -> None:
+    """Its own timer fires after the back-off here has opened one: one call, not two."""
+
+    async def main() -> None:
+        sink = Sink()
+        async with Scripted([resets, tells]) as agent:
+            one = discovery(agent, sink, pushed=False)
+            await sink.failed.get()
+            assert (await sink.told.get())[0] == 43
+            one.watch(True)
+            await asyncio.sleep(5.0)
+            assert len(agent.targets) == 2
+            one.close()
+            await one.wait_closed()
+
+    run(main())
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -17,18 +17,22 @@
 from woadyard.net.objects import Objects
 from woadyard.net.slices import Slices
 
-# While nothing changes an empty line comes every 2 s: one that is a second late is missed, and the
-# watch is dead, as a network that is cut off says nothing. What it misses counts as told 6 s after
-# the silence began: that leaves time for a second try, and for a third where calls don't wait.
-SILENT_S = 3.0
+# While nothing changes an empty line comes every 2 s: one that is half a second late is missed, and
+# the watch is dead, as a network that is cut off says nothing. What it misses counts as told 6 s after
+# the silence began: that leaves time for a second watch that is as silent behind its head, and a third.
+SILENT_S = 2.5
 # An agent on the own machine answers at once; a service of all sidecars takes calls in turn.
 ANSWER_S, ANSWER_ASKED_S = 1.0, 2.0
 # A silence is acted on this much later at most, drawn by each sidecar for itself: a fault that
 # silences the watches of a fleet must not have them all ask at once.
 SPREAD_S = 0.3
-# An agent that is silent costs nothing to ask, and what it has counts from when it has it. One that
-# answers with what can't be read will not be better soon, and each time is a line in the log.
-RETRY_S, RETRY_MOST_S, RETRY_SPOILT_MOST_S = 0.1, 0.5, 2.0
+# The back-off after a call that failed at once. An agent costs nothing to ask, and what it has counts
+# from when it has it: the longest pause leaves a short drain grace (250 ms) time for the answer. One
+# that answers with what can't be read will not be better soon.
+RETRY_S, RETRY_MOST_S, RETRY_SPOILT_MOST_S = 0.05, 0.2, 2.0
+# A service of all sidecars is asked less often. A change counts as told 6 s after it could be had: this
+# pause and a call that is not answered leave more than a second for the next.
+RETRY_ASKED_S = 2.5
 # A renewal waits for a part of that between half and all of it, drawn by each sidecar for itself:
 # when discovery comes back, a fleet must not ask at once.
 RETRY_PART = 0.5
@@ -196,8 +200,8 @@
     Otherwise it is opened, and lists are fetched, when the engine says so.
 
     What falls silent is asked again at once, on a connection of its own and from the last
-    version that was whole; if that is silent too, or ends, it is asked after a pause (`pushed`)
-    or the engine hears of it, and says when.
+    version that was whole; what ends or fails is asked again after a back-off. Where lists are not
+    pushed the engine hears of it, and may ask sooner.
     """
 
     def __init__(
@@ -238,7 +242,9 @@
             self.watch(True)
 
     def watch(self, on: bool) -> None:
-        self._watch(on)
+        """Nothing changes for a watch that is open, or on its way."""
+        if not on or self.stream is None or self.stream.done:
+            self._watch(on)
 
     def _watch(self, on: bool, again: bool = False) -> None:
         if self.stream is not None:
@@ -257,7 +263,7 @@
         fetching = [one for one in self.streams if not one.watch]
         for one in fetching:
             one.stop()
-        self.watch(True)
+        self._watch(True)
         if fetching:
             self.fetch()
 
@@ -352,15 +358,21 @@
     def lost(self, stream: Stream, silent: bool) -> None:
         if self.closed or self.sink is None or (stream.watch and stream is not self.stream):
             return
-        if silent and not stream.again:
-            self._renew(stream, again=True)  # the verdict was spread already
-        elif not self.pushed:
-            self.sink.list_failed()  # the module says when to ask again
+        if not self.pushed and (stream.again or not silent):
+            self.sink.list_failed()  # the module may ask sooner than the back-off below
+        if silent:  # whoever waited for it need not pause, and the verdict was spread already
+            self._renew(stream, again=True)
         else:
-            part = RETRY_PART + (1.0 - RETRY_PART) * self.draw.random()
-            self.loop.call_later(part * self.retry_s, self._renew, stream)
-            most = RETRY_SPOILT_MOST_S if stream.bad else RETRY_MOST_S
-            self.retry_s = min(most, 2.0 * self.retry_s)
+            self.loop.call_later(self._back_off(stream), self._renew, stream)
+
+    def _back_off(self, stream: Stream) -> float:
+        """How long to wait after a call that failed, s."""
+        part = RETRY_PART + (1.0 - RETRY_PART) * self.draw.random()
+        if not self.pushed:
+            return part * RETRY_ASKED_S
+        pause = part * self.retry_s
+        self.retry_s = min(RETRY_SPOILT_MOST_S if stream.bad else RETRY_MOST_S, 2.0 * self.retry_s)
+        return pause
 
     def _renew(self, stream: Stream, again: bool = False) -> None:
         if not stream.watch:
