End watches whose bytes are no progress: spaces, an endless object, lines before the list

Cause: any byte renewed a watch's life (net/discovery.py, Stream.on_body). One that trickled single spaces, or an object that never ends, passed for alive for ever, and a change behind it was never told; so did one that sent only empty lines where the whole list was owed, after a start with no list or after SIGHUP. A verdict compared arrivals, not the clock (_judge), so that a trickle put it off again each time.

Checked: a list in pieces over more than 6 s is still waited for. tests/test_crossings_discovery.py: five cases fail with the mend taken out, all pass with it; tests/test_discovery.py passes.

--- a/tests/test_crossings_discovery.py
+++ b/tests/test_crossings_discovery.py
@@ -16,7 +16,7 @@
 import pytest
 
 from tests.test_contracts import Jumps, MadeLoop
-from tests.test_discovery import Sink, begin, entry, listing, reply
+from tests.test_discovery import Sink, begin, entry, listing
 from woadyard.net.discovery import LIST_PATH, Discovery
 from woadyard.testing import Listener, Reader, Writer, push, push_raw, read_message
 
@@ -155,6 +155,37 @@
         await asyncio.sleep(0.3)
 
 
+async def spaces(one: Scripted, writer: Writer) -> None:
+    """Bytes that end no line."""
+    begin(writer)
+    while True:
+        push_raw(writer, b" ")
+        await asyncio.sleep(0.3)
+
+
+async def endless_object(one: Scripted, writer: Writer) -> None:
+    begin(writer)
+    push_raw(writer, b'{"generation":43,"reset":false,"instances":[')
+    while True:
+        push_raw(writer, b'{"instanceId":"s-9"},')
+        await asyncio.sleep(0.3)
+
+
+async def lines_only(one: Scripted, writer: Writer) -> None:
+    begin(writer)
+    while True:
+        push_raw(writer, b"\n")
+        await asyncio.sleep(2.0)
+
+
+async def comes_slowly(one: Scripted, writer: Writer) -> None:
+    begin(writer)
+    raw = json.dumps(listing(43, *(entry(f"s-{n}") for n in range(500)), whole=True), indent=2).encode()
+    for at in range(0, len(raw), 4096):
+        push_raw(writer, raw[at : at + 4096])
+        await asyncio.sleep(0.5)
+
+
 # --- Silence, and what comes in place of a change -----------------------------------------------
 
 
@@ -206,6 +237,17 @@
     run(main())
 
 
+@pytest.mark.parametrize("pushed", [True, False], ids=["pushed", "asked"])
+@pytest.mark.parametrize("fault", [spaces, endless_object], ids=lambda one: one.__name__)
+def test_bytes_that_are_no_progress_do_not_keep_a_watch_alive(fault: Script, pushed: bool) -> None:
+    """The change would be owed for ever."""
+
+    async def main() -> None:
+        assert await told_after_silence(pushed, [fault]) < TOLD_S
+
+    run(main())
+
+
 @pytest.mark.parametrize("pushed", [True, False], ids=["pushed", "asked"])
 @pytest.mark.parametrize("fault", [resets, unavailable, ends_at_once], ids=lambda one: one.__name__)
 def test_no_back_off_sleeps_past_the_return_of_discovery(fault: Script, pushed: bool) -> None:
@@ -264,3 +306,36 @@
             await one.wait_closed()
 
     run(main())
+
+
+def test_empty_lines_are_no_whole_list() -> None:
+    """From no version on the whole list is owed: a watch that only lives is asked for it again."""
+
+    async def main() -> None:
+        sink = Sink()
+        async with Scripted([lines_only, tells]) as agent:
+            one = discovery(agent, sink, pushed=True, generation=0)
+            assert (await sink.told.get())[0] == 43
+            assert now() < 1.0 + TOLD_S and len(agent.targets) == 2
+            await asyncio.sleep(20.0)
+            assert len(agent.targets) == 2, "with the list known, empty lines do keep it open"
+            one.close()
+            await one.wait_closed()
+
+    run(main())
+
+
+def test_a_long_list_that_comes_slowly_is_waited_for() -> None:
+    """In pieces over several seconds, each well under a second after the last."""
+
+    async def main() -> None:
+        sink = Sink()
+        async with Scripted([comes_slowly]) as agent:
+            one = discovery(agent, sink, pushed=True)
+            version, names = await sink.told.get()
+            assert (version, len(names)) == (-1, 500) or (version, len(names)) == (43, 500)
+            assert now() > 1.0 + TOLD_S and len(agent.targets) == 1
+            one.close()
+            await one.wait_closed()
+
+    run(main())
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -38,6 +38,9 @@
 RETRY_PART = 0.5
 LIST_PATH = "/registry/instances"
 OBJECT_MAX = 64 * 1024 * 1024  # of some 300,000 endpoints
+# An object under way counts as silent while less than this comes of it, bytes/s: some entries a second.
+# What trickles for ever would starve the changes behind it.
+LEAST_RATE = 1024
 # A longer object is read and applied in slices: this much takes a millisecond or two.
 SHORT_OBJECT = 32 * 1024
 
@@ -58,6 +61,7 @@
         self.answered = False  # its head has come
         self.complete = False  # its last byte has come
         self.reading: asyncio.Handle | None = None
+        self.is_current = watch and owner.generation > 0  # the whole list is not owed
         self.heard = owner.loop.time()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -88,9 +92,12 @@
         self.heard = self.owner.loop.time()
 
     def on_body(self, data: bytes) -> None:
-        # Empty lines say that a watch lives, but not that the rest of an object still comes.
-        if not self.objects.begun or not data.isspace():
-            self.heard = self.owner.loop.time()
+        now = self.owner.loop.time()
+        if not data.isspace():
+            began = self.heard + len(data) / LEAST_RATE if self.objects.begun else now
+            self.heard = min(began, now)
+        elif self.is_current and not self.objects.begun and b"\n" in data:
+            self.heard = now  # empty lines say that a watch lives, but not that something owed still comes
         self.objects.feed(data)
 
     def on_message_complete(self) -> None:
@@ -137,11 +144,13 @@
 
     def _take(self, raw: bytearray) -> None:
         told_at, self.paused_at = self.paused_at, None
+        self.heard = self.owner.loop.time()
         try:
             self.owner.take(raw, self, told_at)
         except ValueError as error:
             self.spoilt(error)
         else:
+            self.is_current = self.watch
             if not self.watch and not self.owner.busy:
                 self.stop()
 
@@ -301,10 +310,10 @@
         if stream.silent_at > self.loop.time():
             self.loop.call_at(stream.silent_at, self._check, stream)
         else:  # what came while this process stood still is read before the verdict
-            self.loop.call_later(self.spread_s * self.draw.random(), self._judge, stream, stream.heard)
+            self.loop.call_later(self.spread_s * self.draw.random(), self._judge, stream)
 
-    def _judge(self, stream: Stream, heard: float) -> None:
-        if stream.heard > heard or self.busy:
+    def _judge(self, stream: Stream) -> None:
+        if stream.silent_at > self.loop.time() or self.busy:
             self._check(stream)
         else:
             stream.fail(silent=True)
