Use the good entries of a list beside a bad one, and start without a spoilt known list

Cause: one entry with a null or unreadable field, an unknown lifecycle or no name made its whole list a ValueError (engine/members.py, Members.read; net/discovery.py, Discovery.take): the list was asked for again and again, and no further change of any endpoint was learned.

Change: discovery's lists and `known` pass `usable` (engine/listing.py): null is absent, an optional field that can't be read has its default, an endpoint whose state or address can't be read wants nothing new, what has no name is left out. A fetched list is whole, and a watch's with no `reset` holds changes. What was wrong is one line in 10 s at most with the number of those unsaid; the lines on spoilt answers too, which came every second or two for as long as it lasted. `check` and the library judge `known` as strictly as before, as members given in code or by the operator's file are.

--- a/tests/test_crossings_discovery.py
+++ b/tests/test_crossings_discovery.py
@@ -11,13 +11,18 @@
 import selectors
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any, Self
 
 import pytest
 
 from tests.test_contracts import Jumps, MadeLoop
 from tests.test_discovery import Sink, begin, entry, listing
+from tests.test_listing import Copy
+from tests.test_settings import file, platform
+from woadyard.engine.members import endpoint_number
 from woadyard.net.discovery import LIST_PATH, Discovery
+from woadyard.settings import read_platform
 from woadyard.testing import Listener, Reader, Writer, push, push_raw, read_message
 
 # What discovery has to tell counts as told this long after a silence began, or a fault ended, s.
@@ -339,3 +344,73 @@
             await one.wait_closed()
 
     run(main())
+
+
+# --- Bad entries --------------------------------------------------------------------------------
+
+BAD = [
+    ({"instanceId": "s-bad", "hostPort": "127.0.0.1:9", "lifecycle": "terminating"}, "draining"),
+    ({"instanceId": "s-bad", "hostPort": "nowhere", "lifecycle": "ready"}, "draining"),
+    ({"instanceId": "s-bad", "hostPort": "127.0.0.1:9", "lifecycle": None}, "draining"),
+    (entry("s-bad", "draining") | {"cell": None, "weight": "x", "startedAtMs": {}}, "draining"),
+    (entry("s-bad") | {"zone": None, "cell": None, "weight": None, "startedAtMs": 5.5}, "ready"),
+    (entry("s-bad") | {"zone": ["a"], "machineType": {}, "weight": "heavy", "cell": []}, "ready"),
+    ({"hostPort": "127.0.0.1:9", "lifecycle": "ready"}, None),
+    ({"instanceId": "s-\ud800", "hostPort": "127.0.0.1:9", "lifecycle": "ready"}, None),
+    ("s-bad", None),
+]
+
+
+@pytest.mark.parametrize("steps", [False, True], ids=["short", "long"])
+@pytest.mark.parametrize(("bad", "phase"), BAD)
+def test_a_bad_entry_does_not_hide_the_drain_beside_it(bad: Any, phase: str | None, steps: bool) -> None:
+    """What can't be read of one endpoint stops nothing of the others; it itself gets nothing new
+    unless its state and address are clear."""
+
+    async def main() -> None:
+        copy, said = Copy(), []
+        fill = [entry(f"f-{n}") for n in range(1_000)] if steps else []
+        copy.at_once(True, [entry("s-bad"), entry("s-1"), *fill])
+        async with Scripted([tells]) as agent:
+            agent.has = [bad, entry("s-1", "draining"), *fill]
+            loop = asyncio.get_running_loop()
+            one = Discovery(loop, f"127.0.0.1:{agent.port}", LIST_PATH, True, said.append)
+            one.start(copy.engine, 41)
+            while one.generation != 43:
+                await asyncio.sleep(0.01)
+            assert len(agent.targets) == 1
+            one.close()
+            await one.wait_closed()
+        places = copy.engine.members.places
+        assert places[endpoint_number("s-1")].left_at is not None
+        assert (places[endpoint_number("s-bad")].left_at is not None) == (phase == "draining")
+        assert len(said) <= 1, "one line, however many there are"
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    "known",
+    [
+        7, [], {}, {"generation": 1}, {"generation": None, "instances": []},
+        {"generation": -1, "instances": []}, {"generation": 1, "instances": 5},
+    ],
+    ids=str,
+)  # fmt: skip
+def test_a_known_list_that_can_not_be_read_does_not_end_the_start(tmp_path: Path, known: Any) -> None:
+    said: list[str] = []
+    environ = {"LB_CONFIG": file(tmp_path, platform(known=known), "config.json")}
+    assert read_platform(environ, log=said.append).known is None
+    assert len(said) == 1 and "known" in said[0] and "\n" not in said[0]
+
+
+def test_of_a_known_list_the_good_entries_are_used(tmp_path: Path) -> None:
+    said: list[str] = []
+    known = {"generation": 7, "reset": True, "instances": [*(bad for bad, _ in BAD), entry("s-1")]}
+    environ = {"LB_CONFIG": file(tmp_path, platform(known=known), "config.json")}
+    found = read_platform(environ, log=said.append)
+    copy = Copy()
+    assert found.known is not None
+    copy.engine.listed(7, True, found.known["instances"])
+    assert endpoint_number("s-1") in copy.engine.members.places
+    assert len(said) == 1
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -27,7 +27,7 @@
     """The platform's configuration where there is one; else the operator's file alone."""
     operator_path = environ.get("LB_OPERATOR")
     if not operator_path:
-        return read_platform(environ)
+        return read_platform(environ, log=log)
     # Imported when asked for: the platform's own form needs no further library.
     from woadyard.settings.operator import read_operator
 
@@ -39,7 +39,7 @@
         return config
     if operator.deployment is not None:
         raise ConfigError(f"{operator_path}: deployment: expected none where LB_CONFIG is set")
-    return read_platform(environ, operator.orders_settings(), operator.joining(operator_path))
+    return read_platform(environ, operator.orders_settings(), operator.joining(operator_path), log)
 
 
 def run(arguments: Sequence[str]) -> int:
--- a/woadyard/engine/listing.py
+++ b/woadyard/engine/listing.py
@@ -15,11 +15,12 @@
 from __future__ import annotations
 
 import json
+import math
 import re
 from collections.abc import Callable, Generator, Iterator, Sequence
 from typing import Any
 
-from woadyard.engine.members import Members, Place
+from woadyard.engine.members import PHASES, Members, Place, split_address
 from woadyard.interface import GONE, READY, Entry
 
 # Some tenths of a millisecond, also in plain Python.
@@ -88,6 +89,54 @@
     return items, at
 
 
+def usable(raw: Any) -> tuple[dict[str, Any] | None, str]:
+    """An entry of discovery as the engine can use it, and what is wrong with it, if anything is.
+
+    Guards the good entries of a list against a bad one. An endpoint whose state or address can't be
+    read wants nothing new; without a name there is nothing to use. Null is as good as absent."""
+    name = raw.get("instanceId") if isinstance(raw, dict) else None
+    if not isinstance(name, str) or not name.isascii() and not _is_text(name):
+        return None, f"an entry with no instanceId: {str(raw)[:80]!r}"
+    found, wrong = dict(raw), ""
+    for key, least in (("zone", ""), ("machineType", ""), ("weight", 1.0), ("cell", 0), ("startedAtMs", 0)):
+        value = raw.get(key)
+        if value is None:
+            found[key] = least
+        elif not _is_like(value, least):
+            found[key] = least
+            wrong = f"{name}: {key}: {value!r:.80}"
+    phase, address = raw.get("lifecycle"), raw.get("hostPort")
+    found["hostPort"] = str(address or "")
+    if not isinstance(phase, str) or phase not in PHASES:
+        found["lifecycle"], wrong = "draining", f"{name}: lifecycle: {phase!r:.80}"
+    elif phase == "ready" and not _is_address(found["hostPort"]):
+        found["lifecycle"], wrong = "draining", f"{name}: hostPort: {address!r:.80}"
+    return found, wrong
+
+
+def _is_text(name: str) -> bool:
+    """Whether it has a number: half of a pair of code units has none."""
+    try:
+        name.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def _is_address(text: str) -> bool:
+    try:
+        split_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_like(value: Any, least: str | float) -> bool:
+    if isinstance(least, str):
+        return isinstance(value, str)
+    return isinstance(value, int | float) and math.isfinite(value)
+
+
 def apply_in_steps(members: Members, whole: bool, raw: list[Any], told_at: int, tell: Tell) -> Iterator[None]:
     """A list in discovery's form that was told at `told_at`, µs. ValueError comes before
     anything is changed; `tell` is last called with no more to come. Takes its items out of
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -11,7 +11,7 @@
 
 import httptools
 
-from woadyard.engine.listing import parse_in_steps
+from woadyard.engine.listing import STEP, parse_in_steps, usable
 from woadyard.engine.ports import Log, MemberSink
 from woadyard.net.collector import Collector
 from woadyard.net.objects import Objects
@@ -36,6 +36,8 @@
 # A renewal waits for a part of that between half and all of it, drawn by each sidecar for itself:
 # when discovery comes back, a fleet must not ask at once.
 RETRY_PART = 0.5
+# A discovery that answers with what can't be read does so at every call.
+COMPLAIN_EVERY_S = 10.0
 LIST_PATH = "/registry/instances"
 OBJECT_MAX = 64 * 1024 * 1024  # of some 300,000 endpoints
 # An object under way counts as silent while less than this comes of it, bytes/s: some entries a second.
@@ -83,7 +85,7 @@
                 self.read()
 
     def spoilt(self, error: Exception) -> None:
-        self.owner.log(f"bad line from discovery: {error}")
+        self.owner.complain(f"bad line from discovery: {error}")
         self.bad = True
         self.fail()
 
@@ -182,7 +184,7 @@
     def fail(self, silent: bool = False) -> None:
         if not self.done:
             if silent and self.objects.begun:
-                self.owner.log("bad line from discovery: silent in the middle of an object")
+                self.owner.complain("bad line from discovery: silent in the middle of an object")
             self.stop()
             self.owner.lost(self, silent)
 
@@ -191,15 +193,15 @@
             self.fail()  # a fetched list that is whole is read though its connection is over
 
 
-def _list_of(told: Any) -> tuple[int, bool, list[Any]]:
-    """Version, whether it is whole, and entries; ValueError."""
+def _list_of(told: Any, watch: bool) -> tuple[int, bool, list[Any]]:
+    """Version, whether it is whole, and entries; ValueError. What was fetched is whole."""
     try:
-        version, whole, entries = int(told["generation"]), bool(told["reset"]), told["instances"]
-    except (KeyError, TypeError, OverflowError) as error:
+        version, whole, entries = int(told["generation"]), told.get("reset"), told["instances"]
+    except (KeyError, TypeError, AttributeError, OverflowError) as error:
         raise ValueError(f"no list: {error!r}") from None
     if not isinstance(entries, list):
         raise ValueError("instances is no list")
-    return version, whole, entries
+    return version, not watch or bool(whole), entries
 
 
 class Discovery:
@@ -229,6 +231,8 @@
         self.path = path
         self.pushed = pushed
         self.log = log
+        self.complained = -COMPLAIN_EVERY_S  # when a line was last logged
+        self.unsaid = 0  # lines since then that were not
         self.collector = collector  # of the process, where it is the balancer's
         self.sink: MemberSink | None = None
         self.generation = 0
@@ -322,9 +326,9 @@
         """One list; ValueError on anything else, before any of it is used. A long one
         is only begun, and its stream hears of its end."""
         if len(raw) <= SHORT_OBJECT:
-            version, whole, entries = _list_of(json.loads(raw))
+            version, whole, entries = _list_of(json.loads(raw), stream.watch)
             if self.sink is not None and self._counts(stream, version, whole):
-                self.sink.listed(version, whole, entries)
+                self.sink.listed(version, whole, list(self._usable(entries)))
                 self.generation = version
             self.retry_s = RETRY_S
         elif self.sink is not None:
@@ -335,6 +339,23 @@
             steps = self._in_steps(raw, stream, self.sink, told_at)
             self.slices.run(steps, functools.partial(self._ended, stream))
 
+    def _usable(self, entries: list[Any]) -> Iterator[dict[str, Any]]:
+        for raw in entries:
+            entry, wrong = usable(raw)
+            if wrong:
+                self.complain(f"bad entry from discovery: {wrong}")
+            if entry is not None:
+                yield entry
+
+    def complain(self, text: str) -> None:
+        """Guards the log against what goes on for hours: a line now and then, with how many came."""
+        now = self.loop.time()
+        if now < self.complained + COMPLAIN_EVERY_S:
+            self.unsaid += 1
+            return
+        self.log(f"{text} ({self.unsaid} more like it before)" if self.unsaid else text)
+        self.complained, self.unsaid = now, 0
+
     def _counts(self, stream: Stream, version: int, whole: bool) -> bool:
         """Whether a list says more than what was told before. A watch may begin anew with a
         whole list of any version; one that was fetched may come after newer changes."""
@@ -342,8 +363,12 @@
 
     def _in_steps(self, raw: bytearray, stream: Stream, sink: MemberSink, told_at: int) -> Iterator[None]:
         told = yield from parse_in_steps(raw.decode())
-        version, whole, entries = _list_of(told)
-        self.listed = len(entries)
+        version, whole, found = _list_of(told, stream.watch)
+        self.listed = len(found)
+        entries: list[Any] = []
+        for at in range(0, len(found), STEP):
+            entries.extend(self._usable(found[at : at + STEP]))
+            yield
         if stream.address != self.address:
             return  # moved while it was read: the new address has the word
         if self._counts(stream, version, whole):
--- a/woadyard/settings/platform.py
+++ b/woadyard/settings/platform.py
@@ -6,10 +6,16 @@
 from collections.abc import Mapping
 from typing import Any
 
+from woadyard.engine.listing import usable
+from woadyard.engine.ports import Log
 from woadyard.orders.book import Orders
 from woadyard.settings.config import Config, ConfigError, Join, config_from
 
 
+def no_log(text: str) -> None:
+    """For whoever only wants to know whether the rest can be used."""
+
+
 def load_json(path: str) -> Any:
     try:
         with open(path, "rb") as file:
@@ -28,11 +34,30 @@
     return config_from(load_json(path), path)
 
 
+def _known(raw: Any, path: str, log: Log) -> dict[str, Any] | None:
+    """What can be used of the list that the platform kept. It may be old, and discovery has the word:
+    guards a start against one that can't be read."""
+    if raw is None:
+        return None
+    try:
+        version, entries = int(raw["generation"]), list(raw["instances"])
+        if version < 0:
+            raise ValueError(f"generation {version}")
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
+        log(f"{path}: known: started without it: {type(error).__name__}: {error}")
+        return None
+    found = [usable(one) for one in entries]
+    if wrong := [text for _, text in found if text]:
+        log(f"{path}: known: {len(wrong)} bad entries, the first is {wrong[0]}")
+    return {"generation": version, "reset": True, "instances": [one for one, _ in found if one is not None]}
+
+
 def read_platform(
-    environ: Mapping[str, str], orders: Orders | None = None, join: Join | None = None
+    environ: Mapping[str, str], orders: Orders | None = None, join: Join | None = None, log: Log = no_log
 ) -> Config:
     """What a daemon under the platform needs: LB_LISTEN, LB_DISCOVERY and LB_MANAGEMENT
-    go before the file's `listen`, `discovery` and `management`; all but the last there must be."""
+    go before the file's `listen`, `discovery` and `management`; all but the last there must be.
+    A `known` that can't be read is left out, and `log` is told."""
     path = environ.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG is not set")
@@ -44,7 +69,8 @@
         "discovery": environ.get("LB_DISCOVERY"),
         "management": environ.get("LB_MANAGEMENT"),
     }
-    config = config_from({**raw, **{key: value for key, value in told.items() if value}}, path, orders)
+    given = {key: value for key, value in told.items() if value}
+    config = config_from({**raw, **given, "known": _known(raw.get("known"), path, log)}, path, orders)
     for key, value in (("listen", config.listen), ("discovery", config.discovery)):
         if value is None:
             raise ConfigError(f"{path}: {key} is missing: expected host:port")
