Keep a SIGHUP that comes in the middle of a start, and heed it behind the handler

Cause: SIGHUP was ignored from the start of `run` to the first listener (__main__.py, run), so a move told between the reading of the file and the handler was lost, and the process stayed with the old discovery for good; during the imports before that, some 80 ms and more under load, its default ended the process, which counts as a crash.

Change: the signal is blocked before the longer imports and unblocked behind the handler (daemon.py, _heed_signals): the system keeps it. Left: the interpreter's own start and the package's first import (60 ms) still come before the block.

Checked: tests/test_crossings_reload.py holds a daemon at both instants by its script; both cases fail with the mend taken out (8 s there in place of 60), both pass with it, as do tests/test_command.py and tests/test_workers.py.

--- a/tests/test_crossings_discovery.py
+++ b/tests/test_crossings_discovery.py
@@ -368,7 +368,8 @@
     unless its state and address are clear."""
 
     async def main() -> None:
-        copy, said = Copy(), []
+        copy = Copy()
+        said: list[str] = []
         fill = [entry(f"f-{n}") for n in range(1_000)] if steps else []
         copy.at_once(True, [entry("s-bad"), entry("s-1"), *fill])
         async with Scripted([tells]) as agent:
--- /dev/null
+++ b/tests/test_crossings_reload.py
@@ -0,0 +1,79 @@
+"""A reload at the instant in which a process starts: what SIGHUP told of must hold in the end."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+
+import pytest
+
+from tests.sockets import Registry, config, free_port, run
+
+# The daemon, held by its script until a line comes on its standard input: before the first of its
+# longer imports, when it has read nothing, or once it has read its configuration.
+HELD = """
+import runpy, sys
+import woadyard.settings.platform as platform
+
+def wait():
+    print(".", flush=True)
+    sys.stdin.readline()
+
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name == "woadyard.daemon":
+            wait()
+
+def load_json(path):
+    platform.load_json = real
+    found = real(path)
+    wait()
+    return found
+
+real = platform.load_json
+if sys.argv.pop() == "import":
+    sys.meta_path.insert(0, Finder())
+else:
+    platform.load_json = load_json
+runpy.run_module("woadyard", run_name="__main__")
+"""
+
+
+async def held(environ: dict[str, str], at: str) -> asyncio.subprocess.Process:
+    """A daemon that has come so far, and has not gone on."""
+    pipe = asyncio.subprocess.PIPE
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", HELD, at, env=environ, stdin=pipe, stdout=pipe, stderr=pipe
+    )
+    assert process.stdout is not None
+    assert await process.stdout.readline() == b".\n"
+    return process
+
+
+@pytest.mark.parametrize("at", ["import", "read"])
+def test_a_sighup_in_the_middle_of_a_start_neither_ends_it_nor_is_lost(tmp_path: Path, at: str) -> None:
+    async def main() -> None:
+        old, new = Registry(), Registry()
+        async with asyncio.timeout(60), await old.start(), await new.start():
+            environ = {**config(tmp_path, old), "LB_LISTEN": f"127.0.0.1:{free_port()}"}
+            environ["LB_DISCOVERY"] = f"127.0.0.1:{old.port}"
+            environ["PYTHONPATH"] = os.getcwd()
+            process = await held(environ, at)
+            file = Path(environ["LB_CONFIG"])
+            file.write_text(
+                json.dumps({**json.loads(file.read_text()), "discovery": f"127.0.0.1:{new.port}"})
+            )
+            process.send_signal(signal.SIGHUP)
+            assert process.stdin is not None
+            process.stdin.write(b"\n")
+            target, _ = await new.asked.get()
+            assert "from=0 " in target
+            process.send_signal(signal.SIGTERM)
+            _, errors = await process.communicate()
+            assert (process.returncode, errors) == (0, b"")
+
+    run(main())
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
-import gc
-import os
 import signal
 import sys
+
+if __name__ == "__main__" and sys.argv[1:2] in ([], ["run"], ["--operator"]):
+    # Before the imports, which take a while: SIGHUP ends a process that does not know it yet.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
+import gc
+import os
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
@@ -54,11 +59,12 @@
     if (several := workers(environ)) is not None:
         from woadyard.workers.parent import run_parent
 
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         return run_parent(several, environ)
     import uvloop
 
     unblock_log()
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
+    hold_reload()
     # What stands now stays: the collector need not walk it again.
     gc.set_threshold(5_000, 10, 10)
     gc.freeze()
@@ -70,6 +76,12 @@
     return 0
 
 
+def hold_reload() -> None:
+    """From before the configuration is read until there is something to reload, SIGHUP waits: what
+    is told in between must not be lost, or this process would stay with the old discovery."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
+
 def run_worker(environ: dict[str, str]) -> int:
     """One process of several."""
     import uvloop
@@ -79,7 +91,7 @@
     found = seat_of(environ)
     assert found is not None
     unblock_log()
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    hold_reload()
     config = found.config(read_config(environ), handed_on(found.channel))
     gc.set_threshold(5_000, 10, 10)
     gc.freeze()
--- a/woadyard/daemon.py
+++ b/woadyard/daemon.py
@@ -160,6 +160,7 @@
         self.loop.add_signal_handler(
             signal.SIGHUP, reload, dict(self.environ), self.parts.source, read_config
         )
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one that waited is heeded now
         self.loop.add_signal_handler(signal.SIGTERM, self.stop)
         self.loop.add_signal_handler(signal.SIGINT, self.stop)
 
--- a/woadyard/engine/listing.py
+++ b/woadyard/engine/listing.py
@@ -95,7 +95,7 @@
     Guards the good entries of a list against a bad one. An endpoint whose state or address can't be
     read wants nothing new; without a name there is nothing to use. Null is as good as absent."""
     name = raw.get("instanceId") if isinstance(raw, dict) else None
-    if not isinstance(name, str) or not name.isascii() and not _is_text(name):
+    if not isinstance(name, str) or (not name.isascii() and not _is_text(name)):
         return None, f"an entry with no instanceId: {str(raw)[:80]!r}"
     found, wrong = dict(raw), ""
     for key, least in (("zone", ""), ("machineType", ""), ("weight", 1.0), ("cell", 0), ("startedAtMs", 0)):
