Name what a reload leaves for the next start

Cause: SIGHUP takes discovery alone and keeps classes, limits and grace as they were at the start (daemon.py, reload), without a word: who changed them could not see that they do not hold.

Change: one line names the keys that the new file says otherwise. Seed and `known` are new with each start and are not named. Checked: tests/test_crossings_reload.py, a daemon moved by SIGHUP with other classes, limits and grace, by its standard error; the test can't pass with the mend taken out, as nothing was written there. It passes with it.

--- a/tests/test_crossings_reload.py
+++ b/tests/test_crossings_reload.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from tests.sockets import Registry, config, free_port, run
+from tests.sockets import Registry, config, connect_until_up, free_port, run, start
 
 # The daemon, held by its script until a line comes on its standard input: before the first of its
 # longer imports, when it has read nothing, or once it has read its configuration.
@@ -77,3 +77,36 @@
             assert (process.returncode, errors) == (0, b"")
 
     run(main())
+
+
+def test_what_a_reload_does_not_take_is_one_line_that_names_it(tmp_path: Path) -> None:
+    async def main() -> None:
+        old, new = Registry(), Registry()
+        async with asyncio.timeout(60), await old.start(), await new.start():
+            environ = {**config(tmp_path, old), "LB_LISTEN": f"127.0.0.1:{free_port()}"}
+            process = await start(environ)
+            await old.asked.get()
+            file = Path(environ["LB_CONFIG"])
+            raw = json.loads(file.read_text())
+            first, *rest = raw["settings"]["classes"]
+            first = {**first, "name": "view", "deadline-us": 3_000_000}
+            raw["settings"] = {
+                **raw["settings"],
+                "classes": [first, *rest],
+                "invariants": {"drain-grace-us": 250_000},
+            }
+            raw = {**raw, "discovery": f"127.0.0.1:{new.port}", "limits": {"sockets": 512}, "seed": "77"}
+            file.write_text(json.dumps(raw))
+            _, writer = await connect_until_up(int(environ["LB_LISTEN"].rpartition(":")[2]))
+            writer.close()
+            process.send_signal(signal.SIGHUP)
+            await new.asked.get()
+            process.send_signal(signal.SIGTERM)
+            _, errors = await process.communicate()
+            assert process.returncode == 0
+            assert errors.decode() == (
+                "laurelstep: reloaded: discovery only; for the next start: sockets, drain_grace_us, settings.classes, "
+                "names of classes\n"
+            )
+
+    run(main())
--- a/woadyard/daemon.py
+++ b/woadyard/daemon.py
@@ -6,11 +6,13 @@
 import signal
 import socket
 from collections.abc import Callable, Coroutine, Mapping
+from dataclasses import fields
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from woadyard.engine.listing import dump_in_steps
 from woadyard.engine.ports import MemberSource
+from woadyard.interface import Settings
 from woadyard.lifecycle import Lifecycle, Phase
 from woadyard.net.assembly import Assembly
 from woadyard.net.collector import Collector
@@ -158,7 +160,7 @@
 
     def _heed_signals(self, read_config: ReadConfig) -> None:
         self.loop.add_signal_handler(
-            signal.SIGHUP, reload, dict(self.environ), self.parts.source, read_config
+            signal.SIGHUP, reload, dict(self.environ), self.parts.source, read_config, self.config
         )
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one that waited is heeded now
         self.loop.add_signal_handler(signal.SIGTERM, self.stop)
@@ -466,14 +468,33 @@
         one.bind(found)
 
 
-def reload(environ: dict[str, str], source: MemberSource, read_config: ReadConfig) -> None:
+def changed_keys(old: Config, new: Config) -> list[str]:
+    """What a new configuration says otherwise and a reload leaves as it is. `seed` and `known` are
+    for a start, and new with each."""
+    apart = ("discovery", "seed", "known", "names", "settings")
+    own = [one.name for one in fields(Config) if one.name not in apart]
+    rules = [one.name for one in fields(Settings)]
+    named = ["classes", "tenants", "zones", "kinds"]
+    return [
+        *(name for name in own if getattr(old, name) != getattr(new, name)),
+        *(f"settings.{name}" for name in rules if getattr(old.settings, name) != getattr(new.settings, name)),
+        *(f"names of {name}" for name in named if getattr(old.names, name) != getattr(new.names, name)),
+    ]
+
+
+def reload(
+    environ: dict[str, str], source: MemberSource, read_config: ReadConfig, running: Config | None = None
+) -> None:
     """SIGHUP: what the file now says of discovery holds, also against the
-    environment of the start; a file that can't be used changes nothing."""
+    environment of the start; a file that can't be used changes nothing. All else stays as it is
+    until the next start, which a line says: requests under way keep the rules they came under."""
     try:
         config = read_config({name: value for name, value in environ.items() if name != "LB_DISCOVERY"})
     except ConfigError as error:
         log(f"not reloaded: {error}")
     else:
+        if running is not None and (ignored := changed_keys(running, config)):
+            log(f"reloaded: discovery only; for the next start: {', '.join(ignored)}")
         if isinstance(source, Discovery) and config.discovery is not None:
             source.move(config.discovery)
 
