--- a/tests/test_crossings_reload.py
+++ b/tests/test_crossings_reload.py
@@ -105,8 +105,8 @@
             _, errors = await process.communicate()
             assert process.returncode == 0
             assert errors.decode() == (
-                "laurelstep: reloaded: discovery only; for the next start: sockets, drain_grace_us, settings.classes, "
-                "names of classes\n"
+                "laurelstep: reloaded: discovery only; for the next start: sockets, drain_grace_us, "
+                "settings.classes, names of classes\n"
             )
 
     run(main())
