--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -11,29 +11,38 @@
 
 import httptools
 
-from woadyard.engine.listing import parse_in_steps
+from woadyard.engine.listing import STEP, parse_in_steps, usable
 from woadyard.engine.ports import Log, MemberSink
 from woadyard.net.collector import Collector
 from woadyard.net.objects import Objects
 from woadyard.net.slices import Slices
 
-# While nothing changes an empty line comes every 2 s: one that is a second late is missed, and the
-# watch is dead, as a network that is cut off says nothing. What it misses counts as told 6 s after
-# the silence began: that leaves time for a second try, and for a third where calls don't wait.
-SILENT_S = 3.0
+# While nothing changes an empty line comes every 2 s: one that is half a second late is missed, and
+# the watch is dead, as a network that is cut off says nothing. What it misses counts as told 6 s after
+# the silence began: that leaves time for a second watch that is as silent behind its head, and a third.
+SILENT_S = 2.5
 # An agent on the own machine answers at once; a service of all sidecars takes calls in turn.
 ANSWER_S, ANSWER_ASKED_S = 1.0, 2.0
 # A silence is acted on this much later at most, drawn by each sidecar for itself: a fault that
 # silences the watches of a fleet must not have them all ask at once.
 SPREAD_S = 0.3
-# An agent that is silent costs nothing to ask, and what it has counts from when it has it. One that
-# answers with what can't be read will not be better soon, and each time is a line in the log.
-RETRY_S, RETRY_MOST_S, RETRY_SPOILT_MOST_S = 0.1, 0.5, 2.0
+# The back-off after a call that failed at once. An agent costs nothing to ask, and what it has counts
+# from when it has it: the longest pause leaves a short drain grace (250 ms) time for the answer. One
+# that answers with what can't be read will not be better soon.
+RETRY_S, RETRY_MOST_S, RETRY_SPOILT_MOST_S = 0.05, 0.2, 2.0
+# A service of all sidecars is asked less often. A change counts as told 6 s after it could be had: this
+# pause and a call that is not answered leave more than a second for the next.
+RETRY_ASKED_S = 2.5
 # A renewal waits for a part of that between half and all of it, drawn by each sidecar for itself:
 # when discovery comes back, a fleet must not ask at once.
 RETRY_PART = 0.5
+# A discovery that answers with what can't be read does so at every call.
+COMPLAIN_EVERY_S = 10.0
 LIST_PATH = "/registry/instances"
 OBJECT_MAX = 64 * 1024 * 1024  # of some 300,000 endpoints
+# An object under way counts as silent while less than this comes of it, bytes/s: some entries a second.
+# What trickles for ever would starve the changes behind it.
+LEAST_RATE = 1024
 # A longer object is read and applied in slices: this much takes a millisecond or two.
 SHORT_OBJECT = 32 * 1024
 
@@ -54,6 +63,7 @@
         self.answered = False  # its head has come
         self.complete = False  # its last byte has come
         self.reading: asyncio.Handle | None = None
+        self.is_current = watch and owner.generation > 0  # the whole list is not owed
         self.heard = owner.loop.time()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -75,22 +85,27 @@
                 self.read()
 
     def spoilt(self, error: Exception) -> None:
-        self.owner.log(f"bad line from discovery: {error}")
+        self.owner.complain(f"bad line from discovery: {error}")
         self.bad = True
         self.fail()
 
     def on_headers_complete(self) -> None:
+        if self.parser.get_status_code() < 200:
+            return  # an interim head says nothing of the answer (RFC 9110, section 15.2)
         self.answered = True
         self.heard = self.owner.loop.time()
 
     def on_body(self, data: bytes) -> None:
-        # Empty lines say that a watch lives, but not that the rest of an object still comes.
-        if not self.objects.begun or not data.isspace():
-            self.heard = self.owner.loop.time()
+        now = self.owner.loop.time()
+        if not data.isspace():
+            began = self.heard + len(data) / LEAST_RATE if self.objects.begun else now
+            self.heard = min(began, now)
+        elif self.is_current and not self.objects.begun and b"\n" in data:
+            self.heard = now  # empty lines say that a watch lives, but not that something owed still comes
         self.objects.feed(data)
 
     def on_message_complete(self) -> None:
-        self.complete = True
+        self.complete = self.answered
 
     @property
     def silent_at(self) -> float:
@@ -133,11 +148,13 @@
 
     def _take(self, raw: bytearray) -> None:
         told_at, self.paused_at = self.paused_at, None
+        self.heard = self.owner.loop.time()
         try:
             self.owner.take(raw, self, told_at)
         except ValueError as error:
             self.spoilt(error)
         else:
+            self.is_current = self.watch
             if not self.watch and not self.owner.busy:
                 self.stop()
 
@@ -169,7 +186,7 @@
     def fail(self, silent: bool = False) -> None:
         if not self.done:
             if silent and self.objects.begun:
-                self.owner.log("bad line from discovery: silent in the middle of an object")
+                self.owner.complain("bad line from discovery: silent in the middle of an object")
             self.stop()
             self.owner.lost(self, silent)
 
@@ -178,15 +195,15 @@
             self.fail()  # a fetched list that is whole is read though its connection is over
 
 
-def _list_of(told: Any) -> tuple[int, bool, list[Any]]:
-    """Version, whether it is whole, and entries; ValueError."""
+def _list_of(told: Any, watch: bool) -> tuple[int, bool, list[Any]]:
+    """Version, whether it is whole, and entries; ValueError. What was fetched is whole."""
     try:
-        version, whole, entries = int(told["generation"]), bool(told["reset"]), told["instances"]
-    except (KeyError, TypeError, OverflowError) as error:
+        version, whole, entries = int(told["generation"]), told.get("reset"), told["instances"]
+    except (KeyError, TypeError, AttributeError, OverflowError) as error:
         raise ValueError(f"no list: {error!r}") from None
     if not isinstance(entries, list):
         raise ValueError("instances is no list")
-    return version, whole, entries
+    return version, not watch or bool(whole), entries
 
 
 class Discovery:
@@ -196,8 +213,8 @@
     Otherwise it is opened, and lists are fetched, when the engine says so.
 
     What falls silent is asked again at once, on a connection of its own and from the last
-    version that was whole; if that is silent too, or ends, it is asked after a pause (`pushed`)
-    or the engine hears of it, and says when.
+    version that was whole; what ends or fails is asked again after a back-off. Where lists are not
+    pushed the engine hears of it, and may ask sooner.
     """
 
     def __init__(
@@ -216,6 +233,8 @@
         self.path = path
         self.pushed = pushed
         self.log = log
+        self.complained = -COMPLAIN_EVERY_S  # when a line was last logged
+        self.unsaid = 0  # lines since then that were not
         self.collector = collector  # of the process, where it is the balancer's
         self.sink: MemberSink | None = None
         self.generation = 0
@@ -238,7 +257,9 @@
             self.watch(True)
 
     def watch(self, on: bool) -> None:
-        self._watch(on)
+        """Nothing changes for a watch that is open, or on its way."""
+        if not on or self.stream is None or self.stream.done:
+            self._watch(on)
 
     def _watch(self, on: bool, again: bool = False) -> None:
         if self.stream is not None:
@@ -257,7 +278,7 @@
         fetching = [one for one in self.streams if not one.watch]
         for one in fetching:
             one.stop()
-        self.watch(True)
+        self._watch(True)
         if fetching:
             self.fetch()
 
@@ -295,10 +316,10 @@
         if stream.silent_at > self.loop.time():
             self.loop.call_at(stream.silent_at, self._check, stream)
         else:  # what came while this process stood still is read before the verdict
-            self.loop.call_later(self.spread_s * self.draw.random(), self._judge, stream, stream.heard)
+            self.loop.call_later(self.spread_s * self.draw.random(), self._judge, stream)
 
-    def _judge(self, stream: Stream, heard: float) -> None:
-        if stream.heard > heard or self.busy:
+    def _judge(self, stream: Stream) -> None:
+        if stream.silent_at > self.loop.time() or self.busy:
             self._check(stream)
         else:
             stream.fail(silent=True)
@@ -307,9 +328,10 @@
         """One list; ValueError on anything else, before any of it is used. A long one
         is only begun, and its stream hears of its end."""
         if len(raw) <= SHORT_OBJECT:
-            version, whole, entries = _list_of(json.loads(raw))
+            version, whole, entries = _list_of(json.loads(raw), stream.watch)
+            self._heed_restart(stream, version, whole)
             if self.sink is not None and self._counts(stream, version, whole):
-                self.sink.listed(version, whole, entries)
+                self.sink.listed(version, whole, list(self._usable(entries)))
                 self.generation = version
             self.retry_s = RETRY_S
         elif self.sink is not None:
@@ -320,6 +342,30 @@
             steps = self._in_steps(raw, stream, self.sink, told_at)
             self.slices.run(steps, functools.partial(self._ended, stream))
 
+    def _usable(self, entries: list[Any]) -> Iterator[dict[str, Any]]:
+        for raw in entries:
+            entry, wrong = usable(raw)
+            if wrong:
+                self.complain(f"bad entry from discovery: {wrong}")
+            if entry is not None:
+                yield entry
+
+    def complain(self, text: str) -> None:
+        """Guards the log against what goes on for hours: a line now and then, with how many came."""
+        now = self.loop.time()
+        if now < self.complained + COMPLAIN_EVERY_S:
+            self.unsaid += 1
+            return
+        self.log(f"{text} ({self.unsaid} more like it before)" if self.unsaid else text)
+        self.complained, self.unsaid = now, 0
+
+    def _heed_restart(self, stream: Stream, version: int, whole: bool) -> None:
+        """Guards against a discovery that counts anew and tells changes of a list that is not known
+        here: they were passed over for ever. The whole list is asked for; ValueError."""
+        if stream.watch and not whole and version < self.generation and not stream.done:
+            known, self.generation = self.generation, 0
+            raise ValueError(f"changes of version {version} after {known}")
+
     def _counts(self, stream: Stream, version: int, whole: bool) -> bool:
         """Whether a list says more than what was told before. A watch may begin anew with a
         whole list of any version; one that was fetched may come after newer changes."""
@@ -327,10 +373,15 @@
 
     def _in_steps(self, raw: bytearray, stream: Stream, sink: MemberSink, told_at: int) -> Iterator[None]:
         told = yield from parse_in_steps(raw.decode())
-        version, whole, entries = _list_of(told)
-        self.listed = len(entries)
+        version, whole, found = _list_of(told, stream.watch)
+        self.listed = len(found)
+        entries: list[Any] = []
+        for at in range(0, len(found), STEP):
+            entries.extend(self._usable(found[at : at + STEP]))
+            yield
         if stream.address != self.address:
             return  # moved while it was read: the new address has the word
+        self._heed_restart(stream, version, whole)
         if self._counts(stream, version, whole):
             yield from sink.list_in_steps(whole, entries, told_at)
             if not stream.done:  # another source may be watched since
@@ -352,15 +403,21 @@
     def lost(self, stream: Stream, silent: bool) -> None:
         if self.closed or self.sink is None or (stream.watch and stream is not self.stream):
             return
-        if silent and not stream.again:
-            self._renew(stream, again=True)  # the verdict was spread already
-        elif not self.pushed:
-            self.sink.list_failed()  # the module says when to ask again
+        if not self.pushed and (stream.again or not silent):
+            self.sink.list_failed()  # the module may ask sooner than the back-off below
+        if silent:  # whoever waited for it need not pause, and the verdict was spread already
+            self._renew(stream, again=True)
         else:
-            part = RETRY_PART + (1.0 - RETRY_PART) * self.draw.random()
-            self.loop.call_later(part * self.retry_s, self._renew, stream)
-            most = RETRY_SPOILT_MOST_S if stream.bad else RETRY_MOST_S
-            self.retry_s = min(most, 2.0 * self.retry_s)
+            self.loop.call_later(self._back_off(stream), self._renew, stream)
+
+    def _back_off(self, stream: Stream) -> float:
+        """How long to wait after a call that failed, s."""
+        part = RETRY_PART + (1.0 - RETRY_PART) * self.draw.random()
+        if not self.pushed:
+            return part * RETRY_ASKED_S
+        pause = part * self.retry_s
+        self.retry_s = min(RETRY_SPOILT_MOST_S if stream.bad else RETRY_MOST_S, 2.0 * self.retry_s)
+        return pause
 
     def _renew(self, stream: Stream, again: bool = False) -> None:
         if not stream.watch:
