--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -2,7 +2,7 @@
 
 Each case is drawn from its seed and played on a clock of its own, in µs. Counted is what each
 cold endpoint gets within any span of `tip_for_us`, against the bound under which it stands
-(docs/design/cold.md): N + 3 x root of N + 3 requests, N being
+(docs/design/cold.md): N + 2 x root of N + 2 requests, N being
 `tip_multiple` x (`cold_share` + (1 - `cold_share`) x age / `cold_us`) x capacity x `tip_for_us`.
 """
 
@@ -101,7 +101,7 @@
     def allowed(self, now: int, settings: Settings) -> float:
         number = settings.tip_multiple * self.warmth(now, settings) * self.capacity
         number *= settings.tip_for_us / SECOND
-        return number + 3.0 * sqrt(number) + 3.0
+        return number + 2.0 * sqrt(number) + 2.0
 
     def fullest(self, settings: Settings) -> float:
         """The most that it got within a span, as a part of what it stood then. Counted by what
@@ -243,8 +243,8 @@
 
 
 def test_what_is_counted_is_the_sum_of_all_copies_within_a_span() -> None:
-    """7.8 requests are allowed at the start, so 19 in a span stand and 20 do not."""
-    for number, stands in ((19, True), (20, False)):
+    """7.8 requests are allowed at the start, so 15 in a span stand and 16 do not."""
+    for number, stands in ((15, True), (16, False)):
         server = Server(WARM_UP, 20.0)
         server.got = [WARM_UP + k * SECOND // number for k in range(number)]
         assert (server.fullest(SETTINGS) <= 1.0) == stands
