Review case 6: after a large upload a connection is not read again and a request is lost

Cause: an upload paused while its last piece is handled loses its source, so reading from the client is never resumed, yet the answer keeps the connection alive. The program is as it was.

--- a/review/stand-ins-2/rig.py
+++ b/review/stand-ins-2/rig.py
@@ -240,17 +240,24 @@
         self.port = port
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
+        self.was_ended = False  # the sidecar ended the connection, with no answer to the last request
 
     async def send(
         self, method: str, target: str, headers: dict[str, str], body: bytes = b"", timeout_s: float = 10.0
     ) -> Message | None:
         """Send a request; None if no whole answer came."""
+        self.was_ended = False
         try:
             async with asyncio.timeout(timeout_s):
-                return await self._send(method, target, headers, body)
-        except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
+                answer = await self._send(method, target, headers, body)
+        except TimeoutError:
             self.close()
             return None
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            answer = None
+            self.close()
+        self.was_ended = answer is None
+        return answer
 
     async def _send(self, method: str, target: str, headers: dict[str, str], body: bytes) -> Message | None:
         if self.writer is None or self.reader is None:
