--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,115 +1,102 @@
-"""Case 8: a kept write of a keyed class runs in two pods. See claim.txt."""
+"""Case 8: an answer that a client reads at 64 kB a second is cut off after 10 s. See claim.txt."""
 
 from __future__ import annotations
 
 import asyncio
-import json
+import socket
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "stand-ins-2"))
 
-from rig import Client, Discovery, Message, Node, Rig, encode_answer, free_port, main
+from rig import Message, Node, Rig, encode_answer, free_port, main
 
-PODS, NODES_PER_POD = 5, 2
-WRITES = 24
-WINDOW_S = 10.0
-# A fifth of the nodes loses its answers, for 6 s from the moment at which the nodes are listed.
-BAD_NODES = ("n-0", "n-2")
-TROUBLE_S = 6.0
+NODES, CLIENTS = 3, 4
+SIZE = 5_000_000
+# A slow client reads a little faster than 64 kB a second, and has a small receive buffer.
+PIECE, RATE, RECEIVE_BUFFER = 6_400, 66_000.0, 16_384
 
 OPERATOR = """
 [deployment]
 listen = "127.0.0.1:{listen}"
-discovery = "127.0.0.1:{discovery}"
 
 [[deployment.classes]]
-name = "upload"
-effect = "keyed"
-scope = "cell"
+name = "view"
+effect = "safe"
 aim_ms = 1000
-deadline_ms = 2000
-window_ms = 10000
-
-[outbox]
-store_path = "{folder}/outbox"
-edge = "studio-1"
-cut_ms = 500
-back_ms = 200
-
-[[outbox.classes]]
-name = "upload"
-keep = "keyed"
+deadline_ms = 3000
+"""
+MEMBER = """
+[[deployment.members]]
+id = "{name}"
+address = "127.0.0.1:{port}"
 """
 
 
-class Pods:
-    """The nodes' work: the nodes of one pod drop a repeat of a key for 10 s."""
-
-    def __init__(self, rig: Rig) -> None:
-        self.rig = rig
-        self.remembered: dict[tuple[int, str], float] = {}
-        self.runs: dict[str, list[str]] = {}
-        self.trouble_until = 0.0
-
-    async def serve(self, node: Node, request: Message) -> bytes | None:
-        """Run an upload, or drop it as a repeat; then answer, unless the answer gets lost."""
-        key = request.headers["idempotency-key"]
-        await asyncio.sleep(0.02)
-        now = time.monotonic()
-        ran_at = self.remembered.get((node.cell, key))
-        if ran_at is not None and now - ran_at < WINDOW_S:
-            self.rig.note(f"{node.name} (pod {node.cell}): {key}: a repeat, dropped")
-        else:
-            self.remembered[node.cell, key] = now
-            self.runs.setdefault(key, []).append(f"{node.name} in pod {node.cell}")
-            self.rig.note(f"{node.name} (pod {node.cell}): {key}: RUN")
-        if self.rig.has_trouble and node.name in BAD_NODES and now < self.trouble_until:
-            self.rig.note(f"{node.name} (pod {node.cell}): {key}: its answer is lost")
-            await asyncio.sleep(3600)
-        return encode_answer(200, b"stored\n")
+async def serve(node: Node, request: Message) -> bytes | None:
+    """Answer with a large body at once."""
+    node.rig.note(f"{node.name}: answers {request.headers['x-request-id']} with {SIZE} bytes")
+    return encode_answer(200, b"a" * SIZE)
+
+
+async def use(rig: Rig, name: str, listen: int) -> list[str]:
+    """Ask for a large answer, and read it slowly; returns what was wrong with it."""
+    loop = asyncio.get_running_loop()
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+    connection.setblocking(False)
+    request_id, began = next(rig.request_ids), time.monotonic()
+    received, expected, gap_s = 0, -1, 0.0
+    try:
+        await loop.sock_connect(connection, ("127.0.0.1", listen))
+        head = f"GET /view HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: {request_id}\r\n"
+        await loop.sock_sendall(connection, f"{head}X-Class: view\r\nX-Deadline-Ms: 3000\r\n\r\n".encode())
+        buffer = b""
+        while received != expected:
+            asked = time.monotonic()
+            data = await asyncio.wait_for(loop.sock_recv(connection, PIECE), 20.0)
+            gap_s = max(gap_s, time.monotonic() - asked)
+            if not data:
+                break
+            if expected < 0:
+                buffer += data
+                head, end, data = buffer.partition(b"\r\n\r\n")
+                if not end:
+                    continue
+                rig.note(f"{name}: {request_id}: the first bytes after {time.monotonic() - began:.2f} s")
+                expected = int(head.lower().partition(b"content-length:")[2].split()[0])
+            received += len(data)
+            if rig.has_trouble:
+                await asyncio.sleep(max(0.0, began + received / RATE - time.monotonic()))
+    except (OSError, TimeoutError) as error:
+        rig.note(f"{name}: {request_id}: {error!r}")
+    finally:
+        connection.close()
+    took_s = time.monotonic() - began
+    rig.note(
+        f"{name}: {request_id}: {received} of {expected} bytes in {took_s:.1f} s, "
+        f"{received / took_s / 1000:.1f} kB a second, longest wait for bytes {gap_s:.2f} s"
+    )
+    return (
+        []
+        if received == expected
+        else [f"{name}: {received} of {expected} bytes, ended after {took_s:.1f} s"]
+    )
 
 
 async def play(rig: Rig) -> str:
-    """Have uploads kept while no node is listed, then list the nodes."""
-    pods = Pods(rig)
-    nodes = [Node(rig, f"n-{number}", pods.serve, number // NODES_PER_POD) for number in range(10)]
-    discovery = Discovery(rig, "discovery")
-    await discovery.start()
+    """Let some clients ask for one answer each."""
+    nodes = [Node(rig, f"n-{number}", serve) for number in range(NODES)]
     for node in nodes:
         await node.start()
     listen = free_port()
-    operator = OPERATOR.format(listen=listen, discovery=discovery.port, folder=rig.folder)
-    sidecar = rig.sidecar("sidecar", operator, listen)
+    members = "".join([MEMBER.format(name=node.name, port=node.port) for node in nodes])
+    sidecar = rig.sidecar("sidecar", OPERATOR.format(listen=listen) + members, listen)
     sidecar.start()
     await sidecar.wait_ready()
-    await asyncio.sleep(1.2)  # the list has been empty for longer than cut_ms: writes are kept at once
-    client = Client(listen)
-    receipts = {}
-    for number in range(WRITES):
-        key, request_id = f"photo-{number:02d}", next(rig.request_ids)
-        headers = {"X-Request-Id": request_id, "X-Class": "upload", "X-Deadline-Ms": "2000"}
-        headers["Idempotency-Key"] = key
-        answer = await client.send("POST", f"/upload?obj={number + 1:x}", headers, b"a photo " + key.encode())
-        status = "no answer" if answer is None else answer.start[1]
-        rig.note(f"client: {key}: answered {status}")
-        if answer is not None and status == "202":
-            receipts[key] = answer.headers["location"]
-    pods.trouble_until = time.monotonic() + TROUBLE_S
-    discovery.update(*(node.entry() for node in nodes))
-    states: dict[str, str] = {}
-    for _ in range(30):
-        await asyncio.sleep(0.5)
-        for key, location in receipts.items():
-            answer = await client.send("GET", location, {})
-            states[key] = "?" if answer is None else str(json.loads(answer.body).get("state"))
-        if all(state in ("done", "parked") for state in states.values()):
-            break
-    for key in receipts:
-        rig.note(f"{key}: receipt {states[key]}, ran at: {', '.join(pods.runs.get(key, ()))}")
-    twice = {key: places for key, places in pods.runs.items() if len(places) > 1}
-    return "; ".join(f"{key} ran at {' and '.join(places)}" for key, places in twice.items())
+    plays = [use(rig, f"client {number}", listen) for number in range(CLIENTS)]
+    return "; ".join([text for wrong in await asyncio.gather(*plays) for text in wrong])
 
 
 main(__file__, play)
