--- a/review/stand-ins-2/rig.py
+++ b/review/stand-ins-2/rig.py
@@ -25,8 +25,6 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HELD, BROKEN, NOT_RUN = 0, 1, 2
-# The library of the extra `store`; made by review/build-2.sh.
-BUILT = ROOT / "review" / "stand-ins-2" / "built"
 # The deploy file's `run`.
 RUN = "exec .venv/bin/python -B -P -m laurelstep"
 HEARTBEAT_S = 2.0
@@ -294,11 +292,7 @@
     def start(self) -> None:
         """Start the process."""
         environ = {name: value for name, value in os.environ.items() if not name.startswith("LB_")}
-        environ |= {
-            "LB_OPERATOR": str(self.file),
-            "TMPDIR": str(self.rig.folder),
-            "PYTHONPATH": str(BUILT),
-        }
+        environ |= {"LB_OPERATOR": str(self.file), "TMPDIR": str(self.rig.folder)}
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
                 ["/bin/sh", "-c", RUN],
