Count bytes of bodies until the kernel has taken them, and limit reads by what is left

Cause: a body counted in a budget only until it was streamed, or until a buffered answer was written. Then its bytes were in the write buffer of the receiver's transport, up to 64 KiB and a last read of 256 KiB, which nothing counted. A probe with 120 clients that read nothing showed 28.1 MB in the transports (241 KB the largest) with both budgets at 0. Uploads were alike: up to 1 MiB of each left the budget as it began to stream.

Change: connections of clients and endpoints share the budgets of a process, and what a transport buffers counts in them. Reads go into a buffer of ours (get_buffer), so that one brings 64 KiB while the budget has room, else 8 KiB. The stated bound of a message falls from 320 to 16 KiB.

--- a/laurelstep/daemon.py
+++ b/laurelstep/daemon.py
@@ -130,7 +130,7 @@
             config.max_side_connections,
             self.assembly.upstream.retire,
             self.lifecycle,
-            config.memory_mb,
+            self.assembly.upstream.budgets,
         )
         if self.hot_restart is not None:
             self.hot_restart.attach(self.assembly, self.consensus, self.maintenance)
--- a/laurelstep/flow_control/buffer_budget.py
+++ b/laurelstep/flow_control/buffer_budget.py
@@ -6,7 +6,10 @@
    as long as all buffered requests fit into the budget. Beyond that its body is streamed as it is received,
    and a request whose head is not complete is refused. The same applies to answers, which have their own
    budget.
-2. Reserved bytes are released once, when their request or answer is done.
+2. Bytes are reserved from when they are read until the kernel has taken them, whether their message is
+   buffered or streamed, and whichever connection holds them meanwhile. They are released once.
+3. The next read of a message brings no more than the budget has room for, but `UNCOUNTED_BYTES` at least, so
+   that every message makes progress.
 """
 
 from __future__ import annotations
@@ -17,15 +20,14 @@
 # connection may hold them, which is no more than its own buffers take.
 MAX_BUFFERED_BYTES: Final = 1 << 20
 UNCOUNTED_BYTES: Final = 8 * 1024
+# Bytes of one read while the budget has room for them.
+MAX_READ_BYTES: Final = 64 * 1024
 # MiB that a process needs without any bodies, and the shares of the remaining memory for buffered requests
 # and answers. The shares are small because two processes share the memory during a hot restart.
 BASE_MB: Final = 20
 REQUESTS_SHARE: Final = 0.25
 ANSWERS_SHARE: Final = 0.125
 MIN_BUDGET_BYTES: Final = 1 << 20
-# Memory that one streamed body holds at most: a write buffer of 64 KiB at its high-water mark, and the last
-# read, of 256 KiB at most, that exceeded it.
-STREAMED_BODY_BYTES: Final = (64 + 256) * 1024
 # MiB that are assumed if no memory limit is set.
 DEFAULT_MEMORY_MB: Final = 128
 
@@ -38,9 +40,12 @@
     return max(MIN_BUDGET_BYTES, int(remaining_mb * share) << 20)
 
 
-def max_total_bytes(memory_mb: int, streamed: int) -> int:
-    """Bytes that all bodies together hold at most. `streamed`: how many are streamed, in either direction."""
-    return budget_bytes(memory_mb) + budget_bytes(memory_mb, ANSWERS_SHARE) + streamed * STREAMED_BODY_BYTES
+def max_total_bytes(memory_mb: int, messages: int) -> int:
+    """Bytes that all bodies together hold at most. `messages`: how many are transferred, in either direction.
+
+    Beyond the budgets a message holds `UNCOUNTED_BYTES` and one read of that size.
+    """
+    return budget_bytes(memory_mb) + budget_bytes(memory_mb, ANSWERS_SHARE) + messages * 2 * UNCOUNTED_BYTES
 
 
 class BufferBudget:
@@ -52,6 +57,10 @@
         self.limit = limit
         self.used = 0
 
+    def read_bytes(self) -> int:
+        """How many bytes the next read of a message may bring."""
+        return MAX_READ_BYTES if self.used + MAX_READ_BYTES <= self.limit else UNCOUNTED_BYTES
+
     def reserve(self, size: int, reserved: int) -> int:
         """Reserve budget for a message of which `size` bytes are buffered and `reserved` bytes were reserved
         before. Returns the bytes that are now reserved for it; -1 if it may not be buffered any longer.
@@ -73,3 +82,16 @@
     def release(self, reserved: int) -> None:
         """Return to the budget what `reserve` or `reserve_unconditionally` returned last for a message."""
         self.used -= reserved
+
+
+class BodyBudgets:
+    """The two budgets of a process. The connections of clients and of endpoints share them, as a body passes
+    from one to the other.
+    """
+
+    __slots__ = ("answers", "requests")
+
+    def __init__(self, memory_mb: int = 0) -> None:
+        """`memory_mb`: the memory limit of the process in MiB; 0 = none is set."""
+        self.requests = BufferBudget(budget_bytes(memory_mb))
+        self.answers = BufferBudget(budget_bytes(memory_mb, ANSWERS_SHARE))
--- a/laurelstep/net/client_connection.py
+++ b/laurelstep/net/client_connection.py
@@ -17,6 +17,7 @@
 from laurelstep.net.message import encode_headers
 from laurelstep.net.request_receiver import STOPPING_MESSAGE, RequestReceiver
 from laurelstep.net.server_state import ServerState
+from laurelstep.net.unsent_bytes import UnsentBytes
 
 REASON_PHRASES: Final = {status.value: status.phrase.encode() for status in HTTPStatus}
 STATUS_LINES: Final = {
@@ -43,10 +44,14 @@
     def __init__(self, server: ServerState[Any]) -> None:
         super().__init__(server)
         self.is_answer_chunked = False  # the answer being streamed uses chunked framing
+        self.is_write_paused = False  # the transport buffers bytes that the kernel has not taken
+        self.unsent_bytes = UnsentBytes(server.answer_budget)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """asyncio: the client has connected."""
         self.transport = cast(asyncio.Transport, transport)
+        # `pause_writing` is called as soon as any bytes are buffered.
+        self.transport.set_write_buffer_limits(high=0)
         self.server.on_connect(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -55,6 +60,7 @@
         self.parser = None  # breaks the reference cycle: the parser holds bound methods of this object
         self.parsed = None  # the call of an incomplete request refers to this object, too
         self._abandon()
+        self.unsent_bytes.release()
         answer, self.answer = self.answer, None
         if answer is not None:
             answer.abandon()
@@ -70,18 +76,26 @@
         self._abandon()
 
     def pause_writing(self) -> None:
-        """asyncio: the send buffer is full, as the client does not read its answer."""
+        """asyncio: the kernel's send buffer is full, as the client does not read its answer."""
+        self.is_write_paused = True
+        self._count_unsent()
         self.server.write_stalled.add(self)
         if self.answer is not None:
             self.answer.pause()
 
     def resume_writing(self) -> None:
-        """asyncio: the send buffer has room again."""
+        """asyncio: the kernel has taken all bytes written so far."""
+        self.is_write_paused = False
+        self.unsent_bytes.release()
         if not self.is_closing:  # a closing connection keeps its timeout
             self.server.write_stalled.discard(self)
         if self.answer is not None:
             self.answer.resume()
 
+    def _count_unsent(self) -> None:
+        if self.transport is not None:
+            self.unsent_bytes.update(self.transport)
+
     # --- Writing --------------------------------------------------------------------
 
     def on_answer(self, call: Call, answer: Answer) -> None:
@@ -138,6 +152,8 @@
             self.transport.write(b"%x\r\n%b\r\n" % (len(data), data))
         else:
             self.transport.write(data)
+        if self.is_write_paused:  # what one read brought may come in several parts
+            self._count_unsent()
 
     def on_end(self, is_complete: bool) -> None:
         """`BodySink`: the streamed answer has ended; `is_complete` if all of it has arrived."""
--- a/laurelstep/net/endpoint_connection.py
+++ b/laurelstep/net/endpoint_connection.py
@@ -26,6 +26,7 @@
     select_headers,
 )
 from laurelstep.net.response_receiver import UNTIL_CLOSE, ResponseReceiver
+from laurelstep.net.unsent_bytes import UnsentBytes
 
 # If a connection cannot be opened for lack of a local resource (port, buffer, descriptor), opening it is
 # retried after a pause, which doubles each time, while the attempt waits. After REOPEN_TIMEOUT_S the attempt
@@ -53,6 +54,7 @@
         self.poller = select.poll()  # created once, as it is used for each request
         self.has_unwritten_bytes = True  # the kernel has not taken the request's last byte
         self.is_write_paused = False  # the transport buffers bytes that the kernel has not taken
+        self.unsent_bytes = UnsentBytes(owner.budgets.requests)
         self.upload: BodyStream | None = None  # the body of a request that is being streamed
 
     # --- Connection -----------------------------------------------------------
@@ -123,6 +125,7 @@
     def pause_writing(self) -> None:
         """asyncio: the kernel's send buffer is full."""
         self.is_write_paused = self.has_unwritten_bytes = True
+        self._count_unsent()
         if self.upload is not None:
             self.upload.pause()
             self.owner.write_stalled.add(self)
@@ -130,12 +133,17 @@
     def resume_writing(self) -> None:
         """asyncio: the kernel has taken all bytes written so far."""
         self.is_write_paused = False
+        self.unsent_bytes.release()
         self.owner.write_stalled.discard(self)
         if self.upload is not None:
             self.upload.resume()
         else:
             self._written()
 
+    def _count_unsent(self) -> None:
+        if self.transport is not None:
+            self.unsent_bytes.update(self.transport)
+
     def _written(self) -> None:
         self.has_unwritten_bytes = False
         if self.attempt is not None:
@@ -186,6 +194,8 @@
             self.transport.write(b"%x\r\n%b\r\n" % (len(data), data))
         else:
             self.transport.write(data)
+        if self.is_write_paused:  # what one read brought may come in several parts
+            self._count_unsent()
 
     def on_end(self, is_complete: bool) -> None:
         """`BodySink`: the upload has ended; `is_complete` if all of it has arrived."""
@@ -259,6 +269,7 @@
         """asyncio: the connection is closed. Ends its attempt, if that has no complete answer."""
         self.owner.on_disconnect(self)
         self._release_budget()
+        self.unsent_bytes.release()
         answer, self.answer = self.answer, None
         if answer is not None:
             answer.finish(False)
@@ -299,8 +310,16 @@
 
     # --- Answers ------------------------------------------------------------------
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """asyncio: the memory for the next read, which is used until `buffer_updated`."""
+        return self.owner.read_buffer.view()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """asyncio: `nbytes` bytes of an answer have arrived."""
+        self.data_received(self.owner.read_buffer.take(nbytes))
+
     def data_received(self, data: bytes) -> None:
-        """asyncio: bytes of an answer have arrived."""
+        """Read bytes of an answer that have arrived."""
         if self.attempt is None and self.answer is None:
             self.owner.on_malformed_response()
             self.close()  # no request is open, so these bytes are not an answer
--- a/laurelstep/net/endpoint_state.py
+++ b/laurelstep/net/endpoint_state.py
@@ -7,9 +7,10 @@
 from typing import Final, Generic, TypeVar
 
 from laurelstep.engine.call import Attempt
-from laurelstep.flow_control.buffer_budget import ANSWERS_SHARE, BufferBudget, budget_bytes
+from laurelstep.flow_control.buffer_budget import BodyBudgets
 from laurelstep.net.connection_pool import PooledConnection
 from laurelstep.net.deadline_sweeper import DeadlineSweeper
+from laurelstep.net.read_buffer import ReadBuffer
 
 # An idle connection is kept for this fraction of the endpoint's idle timeout: the rest guards against a
 # request that crosses the endpoint's own close. It is kept for at most MAX_IDLE_S, as endpoints limit their
@@ -56,7 +57,9 @@
         memory limit of the process in MiB; 0 = none is set.
         """
         self.loop, self.now = loop, now
-        self.answer_budget = BufferBudget(budget_bytes(memory_mb, ANSWERS_SHARE))
+        self.budgets = BodyBudgets(memory_mb)
+        self.answer_budget = self.budgets.answers
+        self.read_buffer = ReadBuffer(self.answer_budget)
         self.max_connections = max_connections
         self.addresses: dict[int, str] = {}
         self.is_retiring = False
--- a/laurelstep/net/request_receiver.py
+++ b/laurelstep/net/request_receiver.py
@@ -79,13 +79,24 @@
         upload, self.upload = self.upload, None
         if upload is not None:
             upload.abandon()
+        self._release_budget()
+
+    def _release_budget(self) -> None:
         reserved, self.reserved_bytes = self.reserved_bytes, 0
         self.server.request_budget.release(reserved)
 
     # --- Reading --------------------------------------------------------------------
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """asyncio: the memory for the next read, which is used until `buffer_updated`."""
+        return self.server.read_buffer.view()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """asyncio: `nbytes` bytes of a request have arrived."""
+        self.data_received(self.server.read_buffer.take(nbytes))
+
     def data_received(self, data: bytes) -> None:
-        """asyncio: bytes of a request have arrived."""
+        """Read bytes of a request that have arrived."""
         if self.is_closing:
             self._discard(data)
             return
@@ -260,9 +271,8 @@
             return
         upload = BodyStream(self, declared_length(self.headers))
         if self.body:
-            upload.feed(bytes(self.body))
+            upload.feed(bytes(self.body))  # stays reserved until the receiver of the upload has taken it
             self.body = bytearray()
-        self._release_body()
         self.upload = parsed.upload = upload
         parsed.time_after_upload_us = parsed.expires_at
         parsed.expires_at += server.engine.now() + MAX_UPLOAD_US
@@ -287,12 +297,15 @@
     def pause(self) -> None:
         """The receiver of the upload has no room: stop reading."""
         self.server.uploading.discard(self)
+        if self.upload is not None and self.upload.was_attached:
+            self._release_budget()  # the receiver counts what it buffers
         if self.transport is not None and not self.transport.is_closing():
             self.transport.pause_reading()
             self.server.paused.add(self)
 
     def resume(self) -> None:
         """The receiver of the upload has room again: go on reading."""
+        self._release_budget()
         if self.transport is not None and not self.transport.is_closing() and self.upload is not None:
             self.server.paused.discard(self)
             self.server.uploading.add(self)
@@ -349,12 +362,16 @@
         Until then reading goes on, as only reading shows that the client has closed the connection.
         """
         self.pipelined = b"%b%b" % (self.pipelined, data)
+        self.reserved_bytes = self.server.request_budget.reserve_unconditionally(
+            len(self.pipelined), self.reserved_bytes
+        )
         if self.transport is not None and not self.transport.is_closing():
             self.transport.pause_reading()
             self.server.paused.add(self)
 
     def _resume_pipelined(self) -> None:
         data, self.pipelined = self.pipelined, b""
+        self._release_budget()
         if self.transport is not None:
             self.transport.resume_reading()
             self.data_received(data)
--- a/laurelstep/net/server_state.py
+++ b/laurelstep/net/server_state.py
@@ -10,7 +10,7 @@
 
 from laurelstep.engine.call import Answer, Call
 from laurelstep.engine.engine import Engine
-from laurelstep.flow_control.buffer_budget import BufferBudget, budget_bytes
+from laurelstep.flow_control.buffer_budget import BodyBudgets
 from laurelstep.lifecycle import Lifecycle
 from laurelstep.lifecycle.phases import LATE_REQUEST_TIMEOUT_S
 from laurelstep.net.acceptor import Acceptor
@@ -22,6 +22,7 @@
     REQUEST_TIMEOUT_S,
     has_event,
 )
+from laurelstep.net.read_buffer import ReadBuffer
 from laurelstep.net.shutdown import GracefulShutdown
 from laurelstep.resources.descriptors import CLOSING, IDLE, eviction_order
 
@@ -140,11 +141,15 @@
         max_connections: int = 512,
         on_stop: Callable[[], None] | None = None,
         lifecycle: Lifecycle | None = None,
-        memory_mb: int = 0,
+        budgets: BodyBudgets | None = None,
     ) -> None:
-        """`on_stop` is called when a graceful shutdown begins. `memory_mb`: limit in MiB; 0 = none is set."""
+        """`on_stop` is called when a graceful shutdown begins. `budgets`: those of the engine's upstream,
+        which the connections share; None = budgets of their own.
+        """
         self.loop = loop
-        self.request_budget = BufferBudget(budget_bytes(memory_mb))
+        budgets = budgets or BodyBudgets()
+        self.request_budget, self.answer_budget = budgets.requests, budgets.answers
+        self.read_buffer = ReadBuffer(self.request_budget)
         # The request journal records the whole body of an order, so that body cannot be streamed.
         self.max_body_bytes = MAX_STREAMED_BODY_BYTES if engine.recorder is None else MAX_BUFFERED_BODY_BYTES
         self.lifecycle = lifecycle or Lifecycle()
--- a/setup.py
+++ b/setup.py
@@ -42,7 +42,7 @@
         "engine/names",
     ),
     *("lifecycle/phases", "resources/descriptors", "flow_control/buffer_budget", "flow_control/throughput"),
-    *("net/deadline_sweeper", "net/message", "net/request"),
+    *("net/deadline_sweeper", "net/message", "net/read_buffer", "net/request", "net/unsent_bytes"),
     *("net/client_connection", "net/request_receiver", "net/server", "net/server_state"),
     *("net/connection_pool", "net/endpoint_connection", "net/endpoint_request"),
     *("net/endpoint_state", "net/response_receiver", "net/upstream"),
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -167,7 +167,7 @@
     loop = asyncio.get_running_loop()
     parts = Assembly(loop, config, log)
     parts.start()
-    server = Server(loop, parts.engine, on_stop=parts.upstream.retire)
+    server = Server(loop, parts.engine, on_stop=parts.upstream.retire, budgets=parts.upstream.budgets)
     port = await server.listen("127.0.0.1", 0)
     yield Sidecar(parts.engine, parts.upstream, port, daemon=server)
     parts.close()
