Read on when a body has ended whose last part paused reading

Cause: a full receiver pauses the source of a body. If that happens while the last part is handled, BodyStream.finish closes the stream next and forgets the source, so that the later resume reaches nobody, and RequestReceiver._end_upload did not read on. The connection to an endpoint had the like: EndpointConnection._complete put it into its pool with reading paused, and the next request on it timed out though it was answered.

Change: the source ends its own pause when its body has ended, on both sides.

--- a/laurelstep/net/endpoint_connection.py
+++ b/laurelstep/net/endpoint_connection.py
@@ -369,6 +369,9 @@
         answer, self.answer = self.answer, None
         if answer is not None:
             self.owner.streaming.discard(self)
+            # The last part may have paused reading, and a stream that is closed does not resume its source.
+            if self.transport is not None and not self.transport.is_closing():
+                self.transport.resume_reading()
             self._end_exchange()
             answer.finish(True)
             return
--- a/laurelstep/net/request_receiver.py
+++ b/laurelstep/net/request_receiver.py
@@ -291,6 +291,8 @@
         self._reset()
         if upload is not None:
             upload.finish(True)
+        # The last part may have paused reading, and a stream that is closed does not resume its source.
+        self._resume_reading()
         if call is not None:
             self.server.engine.on_upload_complete(call)
 
@@ -307,8 +309,13 @@
         """The receiver of the upload has room again: go on reading."""
         self._release_budget()
         if self.transport is not None and not self.transport.is_closing() and self.upload is not None:
-            self.server.paused.discard(self)
             self.server.uploading.add(self)
+            self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        """Read again, whatever paused it. Does nothing if reading is not paused."""
+        self.server.paused.discard(self)
+        if self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
 
     def check_hangup(self) -> None:
