Judge a slow receiver by what it acknowledges, not by when its socket is writable

Cause: WRITE_STALL_TIMEOUT_S (10 s) begins with pause_writing and ended only with resume_writing. The kernel reports a full socket as writable only once a third of its send buffer is free, about 1 MB here, which takes 15 s at this rate. Uploads had the like with 5 s (STREAM_STALL_TIMEOUT_S).

Change: at the time-out the acknowledged bytes (tcpi_bytes_acked) are compared with those of the check before; at the least rate of bodies the connection goes on, on both sides and while it is being closed. Where the kernel does not tell, nothing changes.

--- a/laurelstep/net/client_connection.py
+++ b/laurelstep/net/client_connection.py
@@ -16,8 +16,9 @@
 from laurelstep.net.errors import BadRequestError
 from laurelstep.net.message import encode_headers
 from laurelstep.net.request_receiver import STOPPING_MESSAGE, RequestReceiver
-from laurelstep.net.server_state import ServerState
+from laurelstep.net.server_state import WRITE_STALL_TIMEOUT_S, ServerState
 from laurelstep.net.unsent_bytes import UnsentBytes
+from laurelstep.net.write_progress import WriteProgress
 
 REASON_PHRASES: Final = {status.value: status.phrase.encode() for status in HTTPStatus}
 STATUS_LINES: Final = {
@@ -46,6 +47,7 @@
         self.is_answer_chunked = False  # the answer being streamed uses chunked framing
         self.is_write_paused = False  # the transport buffers bytes that the kernel has not taken
         self.unsent_bytes = UnsentBytes(server.answer_budget)
+        self.write_progress = WriteProgress()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """asyncio: the client has connected."""
@@ -79,7 +81,7 @@
         """asyncio: the kernel's send buffer is full, as the client does not read its answer."""
         self.is_write_paused = True
         self._count_unsent()
-        self.server.write_stalled.add(self)
+        self._await_progress()
         if self.answer is not None:
             self.answer.pause()
 
@@ -96,6 +98,21 @@
         if self.transport is not None:
             self.unsent_bytes.update(self.transport)
 
+    def _await_progress(self) -> None:
+        """Check from now on that the client reads its answer."""
+        if self.transport is not None and self not in self.server.write_stalled.waiting_since:
+            self.write_progress.start(self.transport)
+            self.server.write_stalled.add(self)
+
+    def on_write_timeout(self) -> None:
+        """Abort the connection if its client has read too little of its answer since the last check."""
+        if self.transport is not None and self.write_progress.is_sufficient(
+            self.transport, WRITE_STALL_TIMEOUT_S
+        ):
+            self.server.write_stalled.add(self)
+        else:
+            self.abort()
+
     # --- Writing --------------------------------------------------------------------
 
     def on_answer(self, call: Call, answer: Answer) -> None:
@@ -203,7 +220,7 @@
         if self.has_written():
             self.abort()
         else:
-            self.server.write_stalled.add(self)
+            self._await_progress()
 
     def evict(self) -> None:
         """Close the connection at once to free its descriptor, and refuse an incomplete request.
--- a/laurelstep/net/connection_pool.py
+++ b/laurelstep/net/connection_pool.py
@@ -41,6 +41,10 @@
         """The connection was not established within the connect timeout."""
         raise NotImplementedError
 
+    def on_write_timeout(self) -> None:
+        """The endpoint has not read all of its upload in time."""
+        raise NotImplementedError
+
     def on_response_timeout(self) -> None:
         """An answer has begun and has not been completed in time."""
         raise NotImplementedError
--- a/laurelstep/net/endpoint_connection.py
+++ b/laurelstep/net/endpoint_connection.py
@@ -17,7 +17,7 @@
 from laurelstep.net.connect import is_local_fault, open_connection
 from laurelstep.net.connection_pool import MIN_IDLE, ConnectionPool
 from laurelstep.net.endpoint_request import encode_request, encode_upload_head
-from laurelstep.net.endpoint_state import EndpointState
+from laurelstep.net.endpoint_state import STREAM_STALL_TIMEOUT_S, EndpointState
 from laurelstep.net.message import (
     ANSWER_HEADERS,
     MAX_FRAMING_BYTES,
@@ -27,6 +27,7 @@
 )
 from laurelstep.net.response_receiver import UNTIL_CLOSE, ResponseReceiver
 from laurelstep.net.unsent_bytes import UnsentBytes
+from laurelstep.net.write_progress import WriteProgress
 
 # If a connection cannot be opened for lack of a local resource (port, buffer, descriptor), opening it is
 # retried after a pause, which doubles each time, while the attempt waits. After REOPEN_TIMEOUT_S the attempt
@@ -55,6 +56,7 @@
         self.has_unwritten_bytes = True  # the kernel has not taken the request's last byte
         self.is_write_paused = False  # the transport buffers bytes that the kernel has not taken
         self.unsent_bytes = UnsentBytes(owner.budgets.requests)
+        self.write_progress = WriteProgress()
         self.upload: BodyStream | None = None  # the body of a request that is being streamed
 
     # --- Connection -----------------------------------------------------------
@@ -128,7 +130,7 @@
         self._count_unsent()
         if self.upload is not None:
             self.upload.pause()
-            self.owner.write_stalled.add(self)
+            self._await_progress()
 
     def resume_writing(self) -> None:
         """asyncio: the kernel has taken all bytes written so far."""
@@ -140,6 +142,21 @@
         else:
             self._written()
 
+    def _await_progress(self) -> None:
+        """Check from now on that the endpoint reads the upload."""
+        if self.transport is not None and self not in self.owner.write_stalled.waiting_since:
+            self.write_progress.start(self.transport)
+            self.owner.write_stalled.add(self)
+
+    def on_write_timeout(self) -> None:
+        """Close the connection if its endpoint has read too little of the upload since the last check."""
+        if self.transport is not None and self.write_progress.is_sufficient(
+            self.transport, STREAM_STALL_TIMEOUT_S
+        ):
+            self.owner.write_stalled.add(self)
+        else:
+            self.close()
+
     def _count_unsent(self) -> None:
         if self.transport is not None:
             self.unsent_bytes.update(self.transport)
--- a/laurelstep/net/endpoint_state.py
+++ b/laurelstep/net/endpoint_state.py
@@ -24,8 +24,8 @@
 # Once an answer has begun, more of it must arrive within this time: guards against an answer that never
 # ends, which would use up the client's whole deadline.
 ANSWER_IDLE_TIMEOUT_S: Final = 0.5
-# The same for an answer that is being streamed, and for an endpoint that does not read its request. It is
-# longer because no other attempt can be made at that point.
+# The same for an answer that is being streamed, and how often it is checked that an endpoint reads an upload.
+# It is longer because no other attempt can be made at that point.
 STREAM_STALL_TIMEOUT_S: Final = 5.0
 # For DISTRUST_US after a malformed response from any endpoint, a connection must be idle for SETTLE_US after
 # an answer before it is reused, unless more than MIN_IDLE are idle there. Guards against an endpoint that
@@ -82,7 +82,7 @@
         )
         self.streaming = self._create_sweeper(STREAM_STALL_TIMEOUT_S, lambda connection: connection.close())
         self.write_stalled = self._create_sweeper(
-            STREAM_STALL_TIMEOUT_S, lambda connection: connection.close()
+            STREAM_STALL_TIMEOUT_S, lambda connection: connection.on_write_timeout()
         )
         self.sweepers = (
             *(self.connecting, self.idle_connections, self.surplus_connections),
--- a/laurelstep/net/server_state.py
+++ b/laurelstep/net/server_state.py
@@ -36,7 +36,8 @@
 HANGUP_CHECK_INTERVAL_S: Final = 0.05
 # How many connections of each kind, the longest waiting first, are considered for eviction.
 EVICTION_CANDIDATES: Final = 4
-# A connection is aborted if its client does not read its answer for this long.
+# How often it is checked that a client reads an answer that does not fit into the kernel's buffers. Its
+# connection is aborted if it has read too little since the last check.
 WRITE_STALL_TIMEOUT_S: Final = 10.0
 
 
@@ -102,6 +103,10 @@
         """The request has not arrived in time."""
         raise NotImplementedError
 
+    def on_write_timeout(self) -> None:
+        """The client has not read all of its answer in time."""
+        raise NotImplementedError
+
     def on_linger_timeout(self) -> None:
         """The client has not closed its side in time."""
         raise NotImplementedError
@@ -169,7 +174,7 @@
         # For those whose client does not read its answer, those between two requests, those closed on this
         # side, and those accepted late in a drain or a shutdown.
         self.write_stalled = self._create_sweeper(
-            WRITE_STALL_TIMEOUT_S, lambda connection: connection.abort()
+            WRITE_STALL_TIMEOUT_S, lambda connection: connection.on_write_timeout()
         )
         self.idle = self._create_sweeper(IDLE_TIMEOUT_S, lambda connection: connection.close_if_idle())
         self.lingering = self._create_sweeper(
