Read a waiting upload on, and refuse it where its client's close could not be seen

Cause: reading was paused while no attempt read the upload, and the client's close was asked of poll. The end of a connection stands behind its data: with the receive buffer full, the client's kernel holds the rest and the end, so poll saw nothing, and the attempt began.

Change: a waiting upload is read on within half of the budget for requests, and its close is seen as any other. A client whose close would be seen waits on as before.

--- a/laurelstep/engine/engine.py
+++ b/laurelstep/engine/engine.py
@@ -308,6 +308,14 @@
             self._close_call(call)
             self._send_final_answer(call, answer)
 
+    def refuse(self, call: Call) -> None:
+        """Refuse a call of which nothing was sent, as its frontend can't hold it any longer. The write queue
+        may take it over. Does nothing if the call is not open, or is in the queue already.
+        """
+        if call.is_open and not call.is_queued:
+            self._refuse_or_enqueue(call, Answer(Ending.REFUSED, 503))
+            self._dispatch(self.decisions.client_disconnected, call.id)
+
     def deliver(self, call: Call, answer: Answer) -> None:
         """Give a call the final answer that was held for the recorder, or another in its place. At the
         call's deadline that is a 504. Only the first answer of a call counts.
--- a/laurelstep/flow_control/buffer_budget.py
+++ b/laurelstep/flow_control/buffer_budget.py
@@ -28,6 +28,8 @@
 REQUESTS_SHARE: Final = 0.25
 ANSWERS_SHARE: Final = 0.125
 MIN_BUDGET_BYTES: Final = 1 << 20
+# The share of the budget for bodies of any size that wait for an attempt: the rest is left to other requests.
+WAITING_SHARE: Final = 0.5
 # MiB that are assumed if no memory limit is set.
 DEFAULT_MEMORY_MB: Final = 128
 
@@ -79,6 +81,16 @@
         self.used += wanted - reserved
         return wanted
 
+    def reserve_waiting(self, size: int, reserved: int) -> int:
+        """As `reserve`, for a large body of which nothing can be forwarded yet: it may be larger than a
+        buffered message, and leaves a part of the budget to others.
+        """
+        wanted = max(0, size - UNCOUNTED_BYTES)
+        if self.used + wanted - reserved > self.limit * WAITING_SHARE:
+            return -1
+        self.used += wanted - reserved
+        return wanted
+
     def release(self, reserved: int) -> None:
         """Return to the budget what `reserve` or `reserve_unconditionally` returned last for a message."""
         self.used -= reserved
--- a/laurelstep/net/request_receiver.py
+++ b/laurelstep/net/request_receiver.py
@@ -22,6 +22,7 @@
     body_length,
     declared_length,
 )
+from laurelstep.net.receive_queue import may_hide_close
 from laurelstep.net.request import build_call, validate_framing
 from laurelstep.net.server_state import ServerState, TrackedConnection
 
@@ -165,6 +166,8 @@
         if self.upload is None or self in sweeper.waiting_since:  # a paused upload has no timeout
             sweeper.discard(self)
             sweeper.add(self)
+        if self.upload is not None and not self.upload.was_attached:
+            self._hold_waiting_upload()
 
     def reserve(self, size: int) -> bool:
         """Reserve buffer budget for `size` bytes of the request; False if the budget is used up."""
@@ -283,7 +286,18 @@
         server.engine.take(parsed)
         # `self.upload` is not read again here: mypyc would assume the value that was assigned above.
         if not upload.is_closed and not upload.was_attached:
-            self.pause()  # no attempt reads it yet
+            self._hold_waiting_upload()
+
+    def _hold_waiting_upload(self) -> None:
+        """Read on while no attempt reads the upload, within the buffer budget, else pause.
+
+        Only reading shows that the client has left: the end of its connection stands behind its data.
+        """
+        reserved = self.server.request_budget.reserve_waiting(self.body_byte_count, self.reserved_bytes)
+        if reserved >= 0:
+            self.reserved_bytes = reserved
+        else:
+            self.pause()
 
     def _end_upload(self) -> None:
         upload, self.upload, call = self.upload, None, self.call
@@ -321,14 +335,25 @@
     def check_hangup(self) -> None:
         """Abort the connection if the client has closed it, which reading does not show while it is paused.
 
-        Reading is paused for an upload that no attempt reads, and for pipelined bytes while an answer is
-        streamed.
+        Reading is paused for an upload whose receiver has no room, for one that no attempt reads and that is
+        too large to be held, and for pipelined bytes while an answer is streamed. No attempt may begin for
+        a client that has left, so an upload that waits for one is refused if that can't be told.
         """
         if self.has_left():
             self._abandon()
             self.abort()
-        else:
-            self.server.paused.add(self)
+            return
+        self.server.paused.add(self)
+        upload, call = self.upload, self.call
+        if upload is not None and call is not None and not upload.was_attached and self._may_hide_close():
+            self.server.engine.refuse(call)
+
+    def _may_hide_close(self) -> bool:
+        """Whether the client may have closed the connection behind bytes that have not arrived here yet."""
+        if self.transport is None or self.upload is None:
+            return True
+        length = self.upload.length
+        return may_hide_close(self.transport, length - self.body_byte_count if length >= 0 else -1)
 
     def on_abandoned(self) -> None:
         """The receiver needs no more of the upload. The final answer follows and closes the connection."""
--- a/setup.py
+++ b/setup.py
@@ -46,6 +46,7 @@
         "net/deadline_sweeper",
         "net/message",
         "net/read_buffer",
+        "net/receive_queue",
         "net/request",
         "net/unsent_bytes",
         "net/write_progress",
