--- a/tests/outboxing.py
+++ b/tests/outboxing.py
@@ -16,7 +16,7 @@
 import shutil
 from collections import defaultdict
 from collections.abc import AsyncIterator, Callable, Coroutine, Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any, Final
 from urllib.parse import parse_qs, urlencode
@@ -55,6 +55,7 @@
 from tests.sockets import run
 
 TEST_TIMEOUT_S: Final = 60.0  # ends a test that hangs
+LEDGER_TIMEOUT_S: Final = 50.0  # earlier, so that the test says what the copy answered last
 DEADLINE_MS: Final = 2_000
 SETTINGS: Final[dict[str, Any]] = {
     "classes": [
@@ -239,6 +240,10 @@
     receipt_path: str = ""
     write_id: str = ""
 
+    def at(self, node: Node) -> QueuedWrite:
+        """The same write, to be asked about at another process of its edge."""
+        return replace(self, node=node)
+
 
 class Client:
     """A client whose writes depend causally on its earlier ones.
@@ -477,16 +482,22 @@
 
         A call that this test process sends more than 2 s after it connected gets no answer; it is repeated.
         """
+        last: list[object] = ["no answer"]
 
         async def is_reached() -> bool:
-            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-                return bool((await copy.query_state())["shared"]["ready"]) is is_ready
-            return False
+            try:
+                state = await copy.query_state()
+            except (OSError, asyncio.IncompleteReadError) as error:
+                last[:] = [error]
+                return False
+            last[:] = [state]
+            return bool(state["shared"]["ready"]) is is_ready
 
-        await wait_until(
-            is_reached,
-            f"{copy.name} with {'a ready' if is_ready else 'an unready'} shared ledger",
-        )
+        description = f"{copy.name} with {'a ready' if is_ready else 'an unready'} shared ledger"
+        try:
+            await wait_until(is_reached, description, LEDGER_TIMEOUT_S)
+        except AssertionError as error:
+            raise AssertionError(f"{error}; last: {last[0]!r}; {self._last_log_lines()}") from None
 
     async def create_twin(self, edge: Node) -> Node:
         """Creates a second process on a copy of the edge's store, without starting it.
@@ -613,10 +624,13 @@
 
     # --- Checks -------------------------------------------------------------------------
 
-    async def wait_settled(self, lost_edges: Iterable[str] = ()) -> dict[str, str]:
+    async def wait_settled(
+        self, lost_edges: Iterable[str] = (), serving: Node | None = None
+    ) -> dict[str, str]:
         """Waits until all queued writes have settled; records their final states and returns them by name.
 
-        Writes at `lost_edges` are left out.
+        Writes at `lost_edges` are left out. `serving`: of two processes on copies of a store, the one that
+        was not fenced; it is asked about the writes of their edge.
         """
         remaining = [write for write in self.queued_writes if write.edge not in set(lost_edges)]
         receipts: dict[str, Any] = {}  # by write id: a write may be queued at two edges
@@ -625,7 +639,8 @@
             """Whether each write is in a final state, or waits for a parked one."""
             for write in remaining:
                 if receipts.get(write.write_id, {}).get("state") not in ("done", "given_up"):
-                    receipts[write.write_id] = await self.read_receipt(write) or {
+                    asked = write if serving is None or write.edge != serving.name else write.at(serving)
+                    receipts[write.write_id] = await self.read_receipt(asked) or {
                         "state": "receipt unavailable"
                     }
             blocked = {write_id for write_id, receipt in receipts.items() if receipt["state"] == "parked"}
--- a/tests/test_outbox_processes.py
+++ b/tests/test_outbox_processes.py
@@ -510,8 +510,10 @@
             twin = await deployment.create_twin(edge)
             await asyncio.gather(edge.start(), twin.start())
             await accept_all_connections(deployment)
-            await wait_one_fenced(edge, twin)
-            await deployment.wait_settled()
+            serving = await wait_one_fenced(edge, twin)
+            # The fenced process parks its writes: its receipts do not tell when the other has replayed.
+            await deployment.backend.wait_executed("c0-order")
+            await deployment.wait_settled(serving=serving)
             assert deployment.backend.delivery_counts["c0-order"] == 1
             deployment.check_histories()
 
@@ -595,27 +597,28 @@
             )
             assert set(statuses) <= {202, 409} and 202 in statuses
             await deployment.backend.wait_executed("order")
-            await wait_one_fenced(edge, twin)
-            await deployment.wait_settled()
+            serving = await wait_one_fenced(edge, twin)
+            await deployment.wait_settled(serving=serving)
             assert deployment.backend.delivery_counts["order"] == 1
             deployment.check_histories()
 
     run_with_timeout(main())
 
 
-async def wait_one_fenced(*nodes: Node) -> None:
-    """Waits until one of the nodes logs that it is fenced; exactly one may do so."""
+def is_fenced(node: Node) -> bool:
+    """Whether the node has logged that another process holds the lease on its log."""
+    return any("fenced" in line for line in node.program.log_lines)
+
 
-    def fenced_nodes() -> list[str]:
-        return [
-            node.folder.name for node in nodes if any("fenced" in line for line in node.program.log_lines)
-        ]
+async def wait_one_fenced(*nodes: Node) -> Node:
+    """Waits until one of two nodes logs that it is fenced, and returns the other; only one may be fenced."""
 
     async def is_reached() -> bool:
-        return bool(fenced_nodes())
+        return any(is_fenced(node) for node in nodes)
 
     await wait_until(is_reached, "one node is fenced")
-    assert len(fenced_nodes()) == 1
+    (serving,) = [node for node in nodes if not is_fenced(node)]
+    return serving
 
 
 def test_copies_are_restarted_one_by_one_during_a_replay(tmp_path: Path) -> None:
