Give the write backlog one module, and the streaming of uploads a class of its own

What a connection has written and the kernel has not taken stood twice, at clients and at endpoints, in three parts (a flag, the reservation, the progress); it is net/write_backlog.py now. The streaming of uploads leaves net/request_receiver.py (409 lines to 320) for net/upload_receiver.py, headed by its rules.

--- a/laurelstep/net/client_connection.py
+++ b/laurelstep/net/client_connection.py
@@ -15,10 +15,10 @@
 from laurelstep.engine.call import Answer, Call
 from laurelstep.net.errors import BadRequestError
 from laurelstep.net.message import encode_headers
-from laurelstep.net.request_receiver import STOPPING_MESSAGE, RequestReceiver
-from laurelstep.net.server_state import WRITE_STALL_TIMEOUT_S, ServerState
-from laurelstep.net.unsent_bytes import UnsentBytes
-from laurelstep.net.write_progress import WriteProgress
+from laurelstep.net.request_receiver import STOPPING_MESSAGE
+from laurelstep.net.server_state import ServerState
+from laurelstep.net.upload_receiver import UploadReceiver
+from laurelstep.net.write_backlog import WriteBacklog
 
 REASON_PHRASES: Final = {status.value: status.phrase.encode() for status in HTTPStatus}
 STATUS_LINES: Final = {
@@ -35,7 +35,7 @@
     )
 
 
-class ClientConnection(RequestReceiver):
+class ClientConnection(UploadReceiver):
     """One connection of a client, which reads and answers one request at a time.
 
     It has the methods of an `asyncio.Protocol` but not the base class: mypyc cannot give a class with a base
@@ -45,9 +45,7 @@
     def __init__(self, server: ServerState[Any]) -> None:
         super().__init__(server)
         self.is_answer_chunked = False  # the answer being streamed uses chunked framing
-        self.is_write_paused = False  # the transport buffers bytes that the kernel has not taken
-        self.unsent_bytes = UnsentBytes(server.answer_budget)
-        self.write_progress = WriteProgress()
+        self.backlog = WriteBacklog(server.answer_budget, server.write_stalled)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """asyncio: the client has connected."""
@@ -62,7 +60,7 @@
         self.parser = None  # breaks the reference cycle: the parser holds bound methods of this object
         self.parsed = None  # the call of an incomplete request refers to this object, too
         self._abandon()
-        self.unsent_bytes.release()
+        self.backlog.resume()
         answer, self.answer = self.answer, None
         if answer is not None:
             answer.abandon()
@@ -79,36 +77,23 @@
 
     def pause_writing(self) -> None:
         """asyncio: the kernel's send buffer is full, as the client does not read its answer."""
-        self.is_write_paused = True
-        self._count_unsent()
-        self._await_progress()
+        if self.transport is not None:
+            self.backlog.pause(self.transport)
+            self.backlog.await_progress(self, self.transport)
         if self.answer is not None:
             self.answer.pause()
 
     def resume_writing(self) -> None:
         """asyncio: the kernel has taken all bytes written so far."""
-        self.is_write_paused = False
-        self.unsent_bytes.release()
+        self.backlog.resume()
         if not self.is_closing:  # a closing connection keeps its timeout
             self.server.write_stalled.discard(self)
         if self.answer is not None:
             self.answer.resume()
 
-    def _count_unsent(self) -> None:
-        if self.transport is not None:
-            self.unsent_bytes.update(self.transport)
-
-    def _await_progress(self) -> None:
-        """Check from now on that the client reads its answer."""
-        if self.transport is not None and self not in self.server.write_stalled.waiting_since:
-            self.write_progress.start(self.transport)
-            self.server.write_stalled.add(self)
-
     def on_write_timeout(self) -> None:
         """Abort the connection if its client has read too little of its answer since the last check."""
-        if self.transport is not None and self.write_progress.is_sufficient(
-            self.transport, WRITE_STALL_TIMEOUT_S
-        ):
+        if self.transport is not None and self.backlog.has_progress(self.transport):
             self.server.write_stalled.add(self)
         else:
             self.abort()
@@ -169,8 +154,7 @@
             self.transport.write(b"%x\r\n%b\r\n" % (len(data), data))
         else:
             self.transport.write(data)
-        if self.is_write_paused:  # what one read brought may come in several parts
-            self._count_unsent()
+        self.backlog.count(self.transport)
 
     def on_end(self, is_complete: bool) -> None:
         """`BodySink`: the streamed answer has ended; `is_complete` if all of it has arrived."""
@@ -219,8 +203,8 @@
         """The client has not closed its side in time. If it is still reading its answer, allow more time."""
         if self.has_written():
             self.abort()
-        else:
-            self._await_progress()
+        elif self.transport is not None:
+            self.backlog.await_progress(self, self.transport)
 
     def evict(self) -> None:
         """Close the connection at once to free its descriptor, and refuse an incomplete request.
--- a/laurelstep/net/endpoint_connection.py
+++ b/laurelstep/net/endpoint_connection.py
@@ -17,7 +17,7 @@
 from laurelstep.net.connect import is_local_fault, open_connection
 from laurelstep.net.connection_pool import MIN_IDLE, ConnectionPool
 from laurelstep.net.endpoint_request import encode_request, encode_upload_head
-from laurelstep.net.endpoint_state import STREAM_STALL_TIMEOUT_S, EndpointState
+from laurelstep.net.endpoint_state import EndpointState
 from laurelstep.net.message import (
     ANSWER_HEADERS,
     MAX_FRAMING_BYTES,
@@ -26,8 +26,7 @@
     select_headers,
 )
 from laurelstep.net.response_receiver import UNTIL_CLOSE, ResponseReceiver
-from laurelstep.net.unsent_bytes import UnsentBytes
-from laurelstep.net.write_progress import WriteProgress
+from laurelstep.net.write_backlog import WriteBacklog
 
 # If a connection cannot be opened for lack of a local resource (port, buffer, descriptor), opening it is
 # retried after a pause, which doubles each time, while the attempt waits. After REOPEN_TIMEOUT_S the attempt
@@ -54,9 +53,7 @@
         self.reopen_until = 0.0
         self.poller = select.poll()  # created once, as it is used for each request
         self.has_unwritten_bytes = True  # the kernel has not taken the request's last byte
-        self.is_write_paused = False  # the transport buffers bytes that the kernel has not taken
-        self.unsent_bytes = UnsentBytes(owner.budgets.requests)
-        self.write_progress = WriteProgress()
+        self.backlog = WriteBacklog(owner.budgets.requests, owner.write_stalled)
         self.upload: BodyStream | None = None  # the body of a request that is being streamed
 
     # --- Connection -----------------------------------------------------------
@@ -126,41 +123,30 @@
 
     def pause_writing(self) -> None:
         """asyncio: the kernel's send buffer is full."""
-        self.is_write_paused = self.has_unwritten_bytes = True
-        self._count_unsent()
+        self.has_unwritten_bytes = True
+        if self.transport is not None:
+            self.backlog.pause(self.transport)
         if self.upload is not None:
             self.upload.pause()
-            self._await_progress()
+            if self.transport is not None:
+                self.backlog.await_progress(self, self.transport)
 
     def resume_writing(self) -> None:
         """asyncio: the kernel has taken all bytes written so far."""
-        self.is_write_paused = False
-        self.unsent_bytes.release()
+        self.backlog.resume()
         self.owner.write_stalled.discard(self)
         if self.upload is not None:
             self.upload.resume()
         else:
             self._written()
 
-    def _await_progress(self) -> None:
-        """Check from now on that the endpoint reads the upload."""
-        if self.transport is not None and self not in self.owner.write_stalled.waiting_since:
-            self.write_progress.start(self.transport)
-            self.owner.write_stalled.add(self)
-
     def on_write_timeout(self) -> None:
         """Close the connection if its endpoint has read too little of the upload since the last check."""
-        if self.transport is not None and self.write_progress.is_sufficient(
-            self.transport, STREAM_STALL_TIMEOUT_S
-        ):
+        if self.transport is not None and self.backlog.has_progress(self.transport):
             self.owner.write_stalled.add(self)
         else:
             self.close()
 
-    def _count_unsent(self) -> None:
-        if self.transport is not None:
-            self.unsent_bytes.update(self.transport)
-
     def _written(self) -> None:
         self.has_unwritten_bytes = False
         if self.attempt is not None:
@@ -200,7 +186,7 @@
         self.upload = upload
         self.transport.write(encode_upload_head(attempt, upload, now))
         upload.attach(self)
-        if not self.is_write_paused:
+        if not self.backlog.is_paused:
             upload.resume()  # does nothing if the upload is complete
 
     def on_data(self, data: bytes) -> None:
@@ -211,8 +197,7 @@
             self.transport.write(b"%x\r\n%b\r\n" % (len(data), data))
         else:
             self.transport.write(data)
-        if self.is_write_paused:  # what one read brought may come in several parts
-            self._count_unsent()
+        self.backlog.count(self.transport)
 
     def on_end(self, is_complete: bool) -> None:
         """`BodySink`: the upload has ended; `is_complete` if all of it has arrived."""
@@ -225,7 +210,7 @@
             return
         if upload is not None and upload.length < 0:
             self.transport.write(b"0\r\n\r\n")
-        if not self.is_write_paused and not self.transport.is_closing():
+        if not self.backlog.is_paused and not self.transport.is_closing():
             self._written()
 
     def _abandon_upload(self) -> None:
@@ -286,7 +271,7 @@
         """asyncio: the connection is closed. Ends its attempt, if that has no complete answer."""
         self.owner.on_disconnect(self)
         self._release_budget()
-        self.unsent_bytes.release()
+        self.backlog.resume()
         answer, self.answer = self.answer, None
         if answer is not None:
             answer.finish(False)
--- a/laurelstep/net/request_receiver.py
+++ b/laurelstep/net/request_receiver.py
@@ -20,9 +20,7 @@
     MAX_HEAD_BYTES,
     OWS,
     body_length,
-    declared_length,
 )
-from laurelstep.net.receive_queue import may_hide_close
 from laurelstep.net.request import build_call, validate_framing
 from laurelstep.net.server_state import ServerState, TrackedConnection
 
@@ -37,8 +35,6 @@
 # resets the connection, and the client may lose the answer.
 MAX_DISCARDED_BYTES: Final = 1 << 20
 STOPPING_MESSAGE: Final = "this sidecar stops"
-# Provisional limit for an upload, until its last byte has arrived and its deadline starts.
-MAX_UPLOAD_US: Final = 600_000_000
 
 
 class RequestReceiver(TrackedConnection):
@@ -60,6 +56,18 @@
         """Write an answer. `is_incomplete`: the request is incomplete, and the rest of it is not read."""
         raise NotImplementedError
 
+    def begin_upload(self) -> None:
+        """Stream the body, as it is too large to be buffered."""
+        raise NotImplementedError
+
+    def hold_waiting_upload(self) -> None:
+        """More of an upload that no attempt reads yet has arrived."""
+        raise NotImplementedError
+
+    def end_upload(self) -> None:
+        """The last byte of a streamed body has arrived."""
+        raise NotImplementedError
+
     def _reset(self) -> None:
         self.target = b""
         self.headers: Headers = []
@@ -131,7 +139,7 @@
             if not self.is_complete:
                 self._continue_reading()
             elif self.upload is not None:
-                self._end_upload()
+                self.end_upload()
             else:
                 self._dispatch()
 
@@ -160,14 +168,14 @@
             self.reject(BadRequestError(408, "the body came too slowly"))
             return
         if self.upload is None and not self.reserve(self.body_byte_count):
-            self._begin_upload()
+            self.begin_upload()
             return
         sweeper = server.uploading if self.upload is not None else server.awaiting_request
         if self.upload is None or self in sweeper.waiting_since:  # a paused upload has no timeout
             sweeper.discard(self)
             sweeper.add(self)
         if self.upload is not None and not self.upload.was_attached:
-            self._hold_waiting_upload()
+            self.hold_waiting_upload()
 
     def reserve(self, size: int) -> bool:
         """Reserve buffer budget for `size` bytes of the request; False if the budget is used up."""
@@ -261,103 +269,6 @@
         assert handler is not None
         handler(query)
 
-    # --- Streaming ---------------------------------------------------------------------
-
-    def _begin_upload(self) -> None:
-        """Stream the body, as it is too large to be buffered: the first attempt forwards it as it arrives."""
-        server, parsed = self.server, self.parsed
-        if not isinstance(parsed, Call):
-            self.reject(BadRequestError(413, "the body is too large"))
-            return
-        if parsed.client_request_id in server.engine.open_request_ids:
-            self.reject(BadRequestError(409, "X-Request-Id is that of an open request"))
-            return
-        upload = BodyStream(self, declared_length(self.headers))
-        if self.body:
-            upload.feed(bytes(self.body))  # stays reserved until the receiver of the upload has taken it
-            self.body = bytearray()
-        self.upload = parsed.upload = upload
-        parsed.time_after_upload_us = parsed.expires_at
-        parsed.expires_at += server.engine.now() + MAX_UPLOAD_US
-        parsed.can_stream_answer = True
-        self.call = parsed
-        server.awaiting_request.discard(self)
-        server.uploading.add(self)
-        server.engine.take(parsed)
-        # `self.upload` is not read again here: mypyc would assume the value that was assigned above.
-        if not upload.is_closed and not upload.was_attached:
-            self._hold_waiting_upload()
-
-    def _hold_waiting_upload(self) -> None:
-        """Read on while no attempt reads the upload, within the buffer budget, else pause.
-
-        Only reading shows that the client has left: the end of its connection stands behind its data.
-        """
-        reserved = self.server.request_budget.reserve_waiting(self.body_byte_count, self.reserved_bytes)
-        if reserved >= 0:
-            self.reserved_bytes = reserved
-        else:
-            self.pause()
-
-    def _end_upload(self) -> None:
-        upload, self.upload, call = self.upload, None, self.call
-        self.server.uploading.discard(self)
-        self._reset()
-        if upload is not None:
-            upload.finish(True)
-        # The last part may have paused reading, and a stream that is closed does not resume its source.
-        self._resume_reading()
-        if call is not None:
-            self.server.engine.on_upload_complete(call)
-
-    def pause(self) -> None:
-        """The receiver of the upload has no room: stop reading."""
-        self.server.uploading.discard(self)
-        if self.upload is not None and self.upload.was_attached:
-            self._release_budget()  # the receiver counts what it buffers
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.pause_reading()
-            self.server.paused.add(self)
-
-    def resume(self) -> None:
-        """The receiver of the upload has room again: go on reading."""
-        self._release_budget()
-        if self.transport is not None and not self.transport.is_closing() and self.upload is not None:
-            self.server.uploading.add(self)
-            self._resume_reading()
-
-    def _resume_reading(self) -> None:
-        """Read again, whatever paused it. Does nothing if reading is not paused."""
-        self.server.paused.discard(self)
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.resume_reading()
-
-    def check_hangup(self) -> None:
-        """Abort the connection if the client has closed it, which reading does not show while it is paused.
-
-        Reading is paused for an upload whose receiver has no room, for one that no attempt reads and that is
-        too large to be held, and for pipelined bytes while an answer is streamed. No attempt may begin for
-        a client that has left, so an upload that waits for one is refused if that can't be told.
-        """
-        if self.has_left():
-            self._abandon()
-            self.abort()
-            return
-        self.server.paused.add(self)
-        upload, call = self.upload, self.call
-        if upload is not None and call is not None and not upload.was_attached and self._may_hide_close():
-            self.server.engine.refuse(call)
-
-    def _may_hide_close(self) -> bool:
-        """Whether the client may have closed the connection behind bytes that have not arrived here yet."""
-        if self.transport is None or self.upload is None:
-            return True
-        length = self.upload.length
-        return may_hide_close(self.transport, length - self.body_byte_count if length >= 0 else -1)
-
-    def on_abandoned(self) -> None:
-        """The receiver needs no more of the upload. The final answer follows and closes the connection."""
-
     # --- Complete requests ------------------------------------------------------------
 
     def _dispatch(self) -> None:
--- a/laurelstep/net/server_state.py
+++ b/laurelstep/net/server_state.py
@@ -30,7 +30,6 @@
 IDLE_TIMEOUT_S: Final = 5.0
 # After this side of a connection is closed, the client has this long to close its side.
 LINGER_TIMEOUT_S: Final = 1.0
-MAX_DISCARDED_BYTES: Final = 1 << 20
 # How often a paused connection is checked for a client that has left: no attempt may begin for it later than
 # 0.1 s after its close.
 HANGUP_CHECK_INTERVAL_S: Final = 0.05
--- a/setup.py
+++ b/setup.py
@@ -48,10 +48,15 @@
         "net/read_buffer",
         "net/receive_queue",
         "net/request",
-        "net/unsent_bytes",
-        "net/write_progress",
+        "net/write_backlog",
+    ),
+    *(
+        "net/client_connection",
+        "net/request_receiver",
+        "net/server",
+        "net/server_state",
+        "net/upload_receiver",
     ),
-    *("net/client_connection", "net/request_receiver", "net/server", "net/server_state"),
     *("net/connection_pool", "net/endpoint_connection", "net/endpoint_request"),
     *("net/endpoint_state", "net/response_receiver", "net/upstream"),
 )
--- a/tests/test_crossings_endpoints.py
+++ b/tests/test_crossings_endpoints.py
@@ -557,7 +557,7 @@
     accepted = await peer.accept()
     await until(
         lambda: bool(proxy.upstream.connections)
-        and all(connection.is_write_paused for connection in proxy.upstream.connections)
+        and all(connection.backlog.is_paused for connection in proxy.upstream.connections)
     )
     return answering, accepted
 
@@ -591,7 +591,7 @@
             answering, accepted = await send_half_written(proxy, peer)
             await peer.read_all(accepted, 65_000)
             await until(
-                lambda: not any(connection.is_write_paused for connection in proxy.upstream.connections)
+                lambda: not any(connection.backlog.is_paused for connection in proxy.upstream.connections)
             )
             reset_connection(accepted)
             assert (await answering).status == 502
--- a/tests/test_write_progress.py
+++ b/tests/test_write_progress.py
@@ -7,8 +7,9 @@
 from typing import TypeVar
 
 import pytest
+from laurelstep.flow_control.buffer_budget import BufferBudget
 from laurelstep.net.deadline_sweeper import DeadlineSweeper
-from laurelstep.net.write_progress import WriteProgress, acknowledged_bytes
+from laurelstep.net.write_backlog import WriteBacklog, acknowledged_bytes
 
 from tests.sockets import (
     Endpoint,
@@ -202,10 +203,17 @@
         def getsockopt(self, *arguments: int) -> bytes:
             raise OSError
 
-    class Transport(asyncio.BaseTransport):
+    class Transport(asyncio.WriteTransport):
         def get_extra_info(self, name: str, default: object = None) -> object:
             return UnknownSocket()
 
-    progress = WriteProgress()
-    progress.start(Transport())
-    assert not progress.is_sufficient(Transport(), 10.0)
+    async def main() -> None:
+        sweeper: DeadlineSweeper[object] = DeadlineSweeper(
+            asyncio.get_running_loop(), 10.0, lambda item: None
+        )
+        backlog = WriteBacklog(BufferBudget(0), sweeper)
+        backlog.await_progress(backlog, Transport())
+        assert backlog in sweeper.waiting_since and not backlog.has_progress(Transport())
+        sweeper.close()
+
+    run(main())
