--- a/laurelstep/net/client_connection.py
+++ b/laurelstep/net/client_connection.py
@@ -13,6 +13,7 @@
 
 from laurelstep.engine.body_stream import BodyStream
 from laurelstep.engine.call import Answer, Call
+from laurelstep.flow_control.buffer_budget import UNCOUNTED_BYTES
 from laurelstep.net.errors import BadRequestError
 from laurelstep.net.message import encode_headers
 from laurelstep.net.request_receiver import STOPPING_MESSAGE
@@ -50,8 +51,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """asyncio: the client has connected."""
         self.transport = cast(asyncio.Transport, transport)
-        # `pause_writing` is called as soon as any bytes are buffered.
-        self.transport.set_write_buffer_limits(high=0)
+        # `pause_writing` is called as soon as more is buffered than a message may hold uncounted.
+        self.transport.set_write_buffer_limits(high=UNCOUNTED_BYTES, low=0)
         self.server.on_connect(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
