Judge an upload that is connecting when its attempt is about to begin

Cause: refused a paused upload after 50 ms, also while the connection of its attempt was being opened, which takes longer beside load. Callers would have seen 503 where the endpoint was about to take the upload.

Change: the rule is about the beginning of an attempt, so AttemptController.may_start decides it there: within 100 ms of the last read an attempt begins, later only if the client's close could not be hidden. An upload that waits with no attempt is refused by the same test. Both tests that count forwarded uploads set the limit aside, so that their verdict does not hang on how long connections take.

--- a/laurelstep/engine/attempts.py
+++ b/laurelstep/engine/attempts.py
@@ -30,6 +30,9 @@
     def on_client_left(self, call: Call) -> None:
         """The client of an open call has left."""
 
+    def refuse(self, call: Call) -> None:
+        """Refuse an open call of which nothing was sent."""
+
     def on_attempt_ended(self, attempt: Attempt, outcome: int, answer: Answer | None, load: bytes) -> None:
         """An attempt has its one outcome; `answer` and the load report `load` came with it."""
 
@@ -82,13 +85,19 @@
 
     def may_start(self, attempt: Attempt, now: int) -> bool:
         """Whether the first byte of an attempt may be written at the time `now`, in µs. Reports a client that
-        has left to the host. Guards against an attempt for a client whose close the event loop has not read:
-        because the loop was blocked, or because unread bytes precede the close.
+        has left to the host, and has an upload refused whose client may have left unseen. Guards against an
+        attempt for a client whose close the event loop has not read: because the loop was blocked, or because
+        unread bytes precede the close.
         """
         if not self._is_allowed(attempt, now):
             return False
         client = attempt.call.client_connection
-        if client is None or not self.loop_watch.is_late(now) or not client.has_left():
+        if client is None:
+            return True
+        if attempt.call.upload is not None and client.may_hide_close():
+            self.host.refuse(attempt.call)
+            return False
+        if not self.loop_watch.is_late(now) or not client.has_left():
             return True
         self.host.on_client_left(attempt.call)
         return False
--- a/laurelstep/engine/call.py
+++ b/laurelstep/engine/call.py
@@ -67,6 +67,9 @@
     def has_left(self) -> bool:
         """Whether the client has closed the connection, even if the event loop has not read the close yet."""
 
+    def may_hide_close(self) -> bool:
+        """Whether the client may have left behind bytes of its upload that have not arrived."""
+
 
 class Handle(Protocol):
     """A scheduled callback."""
--- a/laurelstep/net/request_receiver.py
+++ b/laurelstep/net/request_receiver.py
@@ -47,6 +47,7 @@
         self.discarded_bytes = 0  # bytes discarded after this side was closed
         self.keep_alive = True
         self.upload: BodyStream | None = None  # the body of a request that is being streamed
+        self.upload_paused_at = 0.0  # loop time at which reading an upload was paused that no attempt reads
         self.answer: BodyStream | None = None  # the body of an answer that is being streamed
         self.pipelined = b""  # bytes of the next request, read while an answer is being streamed
         self.parser: Any = httptools.HttpRequestParser(self)
--- a/laurelstep/net/server_state.py
+++ b/laurelstep/net/server_state.py
@@ -33,6 +33,9 @@
 # How often a paused connection is checked for a client that has left: no attempt may begin for it later than
 # 0.1 s after its close.
 HANGUP_CHECK_INTERVAL_S: Final = 0.05
+# How long after its upload was last read an attempt may begin for a client whose close could be hidden behind
+# bytes that have not arrived.
+UNSEEN_LIMIT_S: Final = 0.1
 # How many connections of each kind, the longest waiting first, are considered for eviction.
 EVICTION_CANDIDATES: Final = 4
 # How often it is checked that a client reads an answer that does not fit into the kernel's buffers. Its
@@ -114,6 +117,10 @@
         """Whether the kernel has taken all bytes written to the client."""
         return self.transport is None or self.transport.get_write_buffer_size() == 0
 
+    def may_hide_close(self) -> bool:
+        """Whether the client may have closed the connection behind bytes that have not arrived here."""
+        raise NotImplementedError
+
     def has_unread(self) -> bool:
         """Whether bytes have arrived that are not read yet; True if that cannot be determined."""
         assert self.transport is not None
@@ -154,6 +161,7 @@
         budgets = budgets or BodyBudgets()
         self.request_budget, self.answer_budget = budgets.requests, budgets.answers
         self.read_buffer = ReadBuffer(self.request_budget)
+        self.unseen_limit_s = UNSEEN_LIMIT_S
         # The request journal records the whole body of an order, so that body cannot be streamed.
         self.max_body_bytes = MAX_STREAMED_BODY_BYTES if engine.recorder is None else MAX_BUFFERED_BODY_BYTES
         self.lifecycle = lifecycle or Lifecycle()
--- a/laurelstep/net/upload_receiver.py
+++ b/laurelstep/net/upload_receiver.py
@@ -60,6 +60,7 @@
         if reserved >= 0:
             self.reserved_bytes = reserved
         else:
+            self.upload_paused_at = self.server.loop.time()
             self.pause()
 
     def end_upload(self) -> None:
@@ -101,23 +102,32 @@
 
         Reading is paused for an upload whose receiver has no room, for one that no attempt reads and that is
         too large to be held, and for pipelined bytes while an answer is streamed. No attempt may begin for
-        a client that has left, so an upload that waits for one is refused if that can't be told.
+        a client that has left, so an upload that waits for one is refused if that can't be told. While one is
+        connecting, that is decided when it is about to begin.
         """
         if self.has_left():
             self._abandon()
             self.abort()
             return
         self.server.paused.add(self)
-        upload, call = self.upload, self.call
-        if upload is not None and call is not None and not upload.was_attached and self._may_hide_close():
+        call = self.call
+        if call is None or not self.may_hide_close():
+            return
+        if not any([attempt.is_in_flight for attempt in call.attempts]):
             self.server.engine.refuse(call)
 
-    def _may_hide_close(self) -> bool:
-        """Whether the client may have closed the connection behind bytes that have not arrived here yet."""
-        if self.transport is None or self.upload is None:
-            return True
-        length = self.upload.length
-        return may_hide_close(self.transport, length - self.body_byte_count if length >= 0 else -1)
+    def may_hide_close(self) -> bool:
+        """Whether the client may have closed the connection behind bytes of a waiting upload that have not
+        arrived here, longer ago than an attempt may begin after a close.
+        """
+        upload, transport = self.upload, self.transport
+        if upload is None or upload.was_attached or transport is None:
+            return False
+        if self not in self.server.paused.waiting_since:
+            return False  # it is being read
+        if self.server.loop.time() - self.upload_paused_at < self.server.unseen_limit_s:
+            return False
+        return may_hide_close(transport, upload.length - self.body_byte_count if upload.length >= 0 else -1)
 
     def on_abandoned(self) -> None:
         """The receiver needs no more of the upload. The final answer follows and closes the connection."""
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -16,6 +16,7 @@
 )
 
 from tests.sockets import (
+    TEST_TIMEOUT_S,
     Endpoint,
     Message,
     Reader,
@@ -90,6 +91,7 @@
 
 def limit_budgets(proxy: Sidecar) -> None:
     proxy.server.request_budget.limit = proxy.upstream.answer_budget.limit = LIMIT_BYTES
+    proxy.server.unseen_limit_s = TEST_TIMEOUT_S  # however long a connection takes to be opened here
 
 
 @pytest.mark.parametrize("framing", ["length", "chunks", "end"])
--- a/tests/test_flow_control.py
+++ b/tests/test_flow_control.py
@@ -22,6 +22,7 @@
 from laurelstep.testing.endpoints import reset_connection
 
 from tests.sockets import (
+    TEST_TIMEOUT_S,
     Endpoint,
     Message,
     Reader,
@@ -726,6 +727,7 @@
         endpoint = Endpoint(never_answer)
         async with sidecar(endpoint) as proxy:
             proxy.server.request_budget.limit = MB
+            proxy.server.unseen_limit_s = TEST_TIMEOUT_S  # however long a connection takes to be opened here
             streams = [await proxy.connect() for _ in range(40)]
             for n, (_, writer) in enumerate(streams):
                 writer.write(head(MB, rid=f"r{n}") + BIG[:300_000])
